--- /dev/null
+++ b/support/check.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Formatter, linter, build, tests with and without sanitizers, scenarios. Criterion's lines come last.
+set -eu
+cd "$(dirname "$0")/.."
+support/install.sh
+cmake -G Ninja -S . -B build/release -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake --build build/release
+support/lint.sh build/release
+cmake -G Ninja -S . -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DSESAMESILL_SANITIZE=ON >/dev/null
+cmake --build build/sanitize --target sesamesill_tests
+build/sanitize/sesamesill_tests --jobs 4
+[ -x support/scenarios.sh ] && support/scenarios.sh
+[ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
+build/release/sesamesill_tests --jobs 4
