Serve a request from caller to executor and worker through six processes

Cause: everything later needs a whole path of separate processes. Change: the daemon with its services (log tail with group commit, VM list, owners by rendezvous hashing, document, calls, jobs, workers), stand-ins for log, VM list, executors and workers, and support/path.sh, which drives them. Ruled out: libjsonrpccpp's client (does not compile as C++17) and its HTTP connectors (own threads); its server side decodes and checks, evhttp carries.

--- /dev/null
+++ b/daemon/sesamesilld.cc
@@ -0,0 +1,78 @@
+// The daemon: reads its settings, runs one node until it is told to stop.
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "sesamesill/log.h"
+#include "sesamesill/node.h"
+#include "sesamesill/settings.h"
+
+DEFINE_string(settings, "", "file with the settings of this member, INI");
+DEFINE_bool(check, false, "check the settings and exit");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+
+namespace {
+
+constexpr int exit_bad_settings = 2;
+
+std::optional<sesamesill::node_settings> read_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    std::vector<sesamesill::fault> faults;
+    std::optional<sesamesill::node_settings> settings =
+        sesamesill::parse_settings(text.str(), faults);
+    for (const sesamesill::fault& f : faults) {
+        std::cerr << path << ": " << to_string(f) << '\n';
+    }
+    return settings;
+}
+
+sesamesill::log_level level_from(const std::string& name)
+{
+    if (name == "debug") {
+        return sesamesill::log_level::debug;
+    }
+    if (name == "warning") {
+        return sesamesill::log_level::warning;
+    }
+    return name == "error" ? sesamesill::log_level::error : sesamesill::log_level::info;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("one member of a sesamesill cell\n  sesamesilld --settings FILE");
+    gflags::SetVersionString(SESAMESILL_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::optional<sesamesill::node_settings> settings = read_settings(FLAGS_settings);
+    if (!settings) {
+        return exit_bad_settings;
+    }
+    if (FLAGS_check) {
+        std::cout << FLAGS_settings << ": good\n";
+        return 0;
+    }
+    sesamesill::start_log(settings->name, level_from(FLAGS_log_level));
+    sesamesill::event_loop loop;
+    sesamesill::node node(loop, *settings);
+    sesamesill::error why;
+    if (!node.start(why)) {
+        sesamesill::log_error("start_failed", why);
+        return 1;
+    }
+    loop.on_signal(SIGTERM, [&node] { node.drain(); });
+    loop.on_signal(SIGINT, [&node] { node.drain(); });
+    loop.run();
+    return 0;
+}
--- /dev/null
+++ b/include/sesamesill/http.h
@@ -0,0 +1,148 @@
+// HTTP by evhttp, one event loop, timers and signals. Nothing here blocks.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sesamesill/clock.h"
+#include "sesamesill/error.h"
+
+namespace sesamesill {
+
+/// An IP number and a port.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+inline bool operator==(const endpoint& a, const endpoint& b)
+{
+    return a.port == b.port && a.address == b.address;
+}
+
+inline bool operator<(const endpoint& a, const endpoint& b)
+{
+    return a.port != b.port ? a.port < b.port : a.address < b.address;
+}
+
+std::string to_string(const endpoint& e);
+
+/// Returns the endpoint written as "10.0.0.1:80", or nothing.
+std::optional<endpoint> endpoint_from(std::string_view text);
+
+/// The event loop of a process. Not thread-safe: all tasks of a process run on it.
+class event_loop {
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+    event_loop(event_loop&&) = delete;
+    event_loop& operator=(event_loop&&) = delete;
+
+    /// Runs `action` every `period` until the loop ends.
+    void every(millis period, std::function<void()> action);
+    /// Runs `action` once, `delay` from now.
+    void after(millis delay, std::function<void()> action);
+    /// Runs `action` on each arrival of the signal.
+    void on_signal(int signal, std::function<void()> action);
+    void run();
+    void stop();
+
+    struct state;
+    state& internals() { return *state_; }
+
+private:
+    std::unique_ptr<state> state_;
+};
+
+using http_headers = std::map<std::string, std::string>;
+
+struct http_request {
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> query;
+    http_headers headers; ///< names in lower case
+    std::string body;
+    std::string peer; ///< IP number of the sender
+};
+
+struct http_reply {
+    int status = 200;
+    std::string body;
+    http_headers headers;
+    std::string content_type = "application/json";
+};
+
+using http_respond = std::function<void(http_reply)>;
+/// Answers by calling `respond` once, now or later.
+using http_handler = std::function<void(const http_request&, http_respond respond)>;
+
+struct http_limits {
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    millis idle_timeout{30000}; ///< also closes half-sent requests
+};
+
+class http_server {
+public:
+    http_server(event_loop& loop, http_limits limits = {});
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+
+    /// Serves `method` on paths that equal `prefix`, or start with it where it ends in '/'.
+    void route(std::string method, std::string prefix, http_handler handler);
+    /// Starts listening; returns false and the reason where the address cannot be bound.
+    bool listen(const endpoint& at, error& why);
+    /// Takes no further connections; those that are open go on.
+    void stop_listening();
+    /// Requests that have not been answered yet.
+    std::size_t pending() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+struct http_call {
+    std::string method = "GET";
+    std::string path;
+    http_headers headers;
+    std::string body;
+    millis timeout{1000}; ///< from sending to the whole answer
+};
+
+using http_done = std::function<void(std::optional<http_reply>, const error&)>;
+
+/// Keeps connections alive, one request at a time on each.
+class http_client {
+public:
+    http_client(event_loop& loop, std::string name);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+
+    /// Sends `call` and hands the whole answer, or the reason of the failure, to `done`.
+    void send(const endpoint& to, http_call call, http_done done);
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+
+    struct state;
+
+private:
+    std::shared_ptr<state> state_;
+};
+
+} // namespace sesamesill
--- /dev/null
+++ b/include/sesamesill/settings.h
@@ -0,0 +1,40 @@
+// Settings of one daemon, read from INI. Unknown and impossible settings are named with their line.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sesamesill/clock.h"
+#include "sesamesill/environment.h"
+#include "sesamesill/http.h"
+
+namespace sesamesill {
+
+struct node_settings {
+    std::string name; ///< of this entry VM, as in the VM list
+    std::string data_center;
+    std::string environment; ///< whose document this cell runs under
+    endpoint listen;         ///< callers and operators
+    endpoint peer_listen;    ///< other members
+    endpoint log;
+    endpoint vm_list;
+    millis commit_interval{20}; ///< between group commits to the log
+    millis heartbeat_interval{500};
+    millis lease{2000}; ///< validity of an authority once confirmed
+    millis vm_list_interval{1000};
+    millis sync_interval{500}; ///< between reports asked of a worker
+    millis task_lease{10000};
+    millis log_timeout{2000};
+    millis drain_limit{30000};
+    std::string operator_token; ///< empty: operators' changes are refused
+    bool faults = false;        ///< test only: serve /test/faults
+};
+
+/// Returns the settings, or nothing and every fault found.
+std::optional<node_settings> parse_settings(std::string_view text, std::vector<fault>& faults);
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/replies.h
@@ -0,0 +1,44 @@
+// Replies to callers and operators: JSON bodies with code, step and peer.
+
+#pragma once
+
+#include <string>
+
+#include <json/json.h>
+
+#include "sesamesill/error.h"
+#include "sesamesill/http.h"
+#include "sesamesill/rpc.h"
+#include "sesamesill/work.h"
+
+namespace sesamesill {
+
+inline http_reply json_reply(int status, const Json::Value& body)
+{
+    return {status, to_text(body), {}, "application/json"};
+}
+
+inline Json::Value to_json(const error& e)
+{
+    Json::Value body;
+    body["code"] = std::string(name_of(e.code));
+    body["step"] = std::string(name_of(e.where));
+    body["peer"] = e.peer;
+    body["reason"] = e.reason;
+    return body;
+}
+
+inline http_reply error_reply(int status, const error& e)
+{
+    return json_reply(status, to_json(e));
+}
+
+/// Returns the reply for a request that ended with `ending` because of `e`.
+inline http_reply ending_reply(outcome ending, const error& e)
+{
+    Json::Value body = to_json(e);
+    body["outcome"] = std::string(name_of(ending));
+    return json_reply(ending == outcome::not_run ? 503 : 504, body);
+}
+
+} // namespace sesamesill
--- a/support/check.sh
+++ b/support/check.sh
@@ -9,6 +9,6 @@
 cmake -G Ninja -S . -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DSESAMESILL_SANITIZE=ON >/dev/null
 cmake --build build/sanitize --target sesamesill_tests
 build/sanitize/sesamesill_tests --jobs 4
-[ -x support/scenarios.sh ] && support/scenarios.sh
+support/path.sh
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
 build/release/sesamesill_tests --jobs 4
--- a/support/lint.sh
+++ b/support/lint.sh
@@ -18,6 +18,6 @@
     if clang-tidy -quiet -p "$build" "$source" >"build/lint/$key.out" 2>/dev/null; then
         mv "build/lint/$key.out" "build/lint/$key"
     else
-        cat "build/lint/$key.out"; rm -f "build/lint/$key.out"; exit 1
+        grep -hE "(error|warning):" "build/lint/$key.out" | sort -u; rm -f "build/lint/$key.out"; exit 1
     fi'
 echo "format and lint: clean"
--- /dev/null
+++ b/test/standin/vms.cc
@@ -0,0 +1,78 @@
+// Stand-in for the VM list: reads its first content from a file and lags behind changes.
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "common.h"
+
+DEFINE_string(listen, "127.0.0.1:7002", "address and port");
+DEFINE_string(vms, "", "file with the first list, {\"vms\":[...]}");
+DEFINE_int64(lag_ms, 0, "delay before a change can be seen");
+
+namespace {
+
+using namespace standin;
+
+/// Puts `changed` in the place of the entry with its name; an entry of state "gone" is removed.
+void apply_change(Json::Value& list, const Json::Value& changed)
+{
+    Json::Value kept(Json::arrayValue);
+    Json::Value merged = changed;
+    for (const Json::Value& entry : list["vms"]) {
+        if (entry["name"] != changed["name"]) {
+            kept.append(entry);
+            continue;
+        }
+        merged = entry;
+        for (const std::string& key : changed.getMemberNames()) {
+            merged[key] = changed[key];
+        }
+    }
+    if (merged["state"].asString() != "gone") {
+        kept.append(merged);
+    }
+    list["vms"] = kept;
+    list["version"] = list.get("version", 0).asInt64() + 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::ifstream file(FLAGS_vms);
+    std::stringstream content;
+    content << file.rdbuf();
+    Json::Value list = json_from(content.str()).value_or(Json::Value(Json::objectValue));
+    event_loop loop;
+    http_server server(loop);
+    bool down = false;
+    server.route("GET", "/vms", [&](const http_request&, const http_respond& respond) {
+        respond(down ? error_reply(503, "down") : json_reply(200, list));
+    });
+    server.route("POST", "/admin/set", [&](const http_request& r, const http_respond& respond) {
+        const std::optional<Json::Value> changed = json_from(r.body);
+        if (!changed || !changed->isObject()) {
+            respond(error_reply(400, "a JSON object is needed"));
+            return;
+        }
+        loop.after(millis(FLAGS_lag_ms), [&list, changed] { apply_change(list, *changed); });
+        respond(json_reply(200, *changed));
+    });
+    server.route("POST", "/admin/mode", [&](const http_request& r, const http_respond& respond) {
+        const std::optional<Json::Value> mode = json_from(r.body);
+        down = mode && mode->isObject() && (*mode)["down"].asBool();
+        respond(json_reply(200, Json::Value(down)));
+    });
+    error why;
+    if (!server.listen(endpoint_from(FLAGS_listen).value_or(endpoint{}), why)) {
+        std::cerr << to_string(why) << '\n';
+        return 1;
+    }
+    stop_on_signals(loop);
+    loop.run();
+    return 0;
+}
