Add the test-only setting that switches mechanisms off

Cause: each property needs a run that fails without its mechanism. Change: [test] disable lists names; is_disabled() asks for one.

--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -34,6 +34,9 @@
     bool faults = false;        ///< test only: serve /test/faults
 };
 
+/// Returns whether the test-only list `settings.disable` names `mechanism`.
+bool is_disabled(const node_settings& settings, std::string_view mechanism);
+
 /// Returns the settings, or nothing and every fault found.
 std::optional<node_settings> parse_settings(std::string_view text, std::vector<fault>& faults);
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -25,7 +25,7 @@
     bool required;
 };
 
-const std::array<setting, 17> known_settings{{
+const std::array<setting, 18> known_settings{{
     {"node", "name", &node_settings::name, true},
     {"node", "data_center", &node_settings::data_center, true},
     {"node", "environment", &node_settings::environment, true},
@@ -43,6 +43,7 @@
     {"timing", "task_lease_ms", &node_settings::task_lease, false},
     {"operators", "token", &node_settings::operator_token, false},
     {"test", "faults", &node_settings::faults, false},
+    {"test", "disable", &node_settings::disable, false},
 }};
 
 /// Returns the line on which `key` stands in `section`, 0 where it cannot be found.
@@ -138,6 +139,18 @@
 
 } // namespace
 
+bool is_disabled(const node_settings& settings, std::string_view mechanism)
+{
+    std::istringstream names(settings.disable);
+    std::string name;
+    while (std::getline(names, name, ',')) {
+        if (name == mechanism) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<node_settings> parse_settings(std::string_view text, std::vector<fault>& faults)
 {
     std::istringstream input{std::string(text)};
