--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -32,6 +32,7 @@
     millis drain_limit{30000};
     std::string operator_token; ///< empty: operators' changes are refused
     bool faults = false;        ///< test only: serve /test/faults
+    std::string disable;        ///< test only: mechanisms to switch off, comma-separated
 };
 
 /// Returns whether the test-only list `settings.disable` names `mechanism`.
