Check documents as a whole, publish them by base, spread them between members

Cause: the first reader of documents took anything, and whoever wrote last won. Operators' keys with the environments they cover; metrics with Boost.Accumulators. Ruled out: a broadcast of each version to all members (bytes grow with the square of the members). Conclusion: not yet proved with real processes in an outage.

--- a/include/sesamesill/environment.h
+++ b/include/sesamesill/environment.h
@@ -62,12 +62,27 @@
     millis drain_limit{30000}; ///< longest wait for work in flight on a planned stop
 };
 
+/// What the operators expect of the cell; checks of impossible documents rest on it.
+struct cell_policy {
+    resources size;          ///< all workers together; 0 in a dimension means unknown
+    resources worker_size;   ///< the largest worker; 0 in a dimension means unknown
+    millis network_delay{1}; ///< one way, from a caller to an endpoint
+};
+
+/// Time-outs of the steps of a call to a service's executors.
+struct service_policy {
+    std::string name;
+    millis connect_timeout{200};
+    millis first_byte_timeout{0}; ///< 0: the deadline alone
+};
+
 /// Invariant: names are unique, each class names a known service, quotas are positive.
 struct environment {
     std::string name;
     std::map<std::string, tenant_policy> tenants;
     std::map<std::string, class_policy> classes;
-    std::vector<std::string> services;
+    std::map<std::string, service_policy> services;
+    cell_policy cell;
     placement_policy placement;
     retry_policy retry;
     leaving_policy leaving;
@@ -90,6 +105,17 @@
 /// Returns the document, or nothing and every fault found.
 std::optional<environment> parse_environment(std::string_view text, std::vector<fault>& faults);
 
+/// One entry that differs between two documents; an empty text stands for "absent".
+struct environment_change {
+    std::string section;
+    std::string key;
+    std::string before;
+    std::string after;
+};
+
+/// Returns what has to change in `before` to get `after`, in the order of sections and keys.
+std::vector<environment_change> diff_environments(std::string_view before, std::string_view after);
+
 /// Returns the digest of a document's bytes.
 std::string digest_of(std::string_view text);
 
--- /dev/null
+++ b/include/sesamesill/metrics.h
@@ -0,0 +1,75 @@
+// Counters, gauges and histograms of one process, in the Prometheus text form.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesamesill {
+
+struct metric_label {
+    std::string name;
+    std::string value;
+};
+
+/// A distribution in seconds: fixed buckets for Prometheus, quantiles by Boost.Accumulators.
+class histogram {
+public:
+    histogram();
+    ~histogram();
+    histogram(const histogram&) = delete;
+    histogram& operator=(const histogram&) = delete;
+    histogram(histogram&&) = delete;
+    histogram& operator=(histogram&&) = delete;
+
+    void observe(double seconds);
+    std::uint64_t count() const;
+    double sum() const;
+    /// Returns an estimate of the quantile; `which` is one of 0.5, 0.9 and 0.99.
+    double quantile(double which) const;
+
+    static constexpr std::array<double, 16> bounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02,
+                                                   0.05,   0.1,   0.2,   0.5,   1.0,  2.0,
+                                                   5.0,    15.0,  60.0,  300.0}; ///< seconds
+    /// Returns how many values were at most `bounds[index]`.
+    std::uint64_t cumulative(std::size_t index) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+    std::array<std::uint64_t, bounds.size()> buckets_{};
+};
+
+class metrics_registry {
+public:
+    /// Returned references stay valid as long as the registry. The first `help` of a name is kept.
+    double& counter(const std::string& name, const std::string& help,
+                    const std::vector<metric_label>& labels = {});
+    double& gauge(const std::string& name, const std::string& help,
+                  const std::vector<metric_label>& labels = {});
+    histogram& distribution(const std::string& name, const std::string& help,
+                            const std::vector<metric_label>& labels = {});
+    /// Returns all metrics in the Prometheus text form, version 0.0.4.
+    std::string text() const;
+
+private:
+    template<typename Value>
+    struct family {
+        std::string help;
+        std::map<std::string, Value> members; ///< by rendered labels
+    };
+
+    std::map<std::string, family<double>> counters_;
+    std::map<std::string, family<double>> gauges_;
+    std::map<std::string, family<std::unique_ptr<histogram>>> distributions_;
+};
+
+/// Returns the registry of this process.
+metrics_registry& process_metrics();
+
+} // namespace sesamesill
--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -14,6 +14,13 @@
 
 namespace sesamesill {
 
+/// One operator's key; written as "name = TOKEN [environment ...]".
+struct operator_key {
+    std::string name;
+    std::string token;
+    std::vector<std::string> environments; ///< that it may change; empty for all
+};
+
 struct node_settings {
     std::string name; ///< of this entry VM, as in the VM list
     std::string data_center;
@@ -30,9 +37,10 @@
     millis task_lease{10000};
     millis log_timeout{2000};
     millis drain_limit{30000};
-    std::string operator_token; ///< empty: operators' changes are refused
-    bool faults = false;        ///< test only: serve /test/faults
-    std::string disable;        ///< test only: mechanisms to switch off, comma-separated
+    millis document_snapshot_interval{600000}; ///< well below the retention of the log
+    std::vector<operator_key> operators;       ///< none: all changes by operators are refused
+    bool faults = false;                       ///< test only: serve /test/faults
+    std::string disable; ///< test only: mechanisms to switch off, comma-separated
 };
 
 /// Returns whether the test-only list `settings.disable` names `mechanism`.
--- a/src/document_service.cc
+++ b/src/document_service.cc
@@ -1,46 +1,192 @@
-// A document is in force from the first record, in log order, that names the current version as its
-// base.
+// Carries records between the log, the peers and the publications.
 
 #include "document_service.h"
 
-#include <cstdlib>
+#include <algorithm>
+
+#include <xxhash.h>
 
-#include "replies.h"
 #include "sesamesill/log.h"
-#include "sesamesill/rpc.h"
 
 namespace sesamesill {
+namespace {
+
+constexpr millis gossip_interval{1000};
+constexpr millis confirm_interval{250};
+constexpr millis waiting_interval{10};
+constexpr millis rpc_timeout{1000};
+
+Json::Value version_json(const published_version& v)
+{
+    Json::Value value;
+    value["version"] = static_cast<Json::UInt64>(v.version);
+    value["was_in_force"] = v.was_in_force;
+    value["record"] = to_json(v.record);
+    return value;
+}
+
+std::optional<published_version> version_from(const Json::Value& value)
+{
+    if (!value.isObject() || !value["version"].isUInt64()) {
+        return std::nullopt;
+    }
+    const std::optional<publication_record> record = publication_record_from(value["record"]);
+    if (!record) {
+        return std::nullopt;
+    }
+    return published_version{value["version"].asUInt64(), *record,
+                             value.get("was_in_force", false).asBool()};
+}
+
+} // namespace
 
-document_service::document_service(journal_service& journal, const node_settings& settings)
-    : journal_(journal), settings_(settings)
+document_service::document_service(event_loop& loop, http_client& client, cell_service& cell,
+                                   journal_service& journal, const node_settings& settings)
+    : loop_(loop), client_(client), cell_(cell), journal_(journal), settings_(settings),
+      random_(XXH3_64bits(settings.name.data(), settings.name.size()))
 {
+    publications_[settings_.environment];
     journal_.on("document", [this](const journal_item& item) { take(item); });
+    journal_.on("document_snapshot", [this](const journal_item& item) { take_snapshot(item); });
+    journal_.on("in_force", [this](const journal_item& item) { take_confirmation(item); });
+    journal_.on("gap", [this](const journal_item& item) {
+        if (item.value["stream"].asString() == "config") {
+            behind_trim_ = true;
+            for (std::pair<const std::string, publication>& entry : publications_) {
+                entry.second.start_behind_trim();
+            }
+        }
+    });
+}
+
+void document_service::start()
+{
+    loop_.every(gossip_interval, [this] { ask_peer(); });
+    loop_.every(confirm_interval, [this] { confirm_in_force(); });
+    loop_.every(waiting_interval, [this] { answer_waiting(); });
+    loop_.every(settings_.document_snapshot_interval, [this] { write_snapshots(); });
+}
+
+void document_service::serve(rpc_server& rpc)
+{
+    rpc.add("document_status", [this](const Json::Value& params, error&) {
+        return std::optional<Json::Value>(rpc_status(params));
+    });
+}
+
+std::optional<error> document_service::not_ready() const
+{
+    if (current_) {
+        return std::nullopt;
+    }
+    const publication& own = publications_.at(settings_.environment);
+    const char* reason = "no document was published yet";
+    if (!journal_.caught_up() && own.version() == 0) {
+        reason = "the log was not read to its end yet";
+    }
+    else if (!own.known()) {
+        reason = "the log is trimmed and no snapshot or peer has told the current version";
+    }
+    else if (own.version() > 0) {
+        reason = "the current document cannot be read by this version of sesamesill";
+    }
+    return error{error_code::unavailable, step::document, settings_.environment, reason};
+}
+
+const publication* document_service::find(const std::string& environment_name) const
+{
+    const auto found = publications_.find(environment_name);
+    return found == publications_.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> document_service::environments() const
+{
+    std::vector<std::string> names;
+    for (const std::pair<const std::string, publication>& entry : publications_) {
+        names.push_back(entry.first);
+    }
+    return names;
 }
 
-void document_service::serve(http_server& server)
+void document_service::publish(const publication_record& record, millis limit, published done)
 {
-    server.route(
-        "POST", "/v1/document",
-        [this](const http_request& r, const http_respond& respond) { publish(r, respond); });
-    server.route("GET", "/v1/document",
-                 [this](const http_request& r, const http_respond& respond) { show(r, respond); });
+    waiting_publication w;
+    w.environment = record.environment;
+    w.id = record.id;
+    w.until = boot_clock::now() + limit;
+    w.done = std::move(done);
+    Json::Value item = to_json(record);
+    item["type"] = "document";
+    w.ticket = journal_.append("config", std::move(item), nullptr);
+    waiting_.push_back(std::move(w));
 }
 
 void document_service::take(const journal_item& item)
 {
-    const Json::Value& v = item.value;
-    if (v["environment"].asString() != settings_.environment || v["base"].asUInt64() != version_) {
+    const std::optional<publication_record> record = publication_record_from(item.value);
+    if (!record) {
+        log_error("record_skipped", {error_code::corrupt, step::document, item.writer,
+                                     "document at offset " + std::to_string(item.offset)});
+        return;
+    }
+    const bool fresh = publications_.count(record->environment) == 0;
+    publication& p = publications_[record->environment];
+    if (fresh && behind_trim_) {
+        p.start_behind_trim();
+    }
+    const publication_verdict verdict = p.take(*record, item.offset);
+    log_event(log_level::info, "document_record",
+              {{"environment", record->environment},
+               {"offset", static_cast<std::int64_t>(item.offset)},
+               {"base", static_cast<std::int64_t>(record->base)},
+               {"digest", record->digest},
+               {"operator", record->operator_name},
+               {"origin", std::string(name_of(record->origin))},
+               {"verdict", std::string(name_of(verdict))}});
+    put_in_force();
+    answer_waiting();
+}
+
+void document_service::take_snapshot(const journal_item& item)
+{
+    const std::string name = item.value["environment"].asString();
+    const std::optional<published_version> told = version_from(item.value);
+    const bool empty = item.value["version"] == Json::Value(Json::UInt64(0));
+    if (name.empty() || (!told && !empty)) {
+        log_error("record_skipped", {error_code::corrupt, step::document, item.writer,
+                                     "snapshot at offset " + std::to_string(item.offset)});
+        return;
+    }
+    publications_[name].adopt(told.value_or(published_version()));
+    put_in_force();
+}
+
+void document_service::take_confirmation(const journal_item& item)
+{
+    const auto found = publications_.find(item.value["environment"].asString());
+    if (found != publications_.end() && item.value["version"].isUInt64()) {
+        found->second.confirm(item.value["version"].asUInt64());
+    }
+}
+
+void document_service::put_in_force()
+{
+    const publication& own = publications_.at(settings_.environment);
+    const published_version* newest = own.current();
+    if (newest == nullptr || newest->version <= version_) {
         return;
     }
     std::vector<fault> faults;
-    std::optional<environment> parsed = parse_environment(v["text"].asString(), faults);
-    if (!parsed) {
-        log_event(log_level::error, "document_skipped",
-                  {{"offset", static_cast<std::int64_t>(item.offset)}});
+    current_ = parse_environment(newest->record.text, faults);
+    version_ = newest->version;
+    since_ = boot_clock::now();
+    confirmed_by_ = 0;
+    if (!current_) {
+        log_error("document_unreadable",
+                  {error_code::corrupt, step::document, settings_.environment,
+                   faults.empty() ? "" : to_string(faults.front())});
         return;
     }
-    current_ = std::move(parsed);
-    version_ = item.offset + 1;
     log_event(log_level::info, "document_in_force",
               {{"version", static_cast<std::int64_t>(version_)}, {"digest", current_->digest}});
     for (const std::function<void()>& action : changed_) {
@@ -48,46 +194,162 @@
     }
 }
 
-bool document_service::allowed(const http_request& request) const
+void document_service::answer_waiting()
+{
+    std::vector<waiting_publication> left;
+    std::vector<waiting_publication> all;
+    all.swap(waiting_);
+    for (waiting_publication& w : all) {
+        const std::optional<publication_verdict> verdict =
+            publications_[w.environment].verdict_of(w.id);
+        if (verdict) {
+            w.done(verdict, {});
+        }
+        else if (boot_clock::now() < w.until) {
+            left.push_back(std::move(w));
+        }
+        else if (journal_.cancel(w.ticket)) {
+            w.done(std::nullopt, {error_code::unavailable, step::log_append, "log",
+                                  "not published: the log cannot be reached"});
+        }
+        else {
+            w.done(std::nullopt, {error_code::timeout, step::log_append, "log",
+                                  "unknown whether published: ask again with the same id"});
+        }
+    }
+    std::move(left.begin(), left.end(), std::back_inserter(waiting_));
+}
+
+bool document_service::is_first_member() const
+{
+    const std::vector<member>& members = cell_.members();
+    const auto first =
+        std::min_element(members.begin(), members.end(),
+                         [](const member& a, const member& b) { return a.name < b.name; });
+    return first != members.end() && first->name == cell_.self();
+}
+
+Json::Value document_service::rpc_status(const Json::Value& params) const
+{
+    Json::Value answer = status();
+    const publication& own = publications_.at(settings_.environment);
+    const bool asker_is_behind =
+        params["version"].isUInt64() && params["version"].asUInt64() < own.version();
+    if (asker_is_behind && own.current() != nullptr &&
+        params["environment"].asString() == settings_.environment) {
+        answer["newest"] = version_json(*own.current());
+    }
+    return answer;
+}
+
+Json::Value document_service::status() const
 {
-    const auto found = request.headers.find("authorization");
-    return !settings_.operator_token.empty() && found != request.headers.end() &&
-           found->second == "Bearer " + settings_.operator_token;
+    Json::Value answer;
+    answer["environment"] = settings_.environment;
+    answer["version"] = static_cast<Json::UInt64>(version_);
+    answer["digest"] = current_ ? current_->digest : "";
+    answer["age_ms"] =
+        static_cast<Json::Int64>(version_ > 0 ? to_millis(boot_clock::now() - since_) : 0);
+    return answer;
 }
 
-void document_service::publish(const http_request& request, const http_respond& respond)
+/// Spreads versions between members while some of them cannot read the log.
+void document_service::ask_peer()
 {
-    if (!allowed(request)) {
-        respond(error_reply(401, {error_code::invalid, step::document, "", "no valid token"}));
+    const std::vector<member>& members = cell_.members();
+    if (members.empty()) {
         return;
     }
-    std::vector<fault> faults;
-    if (!parse_environment(request.body, faults)) {
-        respond(error_reply(400, {error_code::invalid, step::document, "",
-                                  faults.empty() ? "unreadable" : to_string(faults.front())}));
+    const member& peer = members[random_() % members.size()];
+    if (peer.name == cell_.self()) {
+        return;
+    }
+    Json::Value params;
+    params["environment"] = settings_.environment;
+    params["version"] =
+        static_cast<Json::UInt64>(publications_.at(settings_.environment).version());
+    call_rpc(client_, peer.peer_address, "document_status", params, rpc_timeout,
+             [this](const std::optional<Json::Value>& answer, const error&) {
+                 if (answer) {
+                     take_peer_answer(*answer);
+                 }
+             });
+}
+
+void document_service::take_peer_answer(const Json::Value& answer)
+{
+    const std::optional<published_version> told = version_from(answer["newest"]);
+    if (told && told->record.environment == settings_.environment &&
+        publications_.at(settings_.environment).adopt(*told)) {
+        log_event(log_level::info, "document_from_peer",
+                  {{"version", static_cast<std::int64_t>(told->version)}});
+        put_in_force();
+    }
+}
+
+/// The first member asks all others until they have the version, then writes that down once.
+void document_service::confirm_in_force()
+{
+    const published_version* newest = publications_.at(settings_.environment).current();
+    if (confirming_ || newest == nullptr || newest->was_in_force || newest->version != version_ ||
+        !is_first_member()) {
+        return;
+    }
+    confirming_ = true;
+    confirmed_by_ = 0;
+    const std::uint64_t version = version_;
+    const std::size_t members = cell_.members().size();
+    Json::Value params;
+    params["environment"] = settings_.environment;
+    for (const member& m : cell_.members()) {
+        if (m.name == cell_.self()) {
+            count_confirmation(version, members);
+            continue;
+        }
+        call_rpc(client_, m.peer_address, "document_status", params, rpc_timeout,
+                 [this, version, members](const std::optional<Json::Value>& answer, const error&) {
+                     if (answer && (*answer)["version"].asUInt64() >= version) {
+                         count_confirmation(version, members);
+                     }
+                 });
+    }
+    loop_.after(rpc_timeout + millis(50), [this] { confirming_ = false; });
+}
+
+void document_service::count_confirmation(std::uint64_t version, std::size_t members)
+{
+    if (version != version_ || ++confirmed_by_ < members) {
         return;
     }
-    const auto base = request.query.find("base");
     Json::Value item;
-    item["type"] = "document";
+    item["type"] = "in_force";
     item["environment"] = settings_.environment;
-    item["base"] = static_cast<Json::UInt64>(
-        base != request.query.end() ? std::strtoull(base->second.c_str(), nullptr, 10) : version_);
-    item["text"] = request.body;
-    journal_.append("config", item, [respond](std::uint64_t offset) {
-        Json::Value answer;
-        answer["version"] = static_cast<Json::UInt64>(offset + 1);
-        respond(json_reply(200, answer));
-    });
+    item["version"] = static_cast<Json::UInt64>(version);
+    item["digest"] = current_ ? current_->digest : "";
+    item["members"] = static_cast<Json::UInt64>(members);
+    journal_.append("config", item, nullptr);
+    log_event(log_level::info, "document_in_force_everywhere",
+              {{"version", static_cast<std::int64_t>(version)},
+               {"members", static_cast<std::int64_t>(members)}});
 }
 
-void document_service::show(const http_request& /*request*/, const http_respond& respond) const
+/// Keeps the documents alive past the log's retention. Written by one member.
+void document_service::write_snapshots()
 {
-    Json::Value answer;
-    answer["version"] = static_cast<Json::UInt64>(version_);
-    answer["digest"] = current_ ? current_->digest : "";
-    answer["text"] = current_ ? current_->text : "";
-    respond(json_reply(200, answer));
+    if (!is_first_member() || !journal_.caught_up()) {
+        return;
+    }
+    for (const std::pair<const std::string, publication>& entry : publications_) {
+        if (!entry.second.known()) {
+            continue;
+        }
+        Json::Value item = entry.second.current() != nullptr ? version_json(*entry.second.current())
+                                                             : Json::Value(Json::objectValue);
+        item["type"] = "document_snapshot";
+        item["environment"] = entry.first;
+        item["version"] = static_cast<Json::UInt64>(entry.second.version());
+        journal_.append("config", item, nullptr);
+    }
 }
 
 } // namespace sesamesill
--- a/src/environment.cc
+++ b/src/environment.cc
@@ -1,14 +1,17 @@
-// Parses and checks environment documents.
+// Tables of keys say what a document may hold and how each value is read.
 
 #include "sesamesill/environment.h"
 
+#include <algorithm>
+#include <cstdio>
 #include <sstream>
 
-#include <boost/property_tree/ini_parser.hpp>
-#include <boost/property_tree/ptree.hpp>
 #include <xxhash.h>
 
+#include "environment_check.h"
+#include "ini_text.h"
 #include "sesamesill/names.h"
+#include "unit_text.h"
 
 namespace sesamesill {
 namespace {
@@ -18,33 +21,291 @@
                                                    {priority_band::high, "high"},
                                                    {priority_band::urgent, "urgent"}}};
 
-using tree = boost::property_tree::ptree;
+/// Reads one value into its owner; returns the reason where the text is not such a value.
+template<typename Owner>
+using value_reader = std::string (*)(Owner& owner, const std::string& text);
 
-tenant_policy tenant_from(const std::string& name, const tree& section)
+template<typename Owner>
+struct known_key {
+    std::string_view key;
+    value_reader<Owner> read;
+    bool required = false;
+};
+
+template<typename Value, typename Target>
+std::string store(const std::optional<Value>& value, Target& target, const char* expected)
+{
+    if (!value) {
+        return std::string("must be ") + expected;
+    }
+    target = static_cast<Target>(*value);
+    return {};
+}
+
+template<auto Member, typename Owner>
+std::string read_text(Owner& owner, const std::string& text)
+{
+    owner.*Member = text;
+    return text.empty() ? "must not be empty" : "";
+}
+
+template<auto Member, typename Owner>
+std::string read_duration(Owner& owner, const std::string& text)
+{
+    return store(duration_from(text), owner.*Member, "a time with unit, like 800 ms, 5 s or 2 min");
+}
+
+template<auto Member, typename Owner>
+std::string read_count(Owner& owner, const std::string& text)
+{
+    return store(count_from(text), owner.*Member, "a whole number of 0 or more");
+}
+
+template<auto Member, typename Owner>
+std::string read_ratio(Owner& owner, const std::string& text)
+{
+    const std::optional<double> ratio = ratio_from(text);
+    if (ratio && *ratio > 1.0) {
+        return "must not be above 1";
+    }
+    return store(ratio, owner.*Member, "a ratio from 0 to 1, like 0.2 or 20%");
+}
+
+template<auto Member, typename Owner>
+std::string read_positive(Owner& owner, const std::string& text)
+{
+    const std::optional<double> number =
+        text.find('%') == std::string::npos ? ratio_from(text) : std::nullopt;
+    if (number && *number <= 0.0) {
+        return "must be above 0";
+    }
+    return store(number, owner.*Member, "a number above 0");
+}
+
+template<auto Member, typename Owner>
+std::string read_rate(Owner& owner, const std::string& text)
+{
+    return store(rate_from(text), owner.*Member, "a rate, like 200/s");
+}
+
+template<auto Member, typename Owner>
+std::string read_flag(Owner& owner, const std::string& text)
+{
+    return store(flag_from(text), owner.*Member, "yes or no");
+}
+
+template<auto Member, typename Owner>
+std::string read_cores(Owner& owner, const std::string& text)
+{
+    return store(cpu_millis_from(text), (owner.*Member).cpu_millis,
+                 "processors with unit, like 16 cores");
+}
+
+template<auto Member, typename Owner>
+std::string read_memory(Owner& owner, const std::string& text)
+{
+    return store(memory_mb_from(text), (owner.*Member).memory_mb,
+                 "memory with unit, like 512 MB or 64 GB");
+}
+
+template<auto Member, typename Owner>
+std::string read_accelerators(Owner& owner, const std::string& text)
+{
+    return store(count_from(text), (owner.*Member).accelerators, "a whole number of 0 or more");
+}
+
+std::string read_kind(class_policy& c, const std::string& text)
+{
+    return store(work_kind_from(text), c.kind, "call, service, batch or gang");
+}
+
+std::string read_priority(class_policy& c, const std::string& text)
+{
+    return store(priority_band_from(text), c.priority, "background, normal, high or urgent");
+}
+
+const std::vector<known_key<environment>> environment_keys{
+    {"name", read_text<&environment::name>, true},
+};
+
+const std::vector<known_key<cell_policy>> cell_keys{
+    {"cores", read_cores<&cell_policy::size>},
+    {"memory", read_memory<&cell_policy::size>},
+    {"accelerators", read_accelerators<&cell_policy::size>},
+    {"worker_cores", read_cores<&cell_policy::worker_size>},
+    {"worker_memory", read_memory<&cell_policy::worker_size>},
+    {"worker_accelerators", read_accelerators<&cell_policy::worker_size>},
+    {"network_delay", read_duration<&cell_policy::network_delay>},
+};
+
+const std::vector<known_key<service_policy>> service_keys{
+    {"connect_timeout", read_duration<&service_policy::connect_timeout>, true},
+    {"first_byte_timeout", read_duration<&service_policy::first_byte_timeout>},
+};
+
+const std::vector<known_key<tenant_policy>> tenant_keys{
+    {"weight", read_positive<&tenant_policy::weight>, true},
+    {"quota_cores", read_cores<&tenant_policy::quota>, true},
+    {"quota_memory", read_memory<&tenant_policy::quota>, true},
+    {"quota_accelerators", read_accelerators<&tenant_policy::quota>},
+    {"rate", read_rate<&tenant_policy::rate>},
+};
+
+const std::vector<known_key<class_policy>> class_keys{
+    {"kind", read_kind, true},
+    {"service", read_text<&class_policy::service>},
+    {"priority", read_priority, true},
+    {"idempotent", read_flag<&class_policy::idempotent>, true},
+    {"deadline", read_duration<&class_policy::deadline>, true},
+    {"queue_limit", read_count<&class_policy::queue_limit>, true},
+    {"max_tasks", read_count<&class_policy::max_tasks>},
+    {"max_attempts", read_count<&class_policy::max_attempts>},
+    {"may_preempt", read_flag<&class_policy::may_preempt>},
+    {"preemptible", read_flag<&class_policy::preemptible>},
+    {"min_available", read_count<&class_policy::min_available>},
+    {"max_per_rack", read_count<&class_policy::max_per_rack>},
+    {"rate", read_rate<&class_policy::rate>},
+};
+
+const std::vector<known_key<placement_policy>> placement_keys{
+    {"waiting_weight", read_ratio<&placement_policy::waiting_weight>},
+    {"size_margin", read_ratio<&placement_policy::size_margin>},
+    {"max_out_ratio", read_ratio<&placement_policy::max_out_ratio>},
+    {"ageing", read_duration<&placement_policy::ageing>},
+    {"reservation", read_duration<&placement_policy::reservation>},
+};
+
+const std::vector<known_key<retry_policy>> retry_keys{
+    {"budget_ratio", read_ratio<&retry_policy::budget_ratio>},
+    {"base_backoff", read_duration<&retry_policy::base_backoff>},
+    {"max_backoff", read_duration<&retry_policy::max_backoff>},
+};
+
+const std::vector<known_key<leaving_policy>> leaving_keys{
+    {"drain_limit", read_duration<&leaving_policy::drain_limit>},
+};
+
+template<typename Owner>
+std::vector<std::string_view> names_of(const std::vector<known_key<Owner>>& keys)
 {
-    tenant_policy tenant;
-    tenant.name = name;
-    tenant.weight = section.get<double>("weight", 1.0);
-    tenant.quota = {section.get<std::int64_t>("quota_cores", 1000000) * 1000,
-                    section.get<std::int64_t>("quota_memory_mb", 1000000000),
-                    section.get<std::int64_t>("quota_accelerators", 1000000)};
-    return tenant;
+    std::vector<std::string_view> names;
+    names.reserve(keys.size());
+    for (const known_key<Owner>& k : keys) {
+        names.push_back(k.key);
+    }
+    return names;
 }
 
-class_policy class_from(const std::string& name, const tree& section)
+template<typename Owner>
+void read_section(const ini_section& section, const std::vector<known_key<Owner>>& keys,
+                  Owner& owner, std::vector<fault>& faults)
 {
-    class_policy c;
-    c.name = name;
-    c.kind = work_kind_from(section.get<std::string>("kind", "call")).value_or(work_kind::call);
-    c.service = section.get<std::string>("service", "");
-    c.priority =
-        priority_band_from(section.get<std::string>("priority", "normal")).value_or(c.priority);
-    c.idempotent = section.get<std::string>("idempotent", "yes") == "yes";
-    c.deadline = millis(section.get<std::int64_t>("deadline_ms", 1000));
-    c.queue_limit = section.get<std::int64_t>("queue_limit", 1000);
-    c.max_tasks = section.get<std::int64_t>("max_tasks", 1000);
-    c.max_attempts = section.get<std::int32_t>("max_attempts", 3);
-    return c;
+    for (const ini_entry& entry : section.entries) {
+        const auto known = std::find_if(keys.begin(), keys.end(), [&](const known_key<Owner>& k) {
+            return k.key == entry.key;
+        });
+        if (known == keys.end()) {
+            faults.push_back({entry.line, section.title, entry.key, "unknown key",
+                              nearest_name(entry.key, names_of(keys))});
+            continue;
+        }
+        const std::string reason = known->read(owner, entry.value);
+        if (!reason.empty()) {
+            faults.push_back({entry.line, section.title, entry.key, reason, ""});
+        }
+    }
+    for (const known_key<Owner>& k : keys) {
+        const bool present =
+            std::any_of(section.entries.begin(), section.entries.end(),
+                        [&](const ini_entry& entry) { return entry.key == k.key; });
+        if (k.required && !present) {
+            faults.push_back({section.line, section.title, std::string(k.key), "must be set", ""});
+        }
+    }
+}
+
+constexpr std::string_view attribute_prefix = "require.";
+
+void read_class(const ini_section& section, const std::string& name, environment& document,
+                std::vector<fault>& faults)
+{
+    class_policy policy;
+    policy.name = name;
+    ini_section plain = section;
+    plain.entries.clear();
+    for (const ini_entry& entry : section.entries) {
+        if (entry.key.compare(0, attribute_prefix.size(), attribute_prefix) == 0) {
+            policy.required_attributes[entry.key.substr(attribute_prefix.size())] = entry.value;
+        }
+        else {
+            plain.entries.push_back(entry);
+        }
+    }
+    read_section(plain, class_keys, policy, faults);
+    document.classes[name] = std::move(policy);
+}
+
+void read_service(const ini_section& section, const std::string& name, environment& document,
+                  std::vector<fault>& faults)
+{
+    service_policy policy;
+    policy.name = name;
+    read_section(section, service_keys, policy, faults);
+    document.services[name] = std::move(policy);
+}
+
+void read_tenant(const ini_section& section, const std::string& name, environment& document,
+                 std::vector<fault>& faults)
+{
+    tenant_policy policy;
+    policy.name = name;
+    read_section(section, tenant_keys, policy, faults);
+    document.tenants[name] = std::move(policy);
+}
+
+using section_reader = void (*)(const ini_section& section, const std::string& name,
+                                environment& document, std::vector<fault>& faults);
+
+struct known_section {
+    std::string_view title; ///< ends in a blank where a name follows
+    section_reader read;
+};
+
+const std::vector<known_section> known_sections{
+    {"environment", [](const ini_section& s, const std::string&, environment& e,
+                       std::vector<fault>& f) { read_section(s, environment_keys, e, f); }},
+    {"cell", [](const ini_section& s, const std::string&, environment& e,
+                std::vector<fault>& f) { read_section(s, cell_keys, e.cell, f); }},
+    {"policy", [](const ini_section& s, const std::string&, environment& e,
+                  std::vector<fault>& f) { read_section(s, placement_keys, e.placement, f); }},
+    {"retry", [](const ini_section& s, const std::string&, environment& e,
+                 std::vector<fault>& f) { read_section(s, retry_keys, e.retry, f); }},
+    {"leaving", [](const ini_section& s, const std::string&, environment& e,
+                   std::vector<fault>& f) { read_section(s, leaving_keys, e.leaving, f); }},
+    {"service ", read_service},
+    {"tenant ", read_tenant},
+    {"class ", read_class},
+};
+
+void read_any_section(const ini_section& section, environment& document, std::vector<fault>& faults)
+{
+    std::vector<std::string_view> titles;
+    for (const known_section& known : known_sections) {
+        titles.push_back(known.title);
+        const bool named = known.title.back() == ' ';
+        if (named && section.title.compare(0, known.title.size(), known.title) == 0 &&
+            section.title.size() > known.title.size()) {
+            known.read(section, section.title.substr(known.title.size()), document, faults);
+            return;
+        }
+        if (!named && section.title == known.title) {
+            known.read(section, "", document, faults);
+            return;
+        }
+    }
+    const std::string first_word = section.title.substr(0, section.title.find(' ') + 1);
+    faults.push_back({section.line, section.title, "", "unknown section",
+                      nearest_name(first_word.empty() ? section.title : first_word, titles)});
 }
 
 } // namespace
@@ -62,7 +323,16 @@
 std::string to_string(const fault& f)
 {
     std::ostringstream out;
-    out << "line " << f.line << ": [" << f.section << "] " << f.key << ": " << f.reason;
+    if (f.line > 0) {
+        out << "line " << f.line << ": ";
+    }
+    if (!f.section.empty()) {
+        out << "[" << f.section << "] ";
+    }
+    if (!f.key.empty()) {
+        out << f.key << ": ";
+    }
+    out << f.reason;
     if (!f.nearest.empty()) {
         out << ", did you mean " << f.nearest << "?";
     }
@@ -80,28 +350,53 @@
 
 std::optional<environment> parse_environment(std::string_view text, std::vector<fault>& faults)
 {
-    environment result;
-    result.text = std::string(text);
-    result.digest = digest_of(text);
-    std::istringstream input(result.text);
-    tree document;
-    try {
-        boost::property_tree::ini_parser::read_ini(input, document);
+    constexpr std::size_t max_document_bytes = std::size_t{512} * 1024;
+    if (text.size() > max_document_bytes) {
+        faults.push_back({0, "", "", "a document must be at most 512 KB", ""});
+        return std::nullopt;
     }
-    catch (const boost::property_tree::ini_parser_error& e) {
-        faults.push_back({static_cast<int>(e.line()), "", "", e.message(), ""});
+    const std::optional<std::vector<ini_section>> sections = read_ini_text(text, faults);
+    if (!sections) {
         return std::nullopt;
     }
-    for (const tree::value_type& section : document) {
-        const std::string& title = section.first;
-        if (title.rfind("tenant ", 0) == 0) {
-            result.tenants[title.substr(7)] = tenant_from(title.substr(7), section.second);
+    environment document;
+    document.text = std::string(text);
+    document.digest = digest_of(text);
+    for (const ini_section& section : *sections) {
+        read_any_section(section, document, faults);
+    }
+    if (faults.empty()) {
+        check_environment(document, *sections, faults);
+    }
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const fault& a, const fault& b) { return a.line < b.line; });
+    return faults.empty() ? std::optional<environment>(std::move(document)) : std::nullopt;
+}
+
+std::vector<environment_change> diff_environments(std::string_view before, std::string_view after)
+{
+    std::map<std::pair<std::string, std::string>, environment_change> entries;
+    std::vector<fault> ignored;
+    for (const ini_section& s :
+         read_ini_text(before, ignored).value_or(std::vector<ini_section>())) {
+        for (const ini_entry& e : s.entries) {
+            entries[{s.title, e.key}] = {s.title, e.key, e.value, ""};
         }
-        else if (title.rfind("class ", 0) == 0) {
-            result.classes[title.substr(6)] = class_from(title.substr(6), section.second);
+    }
+    for (const ini_section& s :
+         read_ini_text(after, ignored).value_or(std::vector<ini_section>())) {
+        for (const ini_entry& e : s.entries) {
+            environment_change& change = entries[{s.title, e.key}];
+            change.section = s.title;
+            change.key = e.key;
+            change.after = e.value;
         }
-        else if (title == "environment") {
-            result.name = section.second.get<std::string>("name", "");
+    }
+    std::vector<environment_change> result;
+    for (std::pair<const std::pair<std::string, std::string>, environment_change>& entry :
+         entries) {
+        if (entry.second.before != entry.second.after) {
+            result.push_back(std::move(entry.second));
         }
     }
     return result;
--- /dev/null
+++ b/src/environment_check.h
@@ -0,0 +1,16 @@
+// Checks that need the whole document: combinations that cannot work.
+
+#pragma once
+
+#include <vector>
+
+#include "ini_text.h"
+#include "sesamesill/environment.h"
+
+namespace sesamesill {
+
+/// Adds a fault for each rule that the document breaks.
+void check_environment(const environment& document, const std::vector<ini_section>& sections,
+                       std::vector<fault>& faults);
+
+} // namespace sesamesill
--- a/src/node.cc
+++ b/src/node.cc
@@ -4,6 +4,7 @@
 
 #include "call_service.h"
 #include "cell_service.h"
+#include "document_api.h"
 #include "document_service.h"
 #include "job_service.h"
 #include "journal_service.h"
@@ -34,6 +35,7 @@
     journal_service journal;
     cell_service cell;
     document_service documents;
+    document_api document_calls;
     worker_service workers;
     call_service calls;
     job_service jobs;
@@ -43,8 +45,8 @@
     state(event_loop& l, const node_settings& s)
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings),
-          documents(journal, settings), workers(l, client, cell, settings),
-          calls(l, client, cell, journal, documents),
+          documents(l, client, cell, journal, settings), document_calls(documents, settings),
+          workers(l, client, cell, settings), calls(l, client, cell, journal, documents),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
@@ -60,7 +62,8 @@
 
 void node::state::serve()
 {
-    documents.serve(callers);
+    documents.serve(rpc);
+    document_calls.serve(callers);
     calls.serve(callers, peers);
     jobs.serve(callers, peers, rpc);
     peers.route("POST", "/rpc", [this](const http_request& r, const http_respond& respond) {
@@ -100,6 +103,7 @@
     }
     s.journal.start();
     s.cell.start();
+    s.documents.start();
     s.workers.start();
     s.jobs.start();
     log_event(log_level::info, "started", {{"listen", to_string(s.settings.listen)}});
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -2,19 +2,17 @@
 
 #include "sesamesill/settings.h"
 
+#include <algorithm>
 #include <array>
-#include <charconv>
 #include <sstream>
 #include <variant>
 
-#include <boost/property_tree/ini_parser.hpp>
-#include <boost/property_tree/ptree.hpp>
+#include "ini_text.h"
+#include "unit_text.h"
 
 namespace sesamesill {
 namespace {
 
-using tree = boost::property_tree::ptree;
-
 using member_pointer = std::variant<std::string node_settings::*, endpoint node_settings::*,
                                     millis node_settings::*, bool node_settings::*>;
 
@@ -35,43 +33,18 @@
     {"platform", "log", &node_settings::log, true},
     {"platform", "vm_list", &node_settings::vm_list, true},
     {"platform", "log_timeout_ms", &node_settings::log_timeout, false},
+    {"platform", "document_snapshot_interval_ms", &node_settings::document_snapshot_interval,
+     false},
     {"platform", "vm_list_interval_ms", &node_settings::vm_list_interval, false},
     {"timing", "commit_interval_ms", &node_settings::commit_interval, false},
     {"timing", "heartbeat_interval_ms", &node_settings::heartbeat_interval, false},
     {"timing", "lease_ms", &node_settings::lease, false},
     {"timing", "sync_interval_ms", &node_settings::sync_interval, false},
     {"timing", "task_lease_ms", &node_settings::task_lease, false},
-    {"operators", "token", &node_settings::operator_token, false},
     {"test", "faults", &node_settings::faults, false},
     {"test", "disable", &node_settings::disable, false},
 }};
 
-/// Returns the line on which `key` stands in `section`, 0 where it cannot be found.
-int line_of(std::string_view text, std::string_view section, std::string_view key)
-{
-    std::istringstream input{std::string(text)};
-    std::string line;
-    std::string current;
-    for (int number = 1; std::getline(input, line); ++number) {
-        const std::size_t begin = line.find_first_not_of(" \t");
-        if (begin == std::string::npos) {
-            continue;
-        }
-        if (line[begin] == '[') {
-            current = line.substr(begin + 1, line.find(']') - begin - 1);
-            if (key.empty() && current == section) {
-                return number;
-            }
-            continue;
-        }
-        const std::size_t end = line.find_first_of(" \t=", begin);
-        if (current == section && line.substr(begin, end - begin) == key) {
-            return number;
-        }
-    }
-    return 0;
-}
-
 struct value_reader {
     node_settings& target;
     const std::string& text;
@@ -97,23 +70,22 @@
 
     void operator()(millis node_settings::*member)
     {
-        std::int64_t value = 0;
-        const std::from_chars_result read =
-            std::from_chars(text.data(), text.data() + text.size(), value);
-        if (read.ec != std::errc() || read.ptr != text.data() + text.size() || value <= 0 ||
-            value > 86400000) {
+        constexpr std::int64_t day_ms = 86400000;
+        const std::optional<std::int64_t> value = count_from(text);
+        if (!value || *value == 0 || *value > day_ms) {
             reason = "must be milliseconds between 1 and 86400000";
             return;
         }
-        target.*member = millis(value);
+        target.*member = millis(*value);
     }
 
     void operator()(bool node_settings::*member)
     {
-        if (text != "yes" && text != "no") {
+        const std::optional<bool> value = flag_from(text);
+        if (!value) {
             reason = "must be yes or no";
         }
-        target.*member = text == "yes";
+        target.*member = value.value_or(false);
     }
 };
 
@@ -127,16 +99,80 @@
     return nullptr;
 }
 
-void check_required(const tree& document, std::vector<fault>& faults)
+std::vector<std::string_view> names_in(std::string_view section)
+{
+    std::vector<std::string_view> names;
+    for (const setting& s : known_settings) {
+        if (s.section == section) {
+            names.push_back(s.key);
+        }
+    }
+    return names;
+}
+
+std::string read_operator(const ini_entry& entry, node_settings& target)
+{
+    constexpr std::size_t min_token_bytes = 4;
+    std::istringstream words(entry.value);
+    operator_key key;
+    key.name = entry.key;
+    words >> key.token;
+    std::string environment;
+    while (words >> environment) {
+        key.environments.push_back(environment);
+    }
+    if (key.token.size() < min_token_bytes) {
+        return "must be a token of at least 4 bytes, then the environments it may change";
+    }
+    target.operators.push_back(std::move(key));
+    return {};
+}
+
+std::string read_setting(const ini_section& section, const ini_entry& entry, node_settings& target)
+{
+    if (section.title == "operators") {
+        return read_operator(entry, target);
+    }
+    const setting* known = find_setting(section.title, entry.key);
+    if (known == nullptr) {
+        return "unknown setting";
+    }
+    value_reader reader{target, entry.value, ""};
+    std::visit(reader, known->member);
+    return reader.reason;
+}
+
+void check_required(const std::vector<ini_section>& sections, std::vector<fault>& faults)
 {
     for (const setting& s : known_settings) {
-        const std::string path = std::string(s.section) + "|" + std::string(s.key);
-        if (s.required && !document.get_child_optional(tree::path_type(path, '|'))) {
+        const bool present =
+            std::any_of(sections.begin(), sections.end(), [&](const ini_section& section) {
+                return section.title == s.section &&
+                       std::any_of(section.entries.begin(), section.entries.end(),
+                                   [&](const ini_entry& entry) { return entry.key == s.key; });
+            });
+        if (s.required && !present) {
             faults.push_back({0, std::string(s.section), std::string(s.key), "must be set", ""});
         }
     }
 }
 
+/// Combinations that cannot work.
+void check_timing(const node_settings& s, std::vector<fault>& faults)
+{
+    if (s.heartbeat_interval * 2 > s.lease) {
+        faults.push_back(
+            {0, "timing", "heartbeat_interval_ms", "must be at most half of lease_ms", ""});
+    }
+    if (s.sync_interval * 2 > s.task_lease) {
+        faults.push_back(
+            {0, "timing", "sync_interval_ms", "must be at most half of task_lease_ms", ""});
+    }
+    if (s.listen == s.peer_listen) {
+        faults.push_back({0, "node", "peer_listen", "must differ from listen", ""});
+    }
+}
+
 } // namespace
 
 bool is_disabled(const node_settings& settings, std::string_view mechanism)
@@ -153,37 +189,27 @@
 
 std::optional<node_settings> parse_settings(std::string_view text, std::vector<fault>& faults)
 {
-    std::istringstream input{std::string(text)};
-    tree document;
-    try {
-        boost::property_tree::ini_parser::read_ini(input, document);
-    }
-    catch (const boost::property_tree::ini_parser_error& e) {
-        faults.push_back({static_cast<int>(e.line()), "", "", e.message(), ""});
+    const std::optional<std::vector<ini_section>> sections = read_ini_text(text, faults);
+    if (!sections) {
         return std::nullopt;
     }
     node_settings result;
-    for (const tree::value_type& section : document) {
-        for (const tree::value_type& entry : section.second) {
-            const setting* known = find_setting(section.first, entry.first);
-            const int line = line_of(text, section.first, entry.first);
-            if (known == nullptr) {
-                faults.push_back({line, section.first, entry.first, "unknown setting", ""});
-                continue;
-            }
-            const std::string value = entry.second.data();
-            value_reader reader{result, value, ""};
-            std::visit(reader, known->member);
-            if (!reader.reason.empty()) {
-                faults.push_back({line, section.first, entry.first, reader.reason, ""});
+    for (const ini_section& section : *sections) {
+        for (const ini_entry& entry : section.entries) {
+            const std::string reason = read_setting(section, entry, result);
+            if (!reason.empty()) {
+                faults.push_back({entry.line, section.title, entry.key, reason,
+                                  reason == "unknown setting"
+                                      ? nearest_name(entry.key, names_in(section.title))
+                                      : ""});
             }
         }
     }
-    check_required(document, faults);
-    if (!faults.empty()) {
-        return std::nullopt;
+    check_required(*sections, faults);
+    if (faults.empty()) {
+        check_timing(result, faults);
     }
-    return result;
+    return faults.empty() ? std::optional<node_settings>(std::move(result)) : std::nullopt;
 }
 
 } // namespace sesamesill
