--- a/src/document_api.cc
+++ b/src/document_api.cc
@@ -269,10 +269,9 @@
                {"base", static_cast<std::int64_t>(record.base)},
                {"digest", record.digest},
                {"id", record.id}});
-    publication_record kept = record;
     documents_.publish(
-        std::move(record), publish_limit,
-        [this, kept, respond](std::optional<publication_verdict> verdict, const error& why) {
+        record, publish_limit,
+        [this, record, respond](std::optional<publication_verdict> verdict, const error& why) {
             answer(record, verdict, why, respond);
         });
 }
