Keep idempotency keys in a service over a pure request table

Cause: call_service kept the keys itself: a second intent of the same key by another member was granted too, so two members could each run one request after a change of owner; a retry that came while the first attempt was pending got "unknown" at once; a request could not leave the queue while the log was down. Change: request.h decides, key_service carries out. A member applies its own record on the append's answer where no other stands before it. journal_service tells last_read_begun(); a read waits at most 500 ms. Ruled out: granting on the append's answer alone. Conclusion: at most once no longer depends on who owns the key.

--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -29,12 +29,10 @@
 } // namespace
 
 call_service::call_service(event_loop& loop, http_client& client, cell_service& cell,
-                           journal_service& journal, document_service& documents)
-    : loop_(loop), client_(client), cell_(cell), journal_(journal), documents_(documents)
+                           key_service& keys, document_service& documents)
+    : loop_(loop), client_(client), cell_(cell), keys_(keys), documents_(documents)
 {
     cell_.on_change([this] { update_executors(); });
-    journal_.on("intent", [this](const journal_item& item) { take_intent(item); });
-    journal_.on("ending", [this](const journal_item& item) { take_ending(item); });
     loop_.every(dispatch_interval, [this] {
         std::vector<pending_pointer> calls;
         calls.swap(waiting_);
@@ -98,33 +96,34 @@
         forward(call, owner);
         return;
     }
-    const auto known = keys_.find(call->id);
-    if (known == keys_.end()) {
-        write_intent(call);
-        return;
-    }
-    if (known->second.ending == outcome::done) {
-        finish(call, done_reply(call->id, known->second.reply));
-        return;
+    keys_.begin(call->id, call->until,
+                [this, call](const key_answer& answer) { take_verdict(call, answer); });
+}
+
+void call_service::take_verdict(const pending_pointer& call, const key_answer& answer)
+{
+    switch (answer.result) {
+    case verdict::run:
+        call->once_only = true;
+        dispatch(call);
+        break;
+    case verdict::replay:
+        finish(call, done_reply(call->id, answer.body));
+        break;
+    case verdict::unknown:
+        finish(call, ending_reply(outcome::unknown, answer.why));
+        break;
+    case verdict::not_run:
+        finish(call, ending_reply(outcome::not_run, answer.why));
+        break;
     }
-    finish(call, ending_reply(outcome::unknown, {error_code::conflict, step::intent, "",
-                                                 "an earlier attempt has not ended"}));
 }
 
-void call_service::write_intent(const pending_pointer& call)
+void call_service::end_key(const pending_pointer& call, outcome ending, const std::string& body)
 {
-    keys_[call->id] = {};
-    Json::Value item;
-    item["type"] = "intent";
-    item["id"] = call->id;
-    journal_.append("cell", item, [this, call](std::uint64_t) {
-        if (boot_clock::now() < call->until) {
-            dispatch(call);
-            return;
-        }
-        finish(call, ending_reply(outcome::not_run, {error_code::timeout, step::intent, "",
-                                                     "the intent was written too late"}));
-    });
+    if (call->once_only) {
+        keys_.end(call->id, ending, body);
+    }
 }
 
 void call_service::forward(const pending_pointer& call, const member& to)
@@ -157,6 +156,7 @@
         return;
     }
     if (boot_clock::now() >= call->until) {
+        end_key(call, outcome::not_run, "");
         finish(call, ending_reply(outcome::not_run, {error_code::timeout, step::queueing, "",
                                                      "no free slot before the deadline"}));
         return;
@@ -185,6 +185,7 @@
                          --found->second.busy;
                      }
                      if (reply && reply->status == 200) {
+                         end_key(call, outcome::done, reply->body);
                          finish(call, done_reply(call->id, reply->body));
                          return;
                      }
@@ -196,6 +197,7 @@
                          return;
                      }
                      const outcome ending = never_started ? outcome::not_run : outcome::unknown;
+                     end_key(call, ending, "");
                      finish(call, ending_reply(ending, {error_code::timeout, step::dispatch, name,
                                                         reply ? reply->body : why.reason}));
                  });
@@ -204,19 +206,6 @@
 void call_service::finish(const pending_pointer& call, const http_reply& reply)
 {
     --in_flight_;
-    const auto known = keys_.find(call->id);
-    const bool owned = known != keys_.end() && known->second.ending == outcome::pending &&
-                       known->second.writer.empty() && !call->what.idempotent;
-    if (owned && reply.status == 200) {
-        Json::Value item;
-        item["type"] = "ending";
-        item["id"] = call->id;
-        item["outcome"] = "done";
-        item["body"] = json_from(reply.body).value_or(Json::Value())["body"];
-        known->second.ending = outcome::done;
-        known->second.reply = item["body"].asString();
-        journal_.append("cell", item, nullptr);
-    }
     call->respond(reply);
 }
 
@@ -249,22 +238,4 @@
     return best;
 }
 
-void call_service::take_intent(const journal_item& item)
-{
-    key_state& key = keys_[item.value["id"].asString()];
-    if (item.writer != journal_.writer()) {
-        key.writer = item.writer;
-    }
-}
-
-void call_service::take_ending(const journal_item& item)
-{
-    const auto known = keys_.find(item.value["id"].asString());
-    if (known != keys_.end()) {
-        known->second.ending =
-            outcome_from(item.value["outcome"].asString()).value_or(outcome::unknown);
-        known->second.reply = item.value["body"].asString();
-    }
-}
-
 } // namespace sesamesill
--- a/src/call_service.h
+++ b/src/call_service.h
@@ -9,7 +9,7 @@
 
 #include "cell_service.h"
 #include "document_service.h"
-#include "journal_service.h"
+#include "key_service.h"
 #include "sesamesill/http.h"
 #include "sesamesill/submission.h"
 
@@ -17,8 +17,8 @@
 
 class call_service {
 public:
-    call_service(event_loop& loop, http_client& client, cell_service& cell,
-                 journal_service& journal, document_service& documents);
+    call_service(event_loop& loop, http_client& client, cell_service& cell, key_service& keys,
+                 document_service& documents);
 
     void serve(http_server& callers, http_server& peers);
     std::size_t in_flight() const { return in_flight_; }
@@ -35,6 +35,7 @@
         std::string id;
         std::int32_t attempt = 0;
         bool forwarded = false;
+        bool once_only = false; ///< this member holds the key's intent and must end it
         time_point until;
         http_respond respond;
     };
@@ -42,29 +43,21 @@
 
     void receive(const http_request& request, const http_respond& respond, bool forwarded);
     void receive_once_only(const pending_pointer& call);
-    void write_intent(const pending_pointer& call);
+    void take_verdict(const pending_pointer& call, const key_answer& answer);
+    void end_key(const pending_pointer& call, outcome ending, const std::string& body);
     void forward(const pending_pointer& call, const member& to);
     void dispatch(const pending_pointer& call);
     void send(const pending_pointer& call, executor_state& executor);
     void finish(const pending_pointer& call, const http_reply& reply);
     void update_executors();
     executor_state* free_executor(const std::string& service);
-    void take_intent(const journal_item& item);
-    void take_ending(const journal_item& item);
-
-    struct key_state {
-        outcome ending = outcome::pending;
-        std::string reply;
-        std::string writer;
-    };
 
     event_loop& loop_;
     http_client& client_;
     cell_service& cell_;
-    journal_service& journal_;
+    key_service& keys_;
     document_service& documents_;
     std::map<std::string, executor_state> executors_; ///< of the shards that this member owns
-    std::map<std::string, key_state> keys_;           ///< non-idempotent requests by id
     std::vector<pending_pointer> waiting_;
     std::size_t in_flight_ = 0;
 };
--- a/src/journal_service.cc
+++ b/src/journal_service.cc
@@ -13,7 +13,7 @@
 
 constexpr std::int64_t record_version = 1;
 constexpr std::size_t max_group_items = 2000;
-constexpr millis read_wait{1000};
+constexpr millis read_wait{500};
 constexpr millis retry_delay{100};
 
 } // namespace
@@ -85,8 +85,9 @@
     call.path = "/streams/" + s.name + "/records?from=" + std::to_string(s.next) +
                 "&max=1000&wait_ms=" + std::to_string(read_wait.count());
     call.timeout = settings_.log_timeout + read_wait;
+    const time_point begun = boot_clock::now();
     client_.send(settings_.log, std::move(call),
-                 [this, &s](const std::optional<http_reply>& reply, const error& why) {
+                 [this, &s, begun](const std::optional<http_reply>& reply, const error& why) {
                      const std::optional<Json::Value> answer =
                          reply && reply->status == 200 ? json_from(reply->body) : std::nullopt;
                      if (!answer || !answer->isObject()) {
@@ -96,12 +97,12 @@
                          loop_.after(retry_delay, [this, &s] { read(s); });
                          return;
                      }
-                     take_records(s, *answer);
+                     take_records(s, *answer, begun);
                      read(s);
                  });
 }
 
-void journal_service::take_records(stream_state& s, const Json::Value& answer)
+void journal_service::take_records(stream_state& s, const Json::Value& answer, time_point begun)
 {
     for (const Json::Value& record : answer["records"]) {
         const std::uint64_t offset = record["offset"].asUInt64();
@@ -113,6 +114,7 @@
     s.next = std::max<std::uint64_t>(s.next, answer["first"].asUInt64());
     if (s.next >= answer["next"].asUInt64()) {
         s.caught_up = true;
+        s.last_read_begun = begun;
     }
 }
 
@@ -176,7 +178,7 @@
                      const std::optional<Json::Value> answer =
                          reply && reply->status == 200 ? json_from(reply->body) : std::nullopt;
                      if (answer && answer->isObject() && (*answer)["offset"].isUInt64()) {
-                         confirm(s, seq, (*answer)["offset"].asUInt64());
+                         answered(s, seq, (*answer)["offset"].asUInt64());
                          return;
                      }
                      log_error("log_append_failed",
@@ -190,6 +192,18 @@
                  });
 }
 
+/// Takes an own record without waiting for the next read where no other stands before it.
+void journal_service::answered(stream_state& s, std::uint64_t seq, std::uint64_t offset)
+{
+    if (s.caught_up && s.next == offset && s.in_flight_seq == seq && !s.in_flight.empty()) {
+        s.next = offset + 1;
+        const std::string body = s.in_flight_body;
+        take_record(s, offset, body);
+        return;
+    }
+    confirm(s, seq, offset);
+}
+
 void journal_service::confirm(stream_state& s, std::uint64_t seq, std::uint64_t offset)
 {
     if (s.in_flight.empty() || s.in_flight_seq != seq) {
--- a/src/journal_service.h
+++ b/src/journal_service.h
@@ -44,6 +44,8 @@
 
     /// Returns whether both streams were read to their end at least once.
     bool caught_up() const;
+    /// Returns when the newest read of `cell` that reached the end of the stream was begun.
+    time_point last_read_begun() const { return streams_.at("cell").last_read_begun; }
     const std::string& writer() const { return writer_; }
     std::uint64_t appends() const { return appends_; }
     std::size_t waiting() const;
@@ -59,6 +61,7 @@
         std::string name;
         std::uint64_t next = 0;
         bool caught_up = false;
+        time_point last_read_begun;
         std::deque<waiting_item> queue;
         std::vector<waiting_item> in_flight; ///< one group at a time
         std::string in_flight_body;
@@ -68,10 +71,11 @@
     };
 
     void read(stream_state& s);
-    void take_records(stream_state& s, const Json::Value& answer);
+    void take_records(stream_state& s, const Json::Value& answer, time_point begun);
     void take_record(stream_state& s, std::uint64_t offset, const std::string& data);
     void commit(stream_state& s);
     void send_group(stream_state& s);
+    void answered(stream_state& s, std::uint64_t seq, std::uint64_t offset);
     void confirm(stream_state& s, std::uint64_t seq, std::uint64_t offset);
 
     event_loop& loop_;
--- /dev/null
+++ b/src/key_service.cc
@@ -0,0 +1,119 @@
+// The intent's offset in the log decides who runs; a member runs a request only after reading back
+// its own intent as the first.
+
+#include "key_service.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr millis advance_interval{5};
+
+request_limits limits_from(const node_settings& settings)
+{
+    request_limits limits;
+    limits.intent_first = !is_disabled(settings, "intent");
+    limits.remember = !is_disabled(settings, "dedup");
+    return limits;
+}
+
+} // namespace
+
+key_service::key_service(event_loop& loop, cell_service& cell, journal_service& journal,
+                         const node_settings& settings)
+    : loop_(loop), cell_(cell), journal_(journal), lease_(settings.lease),
+      table_(journal.writer(), limits_from(settings))
+{
+    cell_.on_change([this] { note_members(); });
+    journal_.on("intent", [this](const journal_item& item) {
+        const std::string id = item.value["id"].asString();
+        if (item.writer == journal_.writer()) {
+            tickets_.erase(id);
+        }
+        carry_out(table_.intent_read(id, item.writer, boot_clock::now()));
+    });
+    journal_.on("ending", [this](const journal_item& item) {
+        const outcome ending =
+            outcome_from(item.value["outcome"].asString()).value_or(outcome::unknown);
+        carry_out(table_.ending_read(item.value["id"].asString(), item.writer, ending,
+                                     item.value["body"].asString(), boot_clock::now()));
+    });
+    loop_.every(advance_interval, [this] { carry_out(table_.advance(view(), boot_clock::now())); });
+}
+
+void key_service::note_members()
+{
+    std::vector<std::string> names;
+    for (const member& m : cell_.members()) {
+        names.push_back(m.name);
+    }
+    if (names != members_) {
+        members_.swap(names);
+        members_since_ = boot_clock::now();
+    }
+}
+
+request_view key_service::view() const
+{
+    // An earlier owner of a key may write intents until its lease ends.
+    const bool current = journal_.last_read_begun() > members_since_ + lease_;
+    return {journal_.caught_up(), current};
+}
+
+void key_service::begin(const std::string& id, time_point until, key_done done)
+{
+    const caller_id caller = next_caller_++;
+    callers_.emplace(caller, std::move(done));
+    carry_out(table_.begin({id, caller, until}, view(), boot_clock::now()));
+}
+
+void key_service::end(const std::string& id, outcome ending, const std::string& body)
+{
+    carry_out(table_.end(id, ending, body, boot_clock::now()));
+}
+
+void key_service::append_ending(const request_action& action)
+{
+    Json::Value item;
+    item["type"] = "ending";
+    item["id"] = action.id;
+    item["outcome"] = std::string(name_of(action.ending));
+    item["body"] = action.body;
+    journal_.append("cell", std::move(item), nullptr);
+}
+
+void key_service::carry_out(const request_actions& actions)
+{
+    for (const request_action& action : actions) {
+        switch (action.what) {
+        case request_action::kind::append_intent: {
+            Json::Value item;
+            item["type"] = "intent";
+            item["id"] = action.id;
+            tickets_[action.id] = journal_.append("cell", std::move(item), nullptr);
+            break;
+        }
+        case request_action::kind::withdraw_intent: {
+            const auto ticket = tickets_.find(action.id);
+            if (ticket != tickets_.end() && journal_.cancel(ticket->second)) {
+                tickets_.erase(ticket);
+                table_.withdrawn(action.id);
+            }
+            break;
+        }
+        case request_action::kind::append_ending:
+            append_ending(action);
+            break;
+        case request_action::kind::answer: {
+            const auto found = callers_.find(action.caller);
+            if (found != callers_.end()) {
+                const key_done done = std::move(found->second);
+                callers_.erase(found);
+                done({action.result, action.ending, action.body, action.why});
+            }
+            break;
+        }
+        }
+    }
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/key_service.h
@@ -0,0 +1,58 @@
+// Carries the request table's actions to the log and to the callers.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cell_service.h"
+#include "journal_service.h"
+#include "sesamesill/request.h"
+
+namespace sesamesill {
+
+struct key_answer {
+    verdict result = verdict::unknown;
+    outcome ending = outcome::pending; ///< replays: `done` or `failed`
+    std::string body;                  ///< replays: the whole answer of the attempt that ran
+    error why;                         ///< `unknown` and `not_run`
+};
+
+using key_done = std::function<void(const key_answer&)>;
+
+/// Answers each `begin` once. Whoever is told to run calls `end` with how it went.
+class key_service {
+public:
+    key_service(event_loop& loop, cell_service& cell, journal_service& journal,
+                const node_settings& settings);
+
+    void begin(const std::string& id, time_point until, key_done done);
+    /// `not_run` only where no byte of the request can have left this process, or the executor said
+    /// that it did not start. A later `done` or `failed` replaces `unknown`.
+    void end(const std::string& id, outcome ending, const std::string& body);
+
+    std::size_t size() const { return table_.size(); }
+    std::size_t waiting() const { return table_.callers(); }
+
+private:
+    request_view view() const;
+    void note_members();
+    void carry_out(const request_actions& actions);
+    void append_ending(const request_action& action);
+
+    event_loop& loop_;
+    cell_service& cell_;
+    journal_service& journal_;
+    millis lease_;
+    request_table table_;
+    std::unordered_map<caller_id, key_done> callers_;
+    std::unordered_map<std::string, append_ticket> tickets_; ///< of own intents on their way
+    caller_id next_caller_ = 1;
+    std::vector<std::string> members_;
+    time_point members_since_;
+};
+
+} // namespace sesamesill
--- a/src/node.cc
+++ b/src/node.cc
@@ -7,6 +7,7 @@
 #include "document_service.h"
 #include "job_service.h"
 #include "journal_service.h"
+#include "key_service.h"
 #include "replies.h"
 #include "sesamesill/log.h"
 #include "sesamesill/rpc.h"
@@ -35,6 +36,7 @@
     cell_service cell;
     document_service documents;
     worker_service workers;
+    key_service keys;
     call_service calls;
     job_service jobs;
     bool draining = false;
@@ -44,7 +46,7 @@
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings),
           documents(journal, settings), workers(l, client, cell, settings),
-          calls(l, client, cell, journal, documents),
+          keys(l, cell, journal, settings), calls(l, client, cell, keys, documents),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
--- /dev/null
+++ b/src/request.cc
@@ -0,0 +1,356 @@
+// Log order decides who may run a request; the table only follows it.
+
+#include "sesamesill/request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace sesamesill {
+namespace {
+
+constexpr std::size_t id_digits = 32;
+constexpr std::uint32_t nobody = 0;
+constexpr std::uint32_t myself = 1;
+
+bool is_final(outcome ending)
+{
+    return ending == outcome::done || ending == outcome::failed;
+}
+
+request_action answer(const request_caller& caller, verdict result, error why)
+{
+    request_action a;
+    a.id = caller.id;
+    a.caller = caller.caller;
+    a.result = result;
+    a.why = std::move(why);
+    return a;
+}
+
+request_action replay(const request_caller& caller, outcome ending, const std::string& body)
+{
+    request_action a = answer(caller, verdict::replay, {});
+    a.ending = ending;
+    a.body = body;
+    return a;
+}
+
+request_action change(request_action::kind what, const std::string& id)
+{
+    request_action a;
+    a.what = what;
+    a.id = id;
+    return a;
+}
+
+error not_ended(const char* reason)
+{
+    return {error_code::conflict, step::intent, "", reason};
+}
+
+} // namespace
+
+std::optional<request_key> request_key_from(std::string_view id)
+{
+    if (id.size() != id_digits) {
+        return std::nullopt;
+    }
+    request_key key;
+    const char* const middle = id.data() + id_digits / 2;
+    const char* const end = id.data() + id_digits;
+    const std::from_chars_result high = std::from_chars(id.data(), middle, key.high, 16);
+    const std::from_chars_result low = std::from_chars(middle, end, key.low, 16);
+    if (high.ptr != middle || low.ptr != end) {
+        return std::nullopt;
+    }
+    return key;
+}
+
+std::string to_string(const request_key& key)
+{
+    char hex[id_digits + 1];
+    std::snprintf(hex, sizeof hex, "%016llx%016llx", static_cast<unsigned long long>(key.high),
+                  static_cast<unsigned long long>(key.low));
+    return hex;
+}
+
+request_table::request_table(std::string self, request_limits limits)
+    : self_(std::move(self)), limits_(limits), writers_{"", self_}
+{
+}
+
+request_table::record& request_table::record_of(const request_key& key, time_point now)
+{
+    const std::pair<record_map::iterator, bool> added = entries_.try_emplace(key);
+    record& r = added.first->second;
+    if (added.second) {
+        r.touched = now;
+        touches_.push_back({now, key});
+    }
+    return r;
+}
+
+std::uint32_t request_table::index_of(const std::string& writer)
+{
+    const auto found = std::find(writers_.begin() + 1, writers_.end(), writer);
+    if (found == writers_.end()) {
+        writers_.push_back(writer);
+        return static_cast<std::uint32_t>(writers_.size() - 1);
+    }
+    return static_cast<std::uint32_t>(found - writers_.begin());
+}
+
+request_actions request_table::begin(const request_caller& caller, const request_view& view,
+                                     time_point now)
+{
+    const std::optional<request_key> key = request_key_from(caller.id);
+    if (!key) {
+        return {answer(caller, verdict::not_run,
+                       {error_code::invalid, step::intent, "", "the id is not a request id"})};
+    }
+    if (!limits_.remember) {
+        entries_.erase(*key);
+    }
+    const auto known = entries_.find(*key);
+    const bool pending = known != entries_.end() && known->second.phase != request_phase::ended;
+    if (known != entries_.end() && is_final(known->second.ending)) {
+        return {replay(caller, known->second.ending, known->second.body)};
+    }
+    if (known != entries_.end() && known->second.ending == outcome::unknown) {
+        return {answer(caller, verdict::unknown, not_ended("an earlier attempt may have run"))};
+    }
+    if (known == entries_.end() && !view.complete) {
+        return {
+            answer(caller, verdict::unknown,
+                   not_ended("the key may have been used before this member's history begins"))};
+    }
+    std::vector<request_caller>& waiting = waiting_[*key];
+    if (waiting.size() >= limits_.max_callers_per_key || callers_ >= limits_.max_callers) {
+        const bool fresh = waiting.empty() && !pending && view.current;
+        if (waiting.empty()) {
+            waiting_.erase(*key);
+        }
+        return {answer(caller, fresh ? verdict::not_run : verdict::unknown,
+                       {error_code::overload, step::intent, "", "too many requests wait"})};
+    }
+    waiting.push_back(caller);
+    ++callers_;
+    request_actions out;
+    record& r = record_of(*key, now);
+    if (!limits_.intent_first && !pending) {
+        r.holder = myself;
+        grant(*key, caller.id, r, now, out);
+    }
+    else if (!pending) {
+        intend(caller.id, r, out);
+    }
+    return out;
+}
+
+void request_table::intend(const std::string& id, record& r, request_actions& out) const
+{
+    r.phase = request_phase::accepted;
+    r.ending = outcome::pending;
+    if (!r.queued) {
+        r.queued = true;
+        out.push_back(change(request_action::kind::append_intent, id));
+    }
+}
+
+request_actions request_table::intent_read(const std::string& id, const std::string& writer,
+                                           time_point now)
+{
+    request_actions out;
+    const std::optional<request_key> key = request_key_from(id);
+    if (!key) {
+        return out;
+    }
+    record& r = record_of(*key, now);
+    const bool own = writer == self_;
+    r.queued = r.queued && !own;
+    const bool open = r.phase != request_phase::ended || r.ending == outcome::not_run;
+    if (!open || r.holder != nobody) {
+        return out;
+    }
+    r.holder = index_of(writer);
+    r.phase = request_phase::intended;
+    r.ending = outcome::pending;
+    if (own) {
+        grant(*key, id, r, now, out);
+    }
+    return out;
+}
+
+void request_table::grant(const request_key& key, const std::string& id, record& r, time_point now,
+                          request_actions& out)
+{
+    const auto found = waiting_.find(key);
+    if (found != waiting_.end()) {
+        std::vector<request_caller>& callers = found->second;
+        const auto runner = std::find_if(callers.begin(), callers.end(),
+                                         [now](const request_caller& c) { return c.until > now; });
+        if (runner != callers.end()) {
+            r.phase = request_phase::dispatched;
+            out.push_back(answer(*runner, verdict::run, {}));
+            callers.erase(runner);
+            --callers_;
+            if (callers.empty()) {
+                waiting_.erase(found);
+            }
+            return;
+        }
+    }
+    out.push_back(change(request_action::kind::append_ending, id));
+    out.back().ending = outcome::not_run;
+}
+
+request_actions request_table::ending_read(const std::string& id, const std::string& writer,
+                                           outcome ending, const std::string& body, time_point now)
+{
+    request_actions out;
+    const std::optional<request_key> key = request_key_from(id);
+    if (!key || ending == outcome::pending) {
+        return out;
+    }
+    record& r = record_of(*key, now);
+    if (r.phase == request_phase::ended && is_final(r.ending)) {
+        return out;
+    }
+    if (ending == outcome::not_run) {
+        if (r.holder == nobody || writers_[r.holder] != writer) {
+            return out;
+        }
+        r.holder = nobody;
+        r.phase = request_phase::ended;
+        r.ending = outcome::not_run;
+        if (waiting_.count(*key) > 0) {
+            intend(id, r, out);
+        }
+        return out;
+    }
+    r.phase = request_phase::ended;
+    r.ending = ending;
+    r.body = body;
+    finish(*key, id, r, now, out);
+    return out;
+}
+
+request_actions request_table::end(const std::string& id, outcome ending, const std::string& body,
+                                   time_point now)
+{
+    request_actions out;
+    const std::optional<request_key> key = request_key_from(id);
+    const auto found = key ? entries_.find(*key) : entries_.end();
+    if (found == entries_.end() || ending == outcome::pending) {
+        return out;
+    }
+    record& r = found->second;
+    const bool running = r.phase == request_phase::dispatched;
+    const bool late = r.phase == request_phase::ended && r.ending == outcome::unknown;
+    if (r.holder != myself || (!running && !(late && is_final(ending)))) {
+        return out;
+    }
+    out.push_back(change(request_action::kind::append_ending, id));
+    out.back().ending = ending;
+    out.back().body = body;
+    if (ending == outcome::not_run) {
+        r.phase = request_phase::intended;
+        return out;
+    }
+    r.phase = request_phase::ended;
+    r.ending = ending;
+    r.body = body;
+    finish(*key, id, r, now, out);
+    return out;
+}
+
+void request_table::finish(const request_key& key, const std::string& id, record& r, time_point now,
+                           request_actions& out)
+{
+    r.touched = now;
+    touches_.push_back({now, key});
+    const auto found = waiting_.find(key);
+    if (found == waiting_.end()) {
+        return;
+    }
+    for (const request_caller& c : found->second) {
+        out.push_back(is_final(r.ending)
+                          ? replay(c, r.ending, r.body)
+                          : answer(c, verdict::unknown, not_ended("the attempt may have run")));
+        out.back().id = id;
+    }
+    callers_ -= found->second.size();
+    waiting_.erase(found);
+}
+
+void request_table::withdrawn(const std::string& id)
+{
+    const std::optional<request_key> key = request_key_from(id);
+    const auto found = key ? entries_.find(*key) : entries_.end();
+    if (found == entries_.end()) {
+        return;
+    }
+    found->second.queued = false;
+    if (found->second.phase == request_phase::accepted && waiting_.count(*key) == 0) {
+        found->second.phase = request_phase::ended;
+        found->second.ending = outcome::not_run;
+    }
+}
+
+void request_table::expire(const request_key& key, std::vector<request_caller>& waiting,
+                           const request_view& view, time_point now, request_actions& out)
+{
+    const auto first_over = std::stable_partition(
+        waiting.begin(), waiting.end(), [now](const request_caller& c) { return c.until > now; });
+    if (first_over == waiting.end()) {
+        return;
+    }
+    const record& r = entries_.at(key);
+    const bool all_over = first_over == waiting.begin();
+    const bool untouched = r.phase == request_phase::accepted && r.holder == nobody;
+    const verdict result =
+        all_over && untouched && view.current ? verdict::not_run : verdict::unknown;
+    for (auto c = first_over; c != waiting.end(); ++c) {
+        out.push_back(answer(*c, result,
+                             {error_code::timeout, step::intent, "",
+                              untouched ? "the log did not take the intent before the deadline"
+                                        : "an earlier attempt has not ended"}));
+    }
+    if (all_over && untouched) {
+        out.push_back(change(request_action::kind::withdraw_intent, to_string(key)));
+    }
+    callers_ -= static_cast<std::size_t>(waiting.end() - first_over);
+    waiting.erase(first_over, waiting.end());
+}
+
+request_actions request_table::advance(const request_view& view, time_point now)
+{
+    request_actions out;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        expire(it->first, it->second, view, now, out);
+        it = it->second.empty() ? waiting_.erase(it) : std::next(it);
+    }
+    forget(now);
+    return out;
+}
+
+void request_table::forget(time_point now)
+{
+    while (!touches_.empty() && now - touches_.front().when > limits_.retention) {
+        const touch oldest = touches_.front();
+        touches_.pop_front();
+        const auto found = entries_.find(oldest.key);
+        if (found == entries_.end() || found->second.touched > oldest.when) {
+            continue;
+        }
+        if (found->second.queued || waiting_.count(oldest.key) > 0) {
+            found->second.touched = now;
+            touches_.push_back({now, oldest.key});
+            continue;
+        }
+        entries_.erase(found);
+    }
+}
+
+} // namespace sesamesill
