--- a/src/node.cc
+++ b/src/node.cc
@@ -8,6 +8,7 @@
 #include "document_service.h"
 #include "job_service.h"
 #include "journal_service.h"
+#include "key_service.h"
 #include "replies.h"
 #include "sesamesill/log.h"
 #include "sesamesill/rpc.h"
@@ -37,6 +38,7 @@
     document_service documents;
     document_api document_calls;
     worker_service workers;
+    key_service keys;
     call_service calls;
     job_service jobs;
     bool draining = false;
@@ -46,7 +48,8 @@
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings),
           documents(l, client, cell, journal, settings), document_calls(documents, settings),
-          workers(l, client, cell, settings), calls(l, client, cell, journal, documents),
+          workers(l, client, cell, settings), keys(l, cell, journal, settings),
+          calls(l, client, cell, keys, documents),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
