Decide routes, limits, retries, slots and leaving in pure parts

Calls went to the least busy executor without limits, budgets or a count of lost calls. The decisions now stand in pure headers: routing (power of two choices by expected time, one hop), limiter (shares of a limit by recent demand, admission by expected wait), call_queue (fair order over classes, then tenants), retry (budget, full jitter), slots (lost calls keep their slot until the executor says otherwise), ejection, drain. Ruled out: health polled for every executor, whose bytes grow with the cell.

--- /dev/null
+++ b/src/call_queue.cc
@@ -0,0 +1,176 @@
+// Two levels of fair order: classes, then the tenants of a class.
+
+#include "sesamesill/call_queue.h"
+
+#include <algorithm>
+
+namespace sesamesill {
+
+void fair_order::activate(const std::string& flow)
+{
+    double& finish = finish_[flow];
+    if (active_.count({finish, flow}) > 0) {
+        return;
+    }
+    finish = std::max(finish, now_);
+    active_.emplace(finish, flow);
+}
+
+void fair_order::deactivate(const std::string& flow)
+{
+    const auto found = finish_.find(flow);
+    if (found != finish_.end()) {
+        active_.erase({found->second, flow});
+    }
+    if (active_.empty()) {
+        finish_.clear(); // nobody is owed anything
+        now_ = 0.0;
+    }
+}
+
+const std::string* fair_order::next() const
+{
+    return active_.empty() ? nullptr : &active_.begin()->second;
+}
+
+void fair_order::charge(const std::string& flow, double weight)
+{
+    double& finish = finish_[flow];
+    const bool was_active = active_.erase({finish, flow}) > 0;
+    now_ = std::max(now_, finish);
+    finish += 1.0 / std::max(weight, 1e-6);
+    if (was_active) {
+        active_.emplace(finish, flow);
+    }
+}
+
+double class_weight(priority_band band)
+{
+    constexpr double step = 4.0;
+    double weight = 1.0;
+    for (int i = 0; i < static_cast<int>(band); ++i) {
+        weight *= step;
+    }
+    return weight;
+}
+
+void call_queue::set_class(const std::string& name, priority_band band, std::size_t limit)
+{
+    class_line& line = classes_[name];
+    line.weight = class_weight(band);
+    line.limit = limit;
+}
+
+void call_queue::set_tenant(const std::string& name, double weight)
+{
+    weights_[name] = weight;
+}
+
+double call_queue::tenant_weight(const std::string& name) const
+{
+    const auto found = weights_.find(name);
+    return found == weights_.end() ? 1.0 : found->second;
+}
+
+bool call_queue::push(const waiting_call& call)
+{
+    class_line& line = classes_[call.work_class];
+    if (line.live >= line.limit) {
+        return false;
+    }
+    tenant_line& tenant = line.tenants[call.tenant];
+    tenant.calls.push_back(call.id);
+    ++tenant.live;
+    ++line.live;
+    line.order.activate(call.tenant);
+    order_.activate(call.work_class);
+    deadlines_.emplace(call.until, call.id);
+    calls_.emplace(call.id, call);
+    return true;
+}
+
+std::optional<std::uint64_t> call_queue::pop()
+{
+    const std::string* work_class = order_.next();
+    if (work_class == nullptr) {
+        return std::nullopt;
+    }
+    class_line& line = classes_[*work_class];
+    const std::string tenant = *line.order.next();
+    std::deque<std::uint64_t>& waiting = line.tenants[tenant].calls;
+    while (calls_.count(waiting.front()) == 0) {
+        waiting.pop_front();
+    }
+    const std::uint64_t id = waiting.front();
+    waiting.pop_front();
+    const waiting_call call = calls_[id];
+    line.order.charge(tenant, tenant_weight(tenant));
+    order_.charge(call.work_class, line.weight);
+    left(call);
+    return id;
+}
+
+void call_queue::left(const waiting_call& call)
+{
+    class_line& line = classes_[call.work_class];
+    tenant_line& tenant = line.tenants[call.tenant];
+    deadlines_.erase({call.until, call.id});
+    --tenant.live;
+    --line.live;
+    if (tenant.live == 0) {
+        line.order.deactivate(call.tenant);
+        line.tenants.erase(call.tenant);
+    }
+    if (line.live == 0) {
+        order_.deactivate(call.work_class);
+    }
+    calls_.erase(call.id);
+}
+
+std::vector<std::uint64_t> call_queue::take_expired(time_point now)
+{
+    std::vector<std::uint64_t> expired;
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        const std::uint64_t id = deadlines_.begin()->second;
+        const waiting_call call = calls_[id];
+        left(call);
+        expired.push_back(id);
+    }
+    return expired;
+}
+
+std::size_t call_queue::size(const std::string& work_class) const
+{
+    const auto found = classes_.find(work_class);
+    return found == classes_.end() ? 0 : found->second.live;
+}
+
+double call_queue::ahead_of(const std::string& work_class, const std::string& tenant) const
+{
+    const auto own = classes_.find(work_class);
+    if (own == classes_.end()) {
+        return static_cast<double>(calls_.size());
+    }
+    const auto line = own->second.tenants.find(tenant);
+    const double mine =
+        line == own->second.tenants.end() ? 0.0 : static_cast<double>(line->second.live);
+    const double rounds = (mine + 1.0) / tenant_weight(tenant);
+    double ahead = mine;
+    for (const std::pair<const std::string, tenant_line>& other : own->second.tenants) {
+        if (other.first != tenant) {
+            ahead += std::min(static_cast<double>(other.second.live),
+                              rounds * tenant_weight(other.first));
+        }
+    }
+    const double class_rounds = (ahead + 1.0) / own->second.weight;
+    double all = ahead;
+    for (const std::pair<const std::string, class_line>& other : classes_) {
+        if (other.first != work_class) {
+            all += std::min(static_cast<double>(other.second.live),
+                            class_rounds * other.second.weight);
+        }
+    }
+    return all;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/drain.cc
@@ -0,0 +1,79 @@
+// The first sign of leaving counts; a planned stop goes on in steps.
+
+#include "sesamesill/drain.h"
+
+namespace sesamesill {
+
+bool leaving_endpoints::on_sign(const std::string& name, leaving_sign sign, time_point now)
+{
+    const bool first = signs_.count(name) == 0;
+    record& r = signs_[name];
+    if (sign == leaving_sign::vm_list) {
+        r.by_list = true;
+    }
+    else {
+        r.by_endpoint = true;
+        r.probed = now;
+    }
+    return first;
+}
+
+void leaving_endpoints::on_listed_live(const std::string& name)
+{
+    const auto found = signs_.find(name);
+    if (found != signs_.end()) {
+        found->second.by_list = false;
+        if (!found->second.by_endpoint) {
+            signs_.erase(found);
+        }
+    }
+}
+
+void leaving_endpoints::on_healthy(const std::string& name)
+{
+    const auto found = signs_.find(name);
+    if (found != signs_.end()) {
+        found->second.by_endpoint = false;
+        if (!found->second.by_list) {
+            signs_.erase(found);
+        }
+    }
+}
+
+bool leaving_endpoints::wants_probe(const std::string& name, time_point now) const
+{
+    const auto found = signs_.find(name);
+    return found != signs_.end() && found->second.by_endpoint &&
+           now - found->second.probed >= probe_interval;
+}
+
+void leaving_endpoints::on_probe_sent(const std::string& name, time_point now)
+{
+    const auto found = signs_.find(name);
+    if (found != signs_.end()) {
+        found->second.probed = now;
+    }
+}
+
+void stop_plan::begin(time_point now, millis announce, millis limit)
+{
+    begun_ = true;
+    announced_until_ = now + announce;
+    limit_ = now + announce + limit;
+}
+
+stop_phase stop_plan::phase(time_point now, std::size_t in_flight) const
+{
+    if (!begun_) {
+        return stop_phase::running;
+    }
+    if (now >= limit_) {
+        return stop_phase::stopped;
+    }
+    if (now < announced_until_) {
+        return stop_phase::announced;
+    }
+    return in_flight == 0 ? stop_phase::stopped : stop_phase::finishing;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/ejection.cc
@@ -0,0 +1,105 @@
+// Counts failures in a row and keeps the number of ejected endpoints under its cap.
+
+#include "sesamesill/ejection.h"
+
+#include <algorithm>
+
+namespace sesamesill {
+
+void ejection::add(const std::string& name)
+{
+    records_[name];
+}
+
+void ejection::remove(const std::string& name)
+{
+    const auto found = records_.find(name);
+    if (found != records_.end()) {
+        out_ -= found->second.out ? 1 : 0;
+        records_.erase(found);
+    }
+}
+
+void ejection::on_success(const std::string& name)
+{
+    const auto found = records_.find(name);
+    if (found != records_.end()) {
+        found->second.failures = 0;
+    }
+}
+
+bool ejection::on_failure(const std::string& name, time_point now)
+{
+    const auto found = records_.find(name);
+    if (found == records_.end() || found->second.out) {
+        return false;
+    }
+    record& r = found->second;
+    ++r.failures;
+    const double cap = policy_.max_out_ratio * static_cast<double>(records_.size());
+    const std::size_t most = std::max<std::size_t>(1, static_cast<std::size_t>(cap));
+    if (r.failures < policy_.failures || out_ >= most) {
+        return false;
+    }
+    r.out = true;
+    r.returning = false;
+    r.until = now + ejection_time(r);
+    ++r.ejections;
+    ++out_;
+    return true;
+}
+
+millis ejection::ejection_time(const record& r) const
+{
+    constexpr std::int32_t max_doublings = 20;
+    const std::int64_t factor = std::int64_t{1} << std::min(r.ejections, max_doublings);
+    return std::min(policy_.max_ejection, millis(policy_.base_ejection.count() * factor));
+}
+
+bool ejection::wants_probe(const std::string& name, time_point now) const
+{
+    const auto found = records_.find(name);
+    return found != records_.end() && found->second.out && now >= found->second.until;
+}
+
+void ejection::on_probe(const std::string& name, bool passed, time_point now)
+{
+    const auto found = records_.find(name);
+    if (found == records_.end() || !found->second.out) {
+        return;
+    }
+    record& r = found->second;
+    if (!passed) {
+        r.until = now + ejection_time(r);
+        ++r.ejections;
+        return;
+    }
+    r.out = false;
+    --out_;
+    r.failures = 0;
+    r.returning = true;
+    r.returned = now;
+}
+
+bool ejection::is_out(const std::string& name) const
+{
+    const auto found = records_.find(name);
+    return found != records_.end() && found->second.out;
+}
+
+double ejection::weight(const std::string& name, time_point now) const
+{
+    const auto found = records_.find(name);
+    if (found == records_.end() || !(found->second.out || found->second.returning)) {
+        return 1.0;
+    }
+    if (found->second.out) {
+        return 0.0;
+    }
+    const micros since = now - found->second.returned;
+    const double ramp = static_cast<double>(since.count()) /
+                        static_cast<double>(micros(policy_.return_ramp).count());
+    return std::clamp(ramp, policy_.return_weight, 1.0);
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/test/retry-test.cc
@@ -0,0 +1,47 @@
+// Tests of what may be repeated, the budget and the backoff.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/retry.h"
+
+using namespace sesamesill;
+
+Test(retry, lost_work_is_repeated_only_where_idempotent)
+{
+    cr_assert(is_repeatable(false, attempt_end::never_sent));
+    cr_assert(is_repeatable(false, attempt_end::not_started));
+    cr_assert_not(is_repeatable(false, attempt_end::lost));
+    cr_assert(is_repeatable(true, attempt_end::lost));
+    cr_assert_not(is_repeatable(true, attempt_end::answered));
+}
+
+Test(retry, budget_bounds_attempts_per_request)
+{
+    retry_budget budget(0.1, 10.0);
+    int retries = 0;
+    constexpr int requests = 10000;
+    for (int i = 0; i < requests; ++i) {
+        budget.on_first_attempt();
+        retries += budget.take() ? 1 : 0;
+    }
+    cr_assert_leq(retries, requests / 10 + 10);
+    cr_assert_geq(retries, requests / 10 - 1);
+}
+
+Test(retry, backoff_is_jittered_and_bounded)
+{
+    std::mt19937_64 random(7);
+    const retry_policy policy{0.1, millis(20), millis(1000)};
+    for (int attempt = 1; attempt < 60; ++attempt) {
+        const micros wait = backoff_after(attempt, policy, random);
+        cr_assert_geq(wait.count(), 0);
+        cr_assert_leq(wait.count(), 1000000);
+    }
+    cr_assert_leq(backoff_after(1, policy, random).count(), 20000);
+}
+
+Test(retry, attempts_share_the_time_left)
+{
+    cr_assert_eq(attempt_timeout(millis(900), 1, 3).count(), 300000);
+    cr_assert_eq(attempt_timeout(millis(600), 3, 3).count(), 600000);
+}
--- /dev/null
+++ b/test/slots-test.cc
@@ -0,0 +1,77 @@
+// Tests of counting slots over lost calls and a change of owner.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/slots.h"
+
+using namespace sesamesill;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point(millis(ms));
+}
+
+} // namespace
+
+Test(slots, a_new_owner_gives_nothing_out_before_the_executor_answers)
+{
+    slot_account a(8, at(0), millis(200));
+    cr_assert_eq(a.free(at(0)), 0);
+    cr_assert_not(a.wants_probe(at(199)));
+    cr_assert(a.wants_probe(at(200)));
+    a.on_probe_sent(at(200));
+    a.on_probe(3, at(201));
+    cr_assert_eq(a.free(at(201)), 5);
+    a.on_probe_sent(at(301));
+    a.on_probe(0, at(302));
+    cr_assert_eq(a.free(at(302)), 8);
+    cr_assert_not(a.wants_probe(at(9999)));
+}
+
+Test(slots, a_lost_call_keeps_its_slot)
+{
+    slot_account a(2, at(0), millis(0));
+    a.on_probe_sent(at(0));
+    a.on_probe(0, at(0));
+    a.on_sent();
+    a.on_sent();
+    a.on_lost(at(800));
+    cr_assert_eq(a.free(at(10)), 0);
+    a.on_ended();
+    cr_assert_eq(a.free(at(20)), 1);
+    a.on_probe_sent(at(100));
+    a.on_probe(1, at(101));
+    cr_assert_eq(a.free(at(101)), 1, "a stuck call still runs");
+}
+
+Test(slots, own_calls_do_not_pass_for_lost_ones_for_ever)
+{
+    slot_account a(2, at(0), millis(0));
+    a.on_probe_sent(at(0));
+    a.on_probe(0, at(0));
+    a.on_sent();
+    a.on_lost(at(800));
+    a.on_sent();
+    a.on_probe_sent(at(100));
+    a.on_probe(1, at(101)); // either call may be the one that runs
+    cr_assert_eq(a.in_doubt(), 1);
+    cr_assert_eq(a.free(at(800)), 0, "lets its own calls end first");
+    a.on_ended();
+    a.on_probe_sent(at(900));
+    a.on_probe(0, at(901));
+    cr_assert_eq(a.free(at(901)), 2);
+}
+
+Test(slots, a_call_within_the_probe_makes_it_inexact)
+{
+    slot_account a(2, at(0), millis(0));
+    a.on_probe_sent(at(0));
+    a.on_probe(1, at(0));
+    a.on_probe_sent(at(100));
+    a.on_sent();
+    a.on_ended();
+    a.on_probe(2, at(101));
+    cr_assert_eq(a.in_doubt(), 1);
+}
