--- a/src/routing.cc
+++ b/src/routing.cc
@@ -38,6 +38,7 @@
 Json::Value demand_json(const std::map<std::string, double>& demand)
 {
     std::vector<std::pair<double, std::string>> largest;
+    largest.reserve(demand.size());
     for (const std::pair<const std::string, double>& d : demand) {
         largest.emplace_back(d.second, d.first);
     }
@@ -187,6 +188,7 @@
                                                    std::mt19937_64& random) const
 {
     std::vector<std::pair<std::int32_t, const std::string*>> candidates;
+    candidates.reserve(peers_.size());
     for (const std::pair<const std::string, peer>& p : peers_) {
         const std::int32_t free = free_of(p.second, service);
         if (free > 0 && is_fresh(p.second, now)) {
