Bound every step of HTTP on both sides

A slow sender could hold a connection for ever by one byte in 29 s, connections were not counted, and a client had one time-out that could not tell 'never sent' from 'sent'. Now the server closes requests that take too long to come in and connections over the limit; the client times connect, first byte and whole answer apart, and bounds its pools. libevent 2.1.12 has no callback for a new request on a kept connection, so the server watches the input buffers and closes by shutdown of the socket. New test over real sockets on loopback; http.cc split by side.

--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -88,7 +88,9 @@
 struct http_limits {
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
-    millis idle_timeout{30000}; ///< also closes half-sent requests
+    std::size_t max_connections = 4096;
+    millis idle_timeout{30000};    ///< between requests
+    millis request_timeout{10000}; ///< from a request's first byte to its last
 };
 
 class http_server {
@@ -108,6 +110,8 @@
     void stop_listening();
     /// Requests that have not been answered yet.
     std::size_t pending() const;
+    /// Open connections.
+    std::size_t connections() const;
 
 private:
     struct state;
@@ -119,9 +123,13 @@
     std::string path;
     http_headers headers;
     std::string body;
-    millis timeout{1000}; ///< from sending to the whole answer
+    millis timeout{1000};        ///< from sending to the whole answer
+    millis connect_timeout{500}; ///< where a connection has to be opened
+    millis first_byte_timeout{}; ///< from sending to the answer's headers; 0 for no limit
 };
 
+/// Gets the whole answer, or the reason: `unavailable` where the request was never sent, `timeout`
+/// where it may have been.
 using http_done = std::function<void(std::optional<http_reply>, const error&)>;
 
 /// Keeps connections alive, one request at a time on each.
@@ -136,6 +144,8 @@
 
     /// Sends `call` and hands the whole answer, or the reason of the failure, to `done`.
     void send(const endpoint& to, http_call call, http_done done);
+    /// Closes the idle connections to `to`.
+    void forget(const endpoint& to);
     std::uint64_t bytes_sent() const;
     std::uint64_t bytes_received() const;
 
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,344 @@
+// The client side of evhttp: keep-alive pools and a time-out for each step of an exchange.
+
+#include "sesamesill/http.h"
+
+#include <algorithm>
+
+#include <event2/bufferevent.h>
+#include <sys/socket.h>
+
+#include "evhttp.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr std::size_t max_idle_connections = 16; ///< per peer
+constexpr micros max_idle_time{10000000};
+constexpr micros sweep_interval{2000000};
+constexpr timeval library_timeout{3600, 0}; ///< our own timers come first
+constexpr ev_ssize_t max_answer_bytes = ev_ssize_t{16} * 1024 * 1024;
+constexpr ev_ssize_t max_answer_header_bytes = ev_ssize_t{64} * 1024;
+constexpr std::size_t header_estimate = 128; ///< bytes of a message's head
+
+struct idle_connection {
+    evhttp_connection* handle = nullptr;
+    time_point since;
+};
+
+} // namespace
+
+struct http_client::state {
+    event_loop& loop;
+    std::string name;
+    std::map<endpoint, std::vector<idle_connection>> idle;
+    time_point swept;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    bool closed = false;
+
+    state(event_loop& l, std::string n) : loop(l), name(std::move(n)) {}
+    evhttp_connection* take(const endpoint& to, bool& opened);
+    void give_back(const endpoint& to, evhttp_connection* connection, bool healthy);
+    void sweep(time_point now);
+};
+
+namespace {
+
+/// One request in flight. Freed by its completion.
+struct exchange {
+    std::weak_ptr<http_client::state> client;
+    evhttp_connection* connection = nullptr;
+    evhttp_request* request = nullptr;
+    event* timer = nullptr;
+    endpoint to;
+    http_done done;
+    bool connecting = false; ///< its connection was opened for it and is not known to be up
+    bool answering = false;  ///< the answer's headers have come
+    time_point connect_until;
+    time_point first_byte_until;
+    time_point until;
+    const char* failure = "closed by the peer";
+
+    ~exchange()
+    {
+        if (timer != nullptr) {
+            event_free(timer);
+        }
+    }
+
+    exchange() = default;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    exchange(exchange&&) = delete;
+    exchange& operator=(exchange&&) = delete;
+};
+
+void free_later(evhttp_connection* connection)
+{
+    // A connection must not be freed inside its own callback.
+    const timeval now{};
+    event_base_once(
+        evhttp_connection_get_base(connection), -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void* c) {
+            evhttp_connection_free(static_cast<evhttp_connection*>(c));
+        },
+        connection, &now);
+}
+
+bool is_connected(evhttp_connection* connection)
+{
+    const evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    sockaddr_storage peer{};
+    socklen_t size = sizeof peer;
+    return fd >= 0 && getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+}
+
+/// Gives the connection back or up, then tells the sender.
+void complete(std::unique_ptr<exchange> x, std::optional<http_reply> reply, const error& why)
+{
+    event_free(x->timer);
+    x->timer = nullptr;
+    const std::shared_ptr<http_client::state> client = x->client.lock();
+    if (client != nullptr) {
+        client->received += reply ? reply->body.size() + header_estimate : 0;
+        client->give_back(x->to, x->connection, reply && reply->headers.count("connection") == 0);
+    }
+    else {
+        free_later(x->connection);
+    }
+    x->done(std::move(reply), why);
+}
+
+void on_answer(evhttp_request* raw, void* argument)
+{
+    std::unique_ptr<exchange> x(static_cast<exchange*>(argument));
+    const int status = raw != nullptr ? evhttp_request_get_response_code(raw) : 0;
+    if (status != 0) {
+        http_reply reply;
+        reply.status = status;
+        reply.headers = detail::headers_of(evhttp_request_get_input_headers(raw));
+        reply.body = detail::read_all(evhttp_request_get_input_buffer(raw));
+        complete(std::move(x), std::move(reply), {});
+        return;
+    }
+    const std::string peer = to_string(x->to);
+    if (raw != nullptr) {
+        complete(std::move(x), std::nullopt,
+                 {error_code::unavailable, step::http, peer, "cannot connect"});
+        return;
+    }
+    const std::string reason = std::string("no whole answer: ") + x->failure;
+    complete(std::move(x), std::nullopt, {error_code::timeout, step::http, peer, reason});
+}
+
+void on_failure(evhttp_request_error failure, void* argument)
+{
+    exchange* x = static_cast<exchange*>(argument);
+    switch (failure) {
+    case EVREQ_HTTP_INVALID_HEADER:
+        x->failure = "malformed";
+        break;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        x->failure = "too large";
+        break;
+    default:
+        break;
+    }
+}
+
+int on_headers(evhttp_request* /*raw*/, void* argument)
+{
+    static_cast<exchange*>(argument)->answering = true;
+    return 0;
+}
+
+/// Returns when the next step of the exchange is over time.
+time_point next_limit(const exchange& x)
+{
+    time_point limit = x.until;
+    if (x.connecting) {
+        limit = std::min(limit, x.connect_until);
+    }
+    if (!x.answering) {
+        limit = std::min(limit, x.first_byte_until);
+    }
+    return limit;
+}
+
+void arm(const exchange& x, time_point now)
+{
+    const timeval left = detail::to_timeval(std::max(micros(0), next_limit(x) - now));
+    event_add(x.timer, &left);
+}
+
+void give_up(exchange* late, error_code code, const char* reason)
+{
+    std::unique_ptr<exchange> x(late);
+    const error why{code, step::http, to_string(x->to), reason};
+    evhttp_cancel_request(x->request); // without a further callback
+    complete(std::move(x), std::nullopt, why);
+}
+
+void on_timer(evutil_socket_t /*fd*/, short /*what*/, void* argument)
+{
+    exchange* x = static_cast<exchange*>(argument);
+    const time_point now = boot_clock::now();
+    x->connecting = x->connecting && !is_connected(x->connection);
+    if (now < next_limit(*x)) {
+        arm(*x, now);
+        return;
+    }
+    if (x->connecting) {
+        give_up(x, error_code::unavailable, "cannot connect in time");
+        return;
+    }
+    give_up(x, error_code::timeout,
+            now >= x->until ? "no whole answer in time" : "no first byte in time");
+}
+
+} // namespace
+
+evhttp_connection* http_client::state::take(const endpoint& to, bool& opened)
+{
+    std::vector<idle_connection>& pool = idle[to];
+    opened = pool.empty();
+    if (!opened) {
+        evhttp_connection* connection = pool.back().handle;
+        pool.pop_back();
+        opened = !is_connected(connection);
+        return connection;
+    }
+    evhttp_connection* connection =
+        evhttp_connection_base_new(loop.internals().base, nullptr, to.address.c_str(), to.port);
+    evhttp_connection_set_timeout_tv(connection, &library_timeout);
+    evhttp_connection_set_max_body_size(connection, max_answer_bytes);
+    evhttp_connection_set_max_headers_size(connection, max_answer_header_bytes);
+    return connection;
+}
+
+void http_client::state::give_back(const endpoint& to, evhttp_connection* connection, bool healthy)
+{
+    std::vector<idle_connection>& pool = idle[to];
+    if (!healthy || closed || pool.size() >= max_idle_connections) {
+        free_later(connection);
+        return;
+    }
+    pool.push_back({connection, boot_clock::now()});
+}
+
+void http_client::state::sweep(time_point now)
+{
+    if (now - swept < sweep_interval) {
+        return;
+    }
+    swept = now;
+    for (auto pool = idle.begin(); pool != idle.end();) {
+        std::vector<idle_connection>& connections = pool->second;
+        // The most recently used ones are at the end.
+        while (!connections.empty() && now - connections.front().since > max_idle_time) {
+            evhttp_connection_free(connections.front().handle);
+            connections.erase(connections.begin());
+        }
+        pool = connections.empty() ? idle.erase(pool) : std::next(pool);
+    }
+}
+
+http_client::http_client(event_loop& loop, std::string name)
+    : state_(std::make_shared<state>(loop, std::move(name)))
+{
+}
+
+http_client::~http_client()
+{
+    state_->closed = true;
+    for (const std::pair<const endpoint, std::vector<idle_connection>>& pool : state_->idle) {
+        for (const idle_connection& c : pool.second) {
+            evhttp_connection_free(c.handle);
+        }
+    }
+}
+
+void http_client::forget(const endpoint& to)
+{
+    const auto pool = state_->idle.find(to);
+    if (pool == state_->idle.end()) {
+        return;
+    }
+    for (const idle_connection& c : pool->second) {
+        free_later(c.handle);
+    }
+    state_->idle.erase(pool);
+}
+
+namespace {
+
+evhttp_request* build_request(exchange& x, const http_call& call, const std::string& name)
+{
+    evhttp_request* raw = evhttp_request_new(on_answer, &x);
+    evhttp_request_set_error_cb(raw, on_failure);
+    evhttp_request_set_header_cb(raw, on_headers);
+    evkeyvalq* headers = evhttp_request_get_output_headers(raw);
+    evhttp_add_header(headers, "Host", x.to.address.c_str());
+    evhttp_add_header(headers, "X-Client", name.c_str());
+    for (const http_headers::value_type& h : call.headers) {
+        evhttp_add_header(headers, h.first.c_str(), h.second.c_str());
+    }
+    if (!call.body.empty()) {
+        evbuffer_add(evhttp_request_get_output_buffer(raw), call.body.data(), call.body.size());
+    }
+    return raw;
+}
+
+/// Tells of a request that could not even be begun, from the loop as all others.
+void fail_later(event_base* base, exchange* x)
+{
+    const timeval now{};
+    event_base_once(
+        base, -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void* argument) {
+            std::unique_ptr<exchange> failed(static_cast<exchange*>(argument));
+            const std::string peer = to_string(failed->to);
+            complete(std::move(failed), std::nullopt,
+                     {error_code::unavailable, step::http, peer, "cannot connect"});
+        },
+        x, &now);
+}
+
+} // namespace
+
+void http_client::send(const endpoint& to, http_call call, http_done done)
+{
+    const time_point now = boot_clock::now();
+    state_->sweep(now);
+    std::unique_ptr<exchange> x = std::make_unique<exchange>();
+    x->client = state_;
+    x->to = to;
+    x->done = std::move(done);
+    x->connection = state_->take(to, x->connecting);
+    x->until = now + call.timeout;
+    x->connect_until = now + call.connect_timeout;
+    x->first_byte_until =
+        call.first_byte_timeout > millis(0) ? now + call.first_byte_timeout : x->until;
+    x->request = build_request(*x, call, state_->name);
+    state_->sent += call.body.size() + call.path.size() + header_estimate;
+    exchange* in_flight = x.release(); // its completion frees it
+    in_flight->timer = event_new(state_->loop.internals().base, -1, 0, on_timer, in_flight);
+    arm(*in_flight, now);
+    if (evhttp_make_request(in_flight->connection, in_flight->request,
+                            detail::command_of(call.method), call.path.c_str()) != 0) {
+        event_del(in_flight->timer);
+        fail_later(state_->loop.internals().base, in_flight);
+    }
+}
+
+std::uint64_t http_client::bytes_sent() const
+{
+    return state_->sent;
+}
+
+std::uint64_t http_client::bytes_received() const
+{
+    return state_->received;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,318 @@
+// The server side of evhttp, with bounds on connections and on the time a request may take to come
+// in.
+
+#include "sesamesill/http.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include <event2/bufferevent.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include "evhttp.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr millis sweep_interval{500};
+constexpr std::size_t spare_files = 128; ///< for the log, peers and endpoints
+
+/// What is known of an open connection, whose bufferevent it keeps from being freed.
+struct connection_record {
+    bufferevent* handle = nullptr;
+    bool receiving = false; ///< a request has begun and is not whole
+    bool refused = false;   ///< over the limit
+    time_point begun;       ///< while receiving
+};
+
+void on_bytes(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
+{
+    connection_record* c = static_cast<connection_record*>(argument);
+    if (info->n_added > 0 && !c->receiving) {
+        c->receiving = true;
+        c->begun = boot_clock::now();
+    }
+}
+
+/// evhttp takes its callbacks off a connection that it has closed.
+bool is_closed(const connection_record& c)
+{
+    bufferevent_data_cb read = nullptr;
+    bufferevent_data_cb write = nullptr;
+    bufferevent_event_cb event = nullptr;
+    void* argument = nullptr;
+    bufferevent_getcb(c.handle, &read, &write, &event, &argument);
+    return read == nullptr && write == nullptr && event == nullptr;
+}
+
+std::size_t connection_limit(std::size_t wanted)
+{
+    rlimit files{};
+    if (getrlimit(RLIMIT_NOFILE, &files) != 0 || files.rlim_cur <= 2 * spare_files) {
+        return std::min(wanted, spare_files);
+    }
+    return std::min<std::size_t>(wanted, files.rlim_cur - spare_files);
+}
+
+http_request request_from(evhttp_request* raw)
+{
+    http_request request;
+    request.method = detail::method_of(raw);
+    request.headers = detail::headers_of(evhttp_request_get_input_headers(raw));
+    request.body = detail::read_all(evhttp_request_get_input_buffer(raw));
+    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(raw);
+    const char* path = uri != nullptr ? evhttp_uri_get_path(uri) : nullptr;
+    request.path = path != nullptr ? path : "/";
+    const char* query = uri != nullptr ? evhttp_uri_get_query(uri) : nullptr;
+    if (query != nullptr) {
+        evkeyvalq parsed{};
+        if (evhttp_parse_query_str(query, &parsed) == 0) {
+            for (const evkeyval* q = parsed.tqh_first; q != nullptr; q = q->next.tqe_next) {
+                request.query[q->key] = q->value;
+            }
+        }
+        evhttp_clear_headers(&parsed);
+    }
+    char* address = nullptr;
+    ev_uint16_t port = 0;
+    evhttp_connection* connection = evhttp_request_get_connection(raw);
+    if (connection != nullptr) {
+        evhttp_connection_get_peer(connection, &address, &port);
+        request.peer = address != nullptr ? address : "";
+    }
+    return request;
+}
+
+void send_reply(evhttp_request* raw, const http_reply& reply)
+{
+    evkeyvalq* headers = evhttp_request_get_output_headers(raw);
+    evhttp_add_header(headers, "Content-Type", reply.content_type.c_str());
+    for (const http_headers::value_type& h : reply.headers) {
+        evhttp_add_header(headers, h.first.c_str(), h.second.c_str());
+    }
+    evbuffer* body = evhttp_request_get_output_buffer(raw);
+    evbuffer_add(body, reply.body.data(), reply.body.size());
+    evhttp_send_reply(raw, reply.status, nullptr, nullptr);
+}
+
+struct pending_requests {
+    std::size_t count = 0;
+    bool closed = false; ///< the server is gone, and its requests with it
+};
+
+/// Answers once; a handler that forgets to answer leaves a 500.
+class responder {
+public:
+    responder(evhttp_request* raw, std::shared_ptr<pending_requests> pending)
+        : raw_(raw), pending_(std::move(pending))
+    {
+        ++pending_->count;
+    }
+
+    ~responder()
+    {
+        if (raw_ != nullptr) {
+            answer({500, "{\"error\":\"no answer\"}", {}, "application/json"});
+        }
+    }
+
+    responder(const responder&) = delete;
+    responder& operator=(const responder&) = delete;
+    responder(responder&&) = delete;
+    responder& operator=(responder&&) = delete;
+
+    void answer(const http_reply& reply)
+    {
+        if (raw_ == nullptr) {
+            return;
+        }
+        evhttp_request* raw = raw_;
+        raw_ = nullptr;
+        --pending_->count;
+        if (!pending_->closed) {
+            send_reply(raw, reply);
+        }
+    }
+
+private:
+    evhttp_request* raw_;
+    std::shared_ptr<pending_requests> pending_;
+};
+
+} // namespace
+
+struct http_server::state {
+    struct route_entry {
+        std::string method;
+        std::string prefix;
+        http_handler handler;
+    };
+
+    event_loop& loop;
+    http_limits limits;
+    evhttp* http = nullptr;
+    evhttp_bound_socket* socket = nullptr;
+    event* sweeper = nullptr;
+    std::vector<route_entry> routes;
+    std::unordered_map<bufferevent*, std::unique_ptr<connection_record>> open;
+    std::shared_ptr<pending_requests> pending = std::make_shared<pending_requests>();
+
+    state(event_loop& l, http_limits h) : loop(l), limits(h) {}
+    const route_entry* find(const std::string& method, const std::string& path,
+                            bool& path_known) const;
+    bufferevent* accept(event_base* base);
+    void serve(evhttp_request* raw);
+    void sweep();
+};
+
+const http_server::state::route_entry*
+http_server::state::find(const std::string& method, const std::string& path, bool& path_known) const
+{
+    for (const route_entry& r : routes) {
+        const bool matches = r.prefix.back() == '/' && r.prefix.size() > 1
+                                 ? path.compare(0, r.prefix.size(), r.prefix) == 0
+                                 : path == r.prefix;
+        if (matches) {
+            path_known = true;
+            if (r.method == method) {
+                return &r;
+            }
+        }
+    }
+    return nullptr;
+}
+
+bufferevent* http_server::state::accept(event_base* base)
+{
+    bufferevent* handle = bufferevent_socket_new(base, -1, 0);
+    if (handle == nullptr) {
+        return nullptr;
+    }
+    if (open.size() >= limits.max_connections) {
+        sweep();
+    }
+    bufferevent_incref(handle);
+    std::unique_ptr<connection_record> c = std::make_unique<connection_record>();
+    c->handle = handle;
+    c->refused = open.size() >= limits.max_connections;
+    evbuffer_add_cb(bufferevent_get_input(handle), on_bytes, c.get());
+    if (c->refused) {
+        event_active(sweeper, EV_TIMEOUT, 0);
+    }
+    open.emplace(handle, std::move(c));
+    return handle;
+}
+
+void http_server::state::sweep()
+{
+    const time_point now = boot_clock::now();
+    for (auto it = open.begin(); it != open.end();) {
+        connection_record& c = *it->second;
+        if (is_closed(c)) {
+            evbuffer_remove_cb(bufferevent_get_input(c.handle), on_bytes, &c);
+            bufferevent_decref(c.handle);
+            it = open.erase(it);
+            continue;
+        }
+        const bool late = c.receiving && now - c.begun > limits.request_timeout;
+        if ((c.refused || late) && bufferevent_getfd(c.handle) >= 0) {
+            shutdown(bufferevent_getfd(c.handle), SHUT_RDWR); // evhttp sees the end and closes it
+        }
+        ++it;
+    }
+}
+
+void http_server::state::serve(evhttp_request* raw)
+{
+    evhttp_connection* connection = evhttp_request_get_connection(raw);
+    const auto known = open.find(evhttp_connection_get_bufferevent(connection));
+    if (known != open.end()) {
+        known->second->receiving = false;
+    }
+    const http_request request = request_from(raw);
+    const std::shared_ptr<responder> r = std::make_shared<responder>(raw, pending);
+    bool path_known = false;
+    const route_entry* found = find(request.method, request.path, path_known);
+    if (found == nullptr) {
+        r->answer({path_known ? 405 : 404, "{\"error\":\"no such call\"}", {}, "application/json"});
+        return;
+    }
+    found->handler(request, [r](const http_reply& reply) { r->answer(reply); });
+}
+
+http_server::http_server(event_loop& loop, http_limits limits)
+    : state_(std::make_unique<state>(loop, limits))
+{
+    state& s = *state_;
+    s.limits.max_connections = connection_limit(limits.max_connections);
+    s.http = evhttp_new(loop.internals().base);
+    evhttp_set_max_headers_size(s.http, static_cast<ev_ssize_t>(limits.max_header_bytes));
+    evhttp_set_max_body_size(s.http, static_cast<ev_ssize_t>(limits.max_body_bytes));
+    const std::int64_t idle_seconds = to_millis(limits.idle_timeout) / 1000;
+    evhttp_set_timeout(s.http, static_cast<int>(std::max<std::int64_t>(1, idle_seconds)));
+    evhttp_set_allowed_methods(s.http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                           EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
+    evhttp_set_gencb(
+        s.http,
+        [](evhttp_request* raw, void* argument) { static_cast<state*>(argument)->serve(raw); }, &s);
+    evhttp_set_bevcb(
+        s.http,
+        [](event_base* base, void* argument) {
+            return static_cast<state*>(argument)->accept(base);
+        },
+        &s);
+    s.sweeper = event_new(
+        loop.internals().base, -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* argument) { static_cast<state*>(argument)->sweep(); }, &s);
+    const timeval interval = detail::to_timeval(sweep_interval);
+    event_add(s.sweeper, &interval);
+}
+
+http_server::~http_server()
+{
+    state_->pending->closed = true;
+    event_free(state_->sweeper);
+    evhttp_free(state_->http);
+    for (const std::pair<bufferevent* const, std::unique_ptr<connection_record>>& c :
+         state_->open) {
+        evbuffer_remove_cb(bufferevent_get_input(c.first), on_bytes, c.second.get());
+        bufferevent_decref(c.first);
+    }
+}
+
+void http_server::route(std::string method, std::string prefix, http_handler handler)
+{
+    state_->routes.push_back({std::move(method), std::move(prefix), std::move(handler)});
+}
+
+bool http_server::listen(const endpoint& at, error& why)
+{
+    state_->socket = evhttp_bind_socket_with_handle(state_->http, at.address.c_str(), at.port);
+    if (state_->socket == nullptr) {
+        why = {error_code::unavailable, step::http, to_string(at), "cannot listen"};
+        return false;
+    }
+    return true;
+}
+
+void http_server::stop_listening()
+{
+    if (state_->socket != nullptr) {
+        evhttp_del_accept_socket(state_->http, state_->socket);
+        state_->socket = nullptr;
+    }
+}
+
+std::size_t http_server::pending() const
+{
+    return state_->pending->count;
+}
+
+std::size_t http_server::connections() const
+{
+    state_->sweep();
+    return state_->open.size();
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/test/http-test.cc
@@ -0,0 +1,281 @@
+// Tests over real sockets on loopback: limits of the server, time-outs of each step of the client.
+
+#include <string>
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "sesamesill/http.h"
+
+using namespace sesamesill;
+
+namespace {
+
+/// A socket of the test itself, outside evhttp.
+struct raw_socket {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+    raw_socket() = default;
+    ~raw_socket() { close(fd); }
+    raw_socket(const raw_socket&) = delete;
+    raw_socket& operator=(const raw_socket&) = delete;
+    raw_socket(raw_socket&&) = delete;
+    raw_socket& operator=(raw_socket&&) = delete;
+
+    static sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_port = htons(port);
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return a;
+    }
+
+    void connect_to(std::uint16_t port) const
+    {
+        const sockaddr_in a = loopback(port);
+        static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a));
+    }
+
+    /// Returns the port of a listener whose connections nobody accepts.
+    std::uint16_t listen_only() const
+    {
+        sockaddr_in a = loopback(0);
+        socklen_t size = sizeof a;
+        cr_assert_eq(bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a), 0);
+        cr_assert_eq(listen(fd, 8), 0);
+        getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
+        return ntohs(a.sin_port);
+    }
+
+    void write_text(const std::string& text) const
+    {
+        static_cast<void>(send(fd, text.data(), text.size(), MSG_NOSIGNAL));
+    }
+
+    /// Returns whether the other side has closed the connection.
+    bool closed() const
+    {
+        char bytes[4096];
+        ssize_t got = 0;
+        while ((got = recv(fd, bytes, sizeof bytes, 0)) > 0) {
+        }
+        return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+};
+
+/// Returns a port that was free a moment ago.
+std::uint16_t free_port()
+{
+    return raw_socket().listen_only();
+}
+
+void run_for(event_loop& loop, millis time)
+{
+    loop.after(time, [&loop] { loop.stop(); });
+    loop.run();
+}
+
+struct client_result {
+    bool ended = false;
+    std::optional<http_reply> reply;
+    error why;
+};
+
+client_result send_and_run(event_loop& loop, http_client& client, std::uint16_t port,
+                           http_call call)
+{
+    client_result result;
+    client.send({"127.0.0.1", port}, std::move(call),
+                [&](std::optional<http_reply> reply, const error& why) {
+                    result = {true, std::move(reply), why};
+                    loop.stop();
+                });
+    if (!result.ended) {
+        loop.run();
+    }
+    return result;
+}
+
+http_server& serve_echo(http_server& server, std::uint16_t port)
+{
+    server.route("POST", "/echo", [](const http_request& r, const http_respond& respond) {
+        respond({200, r.body, {}, "text/plain"});
+    });
+    error why;
+    cr_assert(server.listen({"127.0.0.1", port}, why));
+    return server;
+}
+
+} // namespace
+
+Test(http, a_refused_connection_was_never_sent, .timeout = 10)
+{
+    event_loop loop;
+    http_client client(loop, "t");
+    const client_result r = send_and_run(loop, client, free_port(), {});
+    cr_assert_not(r.reply);
+    cr_assert(r.why.code == error_code::unavailable);
+    cr_assert(r.why.where == step::http);
+    cr_assert_not(r.why.peer.empty());
+}
+
+Test(http, no_first_byte_is_a_timeout, .timeout = 10)
+{
+    event_loop loop;
+    http_client client(loop, "t");
+    const raw_socket silent;
+    http_call call;
+    call.timeout = millis(5000);
+    call.first_byte_timeout = millis(50);
+    const time_point before = boot_clock::now();
+    const client_result r = send_and_run(loop, client, silent.listen_only(), call);
+    cr_assert_not(r.reply);
+    cr_assert(r.why.code == error_code::timeout, "it may have been read");
+    cr_assert_lt(to_millis(boot_clock::now() - before), 4000);
+}
+
+Test(http, an_answer_that_never_ends_is_a_timeout, .timeout = 10)
+{
+    event_loop loop;
+    http_client client(loop, "t");
+    const raw_socket listener;
+    const std::uint16_t port = listener.listen_only();
+    int accepted = -1;
+    loop.after(millis(20), [&] {
+        accepted = accept(listener.fd, nullptr, nullptr);
+        const std::string half = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
+        static_cast<void>(send(accepted, half.data(), half.size(), MSG_NOSIGNAL));
+    });
+    http_call call;
+    call.timeout = millis(150);
+    call.first_byte_timeout = millis(100);
+    const client_result r = send_and_run(loop, client, port, call);
+    close(accepted);
+    cr_assert_not(r.reply);
+    cr_assert(r.why.code == error_code::timeout);
+    cr_assert(r.why.reason == "no whole answer in time", "%s", r.why.reason.c_str());
+}
+
+Test(http, a_connection_that_cannot_be_opened_in_time_was_never_sent, .timeout = 10)
+{
+    event_loop loop;
+    http_client client(loop, "t");
+    const raw_socket full;
+    const std::uint16_t port = full.listen_only();
+    cr_assert_eq(listen(full.fd, 0), 0);
+    const raw_socket first;
+    const raw_socket second;
+    first.connect_to(port);
+    second.connect_to(port); // the backlog is full now: further SYNs get no answer
+    http_call call;
+    call.timeout = millis(5000);
+    call.connect_timeout = millis(50);
+    const client_result r = send_and_run(loop, client, port, call);
+    cr_assert_not(r.reply);
+    cr_assert(r.why.code == error_code::unavailable, "%s", r.why.reason.c_str());
+}
+
+Test(http, connections_are_kept_and_counted, .timeout = 10)
+{
+    event_loop loop;
+    http_client client(loop, "t");
+    http_server server(loop);
+    const std::uint16_t port = free_port();
+    serve_echo(server, port);
+    for (int i = 0; i < 20; ++i) {
+        http_call call;
+        call.method = "POST";
+        call.path = "/echo";
+        call.body = std::to_string(i);
+        const client_result r = send_and_run(loop, client, port, call);
+        cr_assert(r.reply.has_value(), "%s", r.why.reason.c_str());
+        cr_assert(r.reply->body == std::to_string(i));
+    }
+    cr_assert_eq(server.connections(), 1);
+    client.forget({"127.0.0.1", port});
+    run_for(loop, millis(50));
+    cr_assert_eq(server.connections(), 0);
+}
+
+Test(http, half_sent_requests_are_closed, .timeout = 10)
+{
+    event_loop loop;
+    http_limits limits;
+    limits.request_timeout = millis(100);
+    http_server server(loop, limits);
+    const std::uint16_t port = free_port();
+    serve_echo(server, port);
+    const raw_socket half_head;
+    const raw_socket half_body;
+    const raw_socket idle;
+    half_head.connect_to(port);
+    half_body.connect_to(port);
+    idle.connect_to(port);
+    half_head.write_text("POST /echo HTT");
+    half_body.write_text("POST /echo HTTP/1.1\r\nContent-Length: 50\r\n\r\nab");
+    for (int i = 0; i < 10; ++i) {
+        loop.after(millis(100 * i),
+                   [&half_body] { half_body.write_text("c"); }); // one byte at a time
+    }
+    run_for(loop, millis(1500));
+    cr_assert(half_head.closed());
+    cr_assert(half_body.closed());
+    cr_assert_not(idle.closed(), "an idle connection stays");
+    cr_assert_eq(server.pending(), 0);
+}
+
+Test(http, oversize_requests_get_an_answer_and_change_nothing, .timeout = 10)
+{
+    event_loop loop;
+    http_limits limits;
+    limits.max_body_bytes = 1000;
+    http_server server(loop, limits);
+    const std::uint16_t port = free_port();
+    serve_echo(server, port);
+    http_client client(loop, "t");
+    http_call call;
+    call.method = "POST";
+    call.path = "/echo";
+    call.body = std::string(2000, 'x');
+    const client_result big = send_and_run(loop, client, port, call);
+    cr_assert(!big.reply || big.reply->status >= 400);
+    call.body = "small";
+    const client_result small = send_and_run(loop, client, port, call);
+    cr_assert(small.reply && small.reply->status == 200);
+    call.method = "PUT";
+    const client_result wrong = send_and_run(loop, client, port, call);
+    cr_assert(wrong.reply && wrong.reply->status == 405);
+}
+
+Test(http, connections_over_the_limit_are_closed, .timeout = 10)
+{
+    event_loop loop;
+    http_limits limits;
+    limits.max_connections = 3;
+    http_server server(loop, limits);
+    const std::uint16_t port = free_port();
+    serve_echo(server, port);
+    std::vector<std::unique_ptr<raw_socket>> sockets;
+    for (int i = 0; i < 6; ++i) {
+        sockets.push_back(std::make_unique<raw_socket>());
+        sockets.back()->connect_to(port);
+    }
+    run_for(loop, millis(200));
+    int closed = 0;
+    for (const std::unique_ptr<raw_socket>& s : sockets) {
+        closed += s->closed() ? 1 : 0;
+    }
+    cr_assert_eq(closed, 3);
+    sockets.clear();
+    run_for(loop, millis(50));
+    http_client client(loop, "t");
+    http_call call;
+    call.method = "POST";
+    call.path = "/echo";
+    const client_result r = send_and_run(loop, client, port, call);
+    cr_assert(r.reply.has_value(), "%s", r.why.reason.c_str());
+}
