Add the scenario runner, the invariant checker, the load generator and the demo

Cause: nothing showed the eight lines of "What must always hold" under faults; the thin path had one shell script with one request of each kind. Change: a Lua 5.4 scenario runner over real daemons, a checker that judges the stand-ins' journals, a caller with the shapes of both users, and the demo as a scenario.

--- /dev/null
+++ b/support/demo.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds, starts stand-ins and six members on loopback, publishes a document,
+# sends a mixed load for 20 s, kills one member in the middle and prints what was seen:
+# support/demo.sh [keepers]. Exit status 0 where every invariant held and no request was lost.
+set -eu
+cd "$(dirname "$0")/.."
+support/install.sh
+build=${BUILD:-build/release}
+cmake -G Ninja -S . -B "$build" -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake --build "$build" ${BUILD_JOBS:+-j "$BUILD_JOBS"} | tail -1
+case ${1:-tabara} in
+    tabara) exec support/scenario.sh demo --table ;;
+    keepers) exec support/scenario.sh demo_keepers --table ;;
+    *) echo "usage: support/demo.sh [keepers]"; exit 2 ;;
+esac
--- /dev/null
+++ b/test/scenario/invariants.h
@@ -0,0 +1,97 @@
+// Checks what must always hold against what the stand-ins and callers saw.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "observation.h"
+
+namespace scenario {
+
+enum class invariant : std::uint8_t {
+    worker_size,     ///< no worker holds more than its size in any dimension
+    one_place,       ///< no task runs in two places at once
+    own_answer,      ///< each answer is whole and belongs to its request
+    not_run,         ///< what was refused as "not run" never ran
+    at_most_once,    ///< a non-idempotent request starts at most once
+    leaving,         ///< a leaving endpoint is given nothing new after the limit
+    graceful_stop,   ///< a planned stop cuts off no request in flight
+    document_forward ///< a document in force never reverts, and is the same everywhere
+};
+
+std::string_view name_of(invariant line);
+
+struct violation {
+    invariant line = invariant::worker_size;
+    std::int64_t time_us = 0;
+    std::string text;
+};
+
+class invariant_checker {
+public:
+    /// Takes observations in any order; they are judged by `settle`.
+    void take(const observation& seen);
+    /// Judges, in order of time, all observations that are older than `until_us`.
+    void settle(std::int64_t until_us);
+    void settle_all();
+
+    const std::vector<violation>& violations() const { return violations_; }
+    std::int64_t checked() const { return checked_; }
+    /// Starts that found an executor with more calls than slots.
+    std::int64_t slots_exceeded() const { return slots_exceeded_; }
+    /// Refusals "not run" of a request of which an earlier attempt was still open.
+    std::int64_t open_refusals() const { return open_refusals_; }
+
+private:
+    using check = void (invariant_checker::*)(const observation& seen);
+
+    struct request_state {
+        std::set<std::string> running; ///< places where a non-idempotent call runs now
+        std::int64_t starts = 0;
+        bool attempt_open = false; ///< an attempt was sent, and its ending is not known
+        bool refused = false;      ///< the last ending was "not run", and nothing was sent since
+    };
+
+    struct task_state {
+        std::set<std::string> places; ///< where it runs now
+        std::int64_t starts = 0;      ///< since its last checkpoint
+    };
+
+    void judge(const observation& seen);
+    void on_start(const observation& seen);
+    void on_end(const observation& seen);
+    void on_refused(const observation& seen);
+    void on_sent(const observation& seen);
+    void on_answered(const observation& seen);
+    void on_leaving(const observation& seen);
+    void on_live(const observation& seen);
+    void on_stopping(const observation& seen);
+    void on_exited(const observation& seen);
+    void on_launched(const observation& seen);
+    void on_document(const observation& seen);
+    void check_size(const observation& seen);
+    void check_task(const observation& seen);
+    void check_call(const observation& seen);
+    void check_leaving(const observation& seen);
+    void add(invariant line, const observation& seen, const std::string& text);
+
+    std::vector<observation> unsettled_;
+    std::vector<violation> violations_;
+    std::map<std::string, request_state> requests_;
+    std::map<std::string, task_state> tasks_;
+    std::map<std::string, std::int64_t> leaving_since_; ///< endpoint: first sign, microseconds
+    std::set<std::string> stopping_;                    ///< entries
+    std::map<std::string, std::uint64_t> documents_;    ///< entry: highest version seen
+    std::map<std::uint64_t, std::string> digests_;      ///< version: its one digest
+    std::int64_t checked_ = 0;
+    std::int64_t slots_exceeded_ = 0;
+    std::int64_t open_refusals_ = 0;
+};
+
+} // namespace scenario
--- /dev/null
+++ b/test/scenario/testbed.h
@@ -0,0 +1,134 @@
+// One cell under test on loopback: daemons, stand-ins, faults, and what was seen of them.
+
+#pragma once
+
+#include <cstdint>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+#include "../standin/common.h"
+#include "invariants.h"
+#include "process.h"
+#include "report.h"
+#include "sesamesill/http.h"
+
+namespace scenario {
+
+struct testbed_options {
+    std::string build;     ///< directory of the programs
+    std::string source;    ///< root of the sources
+    std::string directory; ///< of this run: settings, journals, logs
+    std::string disable;   ///< mechanisms that the daemons switch off
+    std::uint16_t first_port = 0;
+    std::uint64_t seed = 1;
+};
+
+/// A command of the script: Lua's arguments in order, and its result, or nothing and the reason.
+class testbed;
+using command = std::optional<Json::Value> (testbed::*)(const Json::Value& arguments,
+                                                        std::string& why);
+
+struct named_command {
+    const char* name;
+    command action;
+};
+
+class testbed {
+public:
+    explicit testbed(testbed_options options);
+
+    static const std::vector<named_command>& commands();
+    /// Runs a command; fails also where the run is already lost: a violation, a crash, a signal.
+    std::optional<Json::Value> run(command action, const Json::Value& arguments, std::string& why);
+
+    /// Reads the rest of the journals and judges them; returns whether all held.
+    bool finish();
+    std::string timeline() const;
+    std::string table() const;
+    void note(const std::string& text);
+
+private:
+    struct tail {
+        std::string path;
+        std::streamoff offset = 0;
+        std::string partial;
+    };
+
+    std::optional<Json::Value> start(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> start_entry(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> load(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> wait_load(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> sleep(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> kill(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> freeze(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> thaw(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> stop(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> wait_exit(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> cut(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> log(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> trim(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> vm(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> vms_mode(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> endpoint_mode(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> publish(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> get(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> post(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> in_force(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> read_file(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> figures(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> expect(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> say(const Json::Value& arguments, std::string& why);
+
+    bool start_standins(const Json::Value& options, std::string& why);
+    Json::Value vm_list(const Json::Value& options) const;
+    Json::Value entry_vm(int index) const;
+    bool launch_entry(const std::string& name, std::string& why);
+    bool wait_ready(const std::vector<std::string>& names, std::string& why);
+    bool signal(const std::string& name, int number, std::string& why);
+    std::optional<sesamesill::endpoint> address_of(const std::string& name) const;
+    sesamesill::endpoint port(int offset) const;
+    /// Sends one request and waits for its answer while the checks go on.
+    std::optional<sesamesill::http_reply> ask(const sesamesill::endpoint& to,
+                                              sesamesill::http_call call);
+    std::optional<Json::Value> ask_json(const sesamesill::endpoint& to, const std::string& path,
+                                        const Json::Value& body, std::string& why);
+    /// Lets the checks go on until `over` or until `until`.
+    void wait(sesamesill::time_point until, const std::function<bool()>& over);
+    void tick();
+    void poll_documents();
+    void read_journals();
+    void collect();
+    bool lost(std::string& why) const;
+    std::string path(const std::string& file) const { return options_.directory + "/" + file; }
+
+    testbed_options options_;
+    sesamesill::event_loop loop_;
+    sesamesill::http_client client_;
+    standin::journal journal_;
+    process_group processes_;
+    std::vector<tail> tails_;
+    invariant_checker checker_;
+    run_report report_;
+    std::vector<std::string> timeline_;
+    std::set<std::string> entries_;                 ///< that should be up
+    std::set<std::string> expected_;                ///< processes that the script has ended
+    std::map<std::string, int> exits_;              ///< status of processes that ended
+    std::map<std::string, std::uint64_t> versions_; ///< entry: last document seen
+    std::string settings_;                          ///< lines added to the settings of each entry
+    int loads_ = 0;
+    bool interrupted_ = false;
+    std::string problem_;
+    sesamesill::time_point began_;
+};
+
+/// Returns the first port of a block that is free, held by an open socket until the process ends.
+std::optional<std::uint16_t> take_port_block(std::uint16_t from, std::uint16_t until);
+
+} // namespace scenario
--- /dev/null
+++ b/test/standin/caller.cc
@@ -0,0 +1,509 @@
+// Stand-in for callers behind a balancer: sends a bounded mixed load, retries with the same key at
+// other entries, and checks that each answer belongs to its own request.
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "common.h"
+#include "sesamesill/environment.h"
+#include "sesamesill/submission.h"
+
+DEFINE_string(entries, "127.0.0.1:8001", "comma-separated addresses of the entries");
+DEFINE_string(mix, "tabara", "tabara or keepers: tenants and shapes of the work");
+DEFINE_double(seconds, 10, "how long new requests are sent");
+DEFINE_double(calls, 100, "calls a second");
+DEFINE_double(jobs, 2, "jobs a second");
+DEFINE_double(cancel, 0, "share of the jobs that are cancelled soon after they are accepted");
+DEFINE_string(tenant, "", "send for this tenant only");
+DEFINE_string(only, "", "send this class only");
+DEFINE_int64(job_limit_ms, 60000, "patience for the end of a job that was accepted");
+DEFINE_string(tag, "c", "start of each key");
+DEFINE_string(journal, "/dev/null", "file for the journal of what was seen");
+DEFINE_uint64(seed, 1, "seed of the load");
+
+namespace {
+
+using namespace standin;
+
+constexpr millis tick{5};
+constexpr millis probe_interval{200};
+constexpr millis probe_timeout{400};
+constexpr millis grace{3000}; ///< for learning the ending of a request past its deadline
+constexpr millis base_backoff{30};
+constexpr millis poll_wait{2000};
+constexpr int max_attempts = 6;
+constexpr std::size_t max_in_flight = 5000;
+
+/// One kind of work; sizes and times are drawn evenly between the two bounds.
+struct shape {
+    const char* work_class;
+    bool is_call;
+    bool idempotent;
+    double share; ///< of the calls, or of the jobs
+    millis deadline;
+    int tasks[2];
+    int cpu_millis[2];
+    int memory_mb[2];
+    int run_ms[2];
+};
+
+struct load_mix {
+    const char* name;
+    std::vector<std::string> tenants;
+    std::vector<shape> shapes;
+};
+
+const std::vector<load_mix>& mixes()
+{
+    static const std::vector<load_mix> all{
+        {"tabara",
+         {"mountain", "seaside", "delta"},
+         {{"hold", true, true, 0.85, millis(800), {}, {}, {}, {}},
+          {"place", true, false, 0.15, millis(5000), {}, {}, {}, {}},
+          {"review",
+           false,
+           true,
+           0.85,
+           millis(60000),
+           {1, 6},
+           {1000, 4000},
+           {1024, 8192},
+           {200, 1500}},
+          {"cohort",
+           false,
+           false,
+           0.15,
+           millis(60000),
+           {4, 16},
+           {2000, 4000},
+           {2048, 8192},
+           {500, 2000}}}},
+        {"keepers",
+         {"tallinn", "tartu", "parnu"},
+         {{"check", true, true, 0.8, millis(800), {}, {}, {}, {}},
+          {"swap", true, false, 0.2, millis(5000), {}, {}, {}, {}},
+          {"week", false, true, 0.85, millis(60000), {1, 4}, {500, 2000}, {512, 4096}, {200, 1500}},
+          {"season",
+           false,
+           false,
+           0.15,
+           millis(60000),
+           {4, 16},
+           {1000, 4000},
+           {1024, 8192},
+           {500, 2000}}}}};
+    return all;
+}
+
+struct entry_state {
+    endpoint address;
+    std::string name;
+    bool ready = true;
+};
+
+struct pending_request {
+    std::string id;
+    std::string key;
+    std::string tenant;
+    const shape* kind = nullptr;
+    std::string body;
+    std::string wanted; ///< digest of the answer that belongs to it
+    time_point until;
+    time_point sent;
+    std::int64_t attempts = 0;
+    bool open = false;     ///< an attempt may have run
+    bool accepted = false; ///< a job that the cell answers for
+    bool cancelled = false;
+    std::string job;
+    int tasks = 0;
+};
+
+using request_pointer = std::shared_ptr<pending_request>;
+
+struct counts {
+    std::int64_t sent = 0;
+    std::map<std::string, std::int64_t> endings;
+};
+
+class caller {
+public:
+    caller(event_loop& loop, const load_mix& mix)
+        : loop_(loop), journal_(FLAGS_journal), client_(loop, "caller"), mix_(mix),
+          random_(FLAGS_seed), started_(boot_clock::now()), last_tick_(started_)
+    {
+        std::stringstream list(FLAGS_entries);
+        for (std::string text; std::getline(list, text, ',');) {
+            const std::optional<endpoint> address = endpoint_from(text);
+            if (address) {
+                entries_.push_back({*address, "e" + std::to_string(entries_.size() + 1), true});
+            }
+        }
+    }
+
+    void start()
+    {
+        loop_.every(tick, [this] { advance(); });
+        loop_.every(probe_interval, [this] { probe(); });
+    }
+
+    Json::Value summary() const
+    {
+        Json::Value all(Json::arrayValue);
+        for (const std::pair<const std::pair<std::string, std::string>, counts>& entry : counts_) {
+            Json::Value row;
+            row["tenant"] = entry.first.first;
+            row["class"] = entry.first.second;
+            row["sent"] = static_cast<Json::Int64>(entry.second.sent);
+            for (const std::pair<const std::string, std::int64_t>& e : entry.second.endings) {
+                row[e.first] = static_cast<Json::Int64>(e.second);
+            }
+            all.append(row);
+        }
+        return all;
+    }
+
+private:
+    int draw(const int (&bounds)[2])
+    {
+        return std::uniform_int_distribution<int>(bounds[0], bounds[1])(random_);
+    }
+
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+    void probe()
+    {
+        for (entry_state& e : entries_) {
+            http_call call;
+            call.path = "/readyz";
+            call.timeout = probe_timeout;
+            client_.send(e.address, std::move(call),
+                         [&e](const std::optional<http_reply>& reply, const error&) {
+                             e.ready = reply && reply->status == 200;
+                         });
+        }
+    }
+
+    void advance()
+    {
+        const time_point now = boot_clock::now();
+        const double elapsed = static_cast<double>((now - last_tick_).count()) / 1e6;
+        last_tick_ = now;
+        if (now - started_ < micros(static_cast<std::int64_t>(FLAGS_seconds * 1e6))) {
+            release(FLAGS_calls * elapsed, true);
+            release(FLAGS_jobs * elapsed, false);
+            return;
+        }
+        if (in_flight_ == 0) {
+            loop_.stop();
+        }
+    }
+
+    void release(double mean, bool calls)
+    {
+        int due = std::poisson_distribution<int>(mean)(random_);
+        for (; due > 0 && in_flight_ < max_in_flight; --due) {
+            const shape* kind = pick(calls);
+            if (kind != nullptr) {
+                submit(*kind);
+            }
+        }
+    }
+
+    const shape* pick(bool calls)
+    {
+        double left = chance();
+        for (const shape& s : mix_.shapes) {
+            if (s.is_call != calls) {
+                continue;
+            }
+            left -= s.share;
+            if (left <= 0) {
+                return FLAGS_only.empty() || FLAGS_only == s.work_class ? &s : nullptr;
+            }
+        }
+        return nullptr;
+    }
+
+    void submit(const shape& kind)
+    {
+        const request_pointer r = std::make_shared<pending_request>();
+        r->key = FLAGS_tag + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(++number_);
+        r->tenant =
+            FLAGS_tenant.empty() ? mix_.tenants[random_() % mix_.tenants.size()] : FLAGS_tenant;
+        r->id = request_id(r->tenant, r->key);
+        r->kind = &kind;
+        r->until = boot_clock::now() + kind.deadline;
+        Json::Value body;
+        body["tenant"] = r->tenant;
+        body["class"] = kind.work_class;
+        body["key"] = r->key;
+        if (kind.is_call) {
+            body["body"] = "body of " + r->key + std::string(random_() % 400, '.');
+            r->wanted = digest_of(body["body"].asString());
+        }
+        else {
+            fill_job(kind, *r, body);
+        }
+        r->body = to_text(body);
+        ++counts_[{r->tenant, kind.work_class}].sent;
+        ++in_flight_;
+        send(r);
+    }
+
+    void fill_job(const shape& kind, pending_request& r, Json::Value& body)
+    {
+        r.tasks = draw(kind.tasks);
+        body["tasks"] = r.tasks;
+        body["cpu_millis"] = draw(kind.cpu_millis);
+        body["memory_mb"] = draw(kind.memory_mb);
+        const int run_ms = draw(kind.run_ms);
+        body["run_ms"] = run_ms;
+        body["payload"]["run_ms"] = run_ms;
+        body["payload"]["idempotent"] = kind.idempotent;
+        body["payload"]["tenant"] = r.tenant;
+        body["payload"]["class"] = kind.work_class;
+        body["payload"]["use_factor"] = 0.5 + chance() * 0.6;
+        body["payload"]["job_tasks"] = r.tasks;
+        body["payload"]["kind"] = kind.idempotent ? "batch" : "gang";
+        std::set<std::string> results;
+        for (int i = 0; i < r.tasks; ++i) {
+            results.insert("result of " + r.id + "/" + std::to_string(i));
+        }
+        r.wanted = digest_of_set(results);
+    }
+
+    static std::string digest_of_set(const std::set<std::string>& results)
+    {
+        std::string text;
+        for (const std::string& one : results) {
+            text += one + "\n";
+        }
+        return digest_of(text);
+    }
+
+    entry_state& choose()
+    {
+        std::vector<entry_state*> ready;
+        for (entry_state& e : entries_) {
+            if (e.ready) {
+                ready.push_back(&e);
+            }
+        }
+        return ready.empty() ? entries_[random_() % entries_.size()]
+                             : *ready[random_() % ready.size()];
+    }
+
+    void note(const std::string& event, const pending_request& r, const std::string& entry,
+              const std::string& ending, const std::string& got)
+    {
+        Json::Value line;
+        line["request"] = r.id;
+        line["key"] = r.key;
+        line["tenant"] = r.tenant;
+        line["class"] = r.kind->work_class;
+        line["idempotent"] = r.kind->idempotent;
+        line["attempt"] = static_cast<Json::Int64>(r.attempts);
+        line["entry"] = entry;
+        if (!ending.empty()) {
+            line["ending"] = ending;
+            line["wanted"] = r.wanted;
+            line["got"] = got;
+        }
+        journal_.write(event, line);
+    }
+
+    millis left(const pending_request& r) const
+    {
+        return millis(to_millis(r.until - boot_clock::now()));
+    }
+
+    void send(const request_pointer& r)
+    {
+        entry_state& e = choose();
+        ++r->attempts;
+        http_call call;
+        if (r->accepted) {
+            call.path = "/v1/jobs/" + r->job + "?wait_ms=" + std::to_string(poll_wait.count());
+            call.timeout = poll_wait + millis(1000);
+        }
+        else {
+            call.method = "POST";
+            call.path = r->kind->is_call ? "/v1/calls" : "/v1/jobs";
+            call.body = r->body;
+            call.timeout =
+                r->kind->is_call ? std::max(millis(300), r->kind->deadline * 3 / 5) : millis(5000);
+            note("sent", *r, e.name, "", "");
+        }
+        const time_point sent = boot_clock::now();
+        const millis timeout = call.timeout;
+        client_.send(
+            e.address, std::move(call),
+            [this, r, &e, sent, timeout](const std::optional<http_reply>& reply, const error& why) {
+                if (reply) {
+                    take_reply(r, e.name, *reply);
+                    return;
+                }
+                const bool waited = boot_clock::now() - sent >= timeout - millis(20);
+                take_failure(r, e, why.code == error_code::unavailable, waited);
+            });
+    }
+
+    void take_failure(const request_pointer& r, entry_state& e, bool unconnected, bool waited)
+    {
+        e.ready = e.ready && waited;
+        const std::string ending = unconnected ? "unconnected" : waited ? "timed_out" : "cut";
+        note("answered", *r, e.name, ending, "");
+        r->open = r->open || !unconnected;
+        again(r, "lost");
+    }
+
+    void take_reply(const request_pointer& r, const std::string& entry, const http_reply& reply)
+    {
+        const Json::Value answer = json_from(reply.body).value_or(Json::Value(Json::objectValue));
+        const std::string outcome = answer.isObject() ? answer["outcome"].asString() : "";
+        if (reply.status >= 400 && reply.status < 500 && reply.status != 404) {
+            note("answered", *r, entry, "rejected", reply.body);
+            close(r, "rejected");
+        }
+        else if (r->kind->is_call) {
+            take_call(r, entry, outcome, answer);
+        }
+        else {
+            take_job(r, entry, outcome, answer);
+        }
+    }
+
+    void take_call(const request_pointer& r, const std::string& entry, const std::string& outcome,
+                   const Json::Value& answer)
+    {
+        if (outcome == "done") {
+            const Json::Value inner =
+                json_from(answer["body"].asString()).value_or(Json::Value(Json::objectValue));
+            note("answered", *r, entry, "done", digest_of(inner["echo"].asString()));
+            close(r, "done");
+            return;
+        }
+        note("answered", *r, entry, outcome == "not_run" ? "not_run" : "unknown", "");
+        r->open = r->open || outcome != "not_run";
+        again(r, r->open ? "unknown" : "not_run");
+    }
+
+    void take_job(const request_pointer& r, const std::string& entry, const std::string& outcome,
+                  const Json::Value& answer)
+    {
+        if (outcome == "done") {
+            std::set<std::string> results;
+            for (const Json::Value& one : answer["results"]) {
+                results.insert(one.asString());
+            }
+            note("answered", *r, entry, "done", digest_of_set(results));
+            close(r, "done");
+        }
+        else if (outcome == "pending") {
+            accept(r, entry, answer);
+        }
+        else if (outcome == "not_run" || outcome == "failed" || outcome == "cancelled") {
+            note("answered", *r, entry, outcome == "not_run" ? "not_run" : "failed", "");
+            const bool final = r->accepted || outcome != "not_run";
+            final ? close(r, r->cancelled ? "cancelled" : outcome) : again(r, "not_run");
+        }
+        else {
+            note("answered", *r, entry, "unknown", "");
+            again(r, "lost");
+        }
+    }
+
+    void accept(const request_pointer& r, const std::string& entry, const Json::Value& answer)
+    {
+        if (!r->accepted) {
+            note("answered", *r, entry, "accepted", "");
+            r->accepted = true;
+            r->job = answer["job"].asString();
+            r->until = boot_clock::now() + millis(FLAGS_job_limit_ms);
+            if (chance() < FLAGS_cancel) {
+                loop_.after(millis(50), [this, r] { cancel(r); });
+            }
+        }
+        if (boot_clock::now() > r->until) {
+            close(r, r->cancelled ? "cancelled" : "lost");
+            return;
+        }
+        send(r);
+    }
+
+    void cancel(const request_pointer& r)
+    {
+        r->cancelled = true;
+        http_call call;
+        call.method = "DELETE";
+        call.path = "/v1/jobs/" + r->job;
+        client_.send(choose().address, std::move(call),
+                     [](const std::optional<http_reply>&, const error&) {});
+    }
+
+    /// Retries with backoff; `otherwise` is the ending where patience or attempts are used up.
+    void again(const request_pointer& r, const std::string& otherwise)
+    {
+        const bool late = left(*r) < (r->open || r->accepted ? -grace : millis(0));
+        if (late || (!r->accepted && r->attempts >= max_attempts)) {
+            close(r, otherwise);
+            return;
+        }
+        const std::int64_t shift = std::min<std::int64_t>(r->attempts, 5);
+        const millis wait((base_backoff.count() << shift) / 2 +
+                          static_cast<std::int64_t>(random_() % 30));
+        loop_.after(wait, [this, r] { send(r); });
+    }
+
+    void close(const request_pointer& r, const std::string& ending)
+    {
+        Json::Value line;
+        line["request"] = r->id;
+        line["key"] = r->key;
+        line["tenant"] = r->tenant;
+        line["class"] = r->kind->work_class;
+        line["final"] = ending;
+        journal_.write("closed", line);
+        ++counts_[{r->tenant, r->kind->work_class}].endings[ending];
+        --in_flight_;
+    }
+
+    event_loop& loop_;
+    journal journal_;
+    http_client client_;
+    const load_mix& mix_;
+    std::mt19937_64 random_;
+    std::vector<entry_state> entries_;
+    std::map<std::pair<std::string, std::string>, counts> counts_; ///< by tenant and class
+    time_point started_;
+    time_point last_tick_;
+    std::uint64_t number_ = 0;
+    std::size_t in_flight_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    for (const load_mix& mix : mixes()) {
+        if (FLAGS_mix != mix.name) {
+            continue;
+        }
+        event_loop loop;
+        caller load(loop, mix);
+        load.start();
+        stop_on_signals(loop);
+        loop.run();
+        std::cout << to_text(load.summary()) << '\n';
+        return 0;
+    }
+    std::cerr << "unknown mix " << FLAGS_mix << '\n';
+    return 2;
+}
--- a/test/standin/log.cc
+++ b/test/standin/log.cc
@@ -185,7 +185,9 @@
             return;
         }
         stream& s = streams_[(*what)["stream"].asString()];
-        const std::uint64_t before = (*what)["before"].asUInt64();
+        const std::uint64_t keep = (*what)["keep"].asUInt64();
+        const std::uint64_t before = what->isMember("keep") ? s.next() - std::min(s.next(), keep)
+                                                            : (*what)["before"].asUInt64();
         while (s.first < before && !s.records.empty()) {
             s.records.pop_front();
             ++s.first;
--- a/test/standin/vms.cc
+++ b/test/standin/vms.cc
@@ -11,6 +11,7 @@
 DEFINE_string(listen, "127.0.0.1:7002", "address and port");
 DEFINE_string(vms, "", "file with the first list, {\"vms\":[...]}");
 DEFINE_int64(lag_ms, 0, "delay before a change can be seen");
+DEFINE_string(journal, "/dev/null", "file for the journal of changes as they can be seen");
 
 namespace {
 
@@ -48,6 +49,7 @@
     content << file.rdbuf();
     Json::Value list = json_from(content.str()).value_or(Json::Value(Json::objectValue));
     event_loop loop;
+    journal seen(FLAGS_journal);
     http_server server(loop);
     bool down = false;
     server.route("GET", "/vms", [&](const http_request&, const http_respond& respond) {
@@ -59,7 +61,12 @@
             respond(error_reply(400, "a JSON object is needed"));
             return;
         }
-        loop.after(millis(FLAGS_lag_ms), [&list, changed] { apply_change(list, *changed); });
+        loop.after(millis(FLAGS_lag_ms), [&list, &seen, changed] {
+            apply_change(list, *changed);
+            Json::Value line;
+            line["vm"] = (*changed)["name"];
+            seen.write((*changed)["state"].asString(), line);
+        });
         respond(json_reply(200, *changed));
     });
     server.route("POST", "/admin/mode", [&](const http_request& r, const http_respond& respond) {
