--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -161,7 +161,7 @@
     struct state;
 
 private:
-    void send_now(const endpoint& to, http_call call, http_done done);
+    void send_now(const endpoint& to, const http_call& call, http_done done);
 
     std::shared_ptr<state> state_;
 };
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -322,13 +322,15 @@
     }
     if (state_->faults.delay.count() > 0) {
         state_->loop.after(state_->faults.delay,
-                           [this, to, call, done = std::move(done)] { send_now(to, call, done); });
+                           [this, to, call = std::move(call), done = std::move(done)] {
+                               send_now(to, call, done);
+                           });
         return;
     }
-    send_now(to, std::move(call), std::move(done));
+    send_now(to, call, std::move(done));
 }
 
-void http_client::send_now(const endpoint& to, http_call call, http_done done)
+void http_client::send_now(const endpoint& to, const http_call& call, http_done done)
 {
     const time_point now = boot_clock::now();
     state_->sweep(now);
