--- /dev/null
+++ b/src/admin_service.h
@@ -0,0 +1,48 @@
+// What operators ask of a member and of the whole cell: status, metrics, drain.
+
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cell_service.h"
+#include "sesamesill/http.h"
+#include "sesamesill/rpc.h"
+#include "sesamesill/settings.h"
+
+namespace sesamesill {
+
+class admin_service {
+public:
+    using status_source = std::function<Json::Value()>;
+
+    admin_service(http_client& client, cell_service& cell, const node_settings& settings);
+
+    /// Adds one part to this member's status.
+    void add_status(const std::string& part, status_source source);
+    /// Runs before the metrics are written, to bring gauges up to date.
+    void before_metrics(std::function<void()> action);
+    void on_drain(std::function<void()> action) { drain_ = std::move(action); }
+    void serve(http_server& callers, rpc_server& rpc);
+
+private:
+    struct named_source {
+        std::string part;
+        status_source source;
+    };
+
+    Json::Value own_status() const;
+    void show_cell(const http_respond& respond) const;
+    void drain(const http_request& request, const http_respond& respond) const;
+    void show_metrics(const http_respond& respond) const;
+
+    http_client& client_;
+    cell_service& cell_;
+    const node_settings& settings_;
+    std::vector<named_source> sources_;
+    std::vector<std::function<void()>> refresh_;
+    std::function<void()> drain_;
+};
+
+} // namespace sesamesill
--- a/src/node.cc
+++ b/src/node.cc
@@ -2,6 +2,9 @@
 
 #include "sesamesill/node.h"
 
+#include <sys/resource.h>
+
+#include "admin_service.h"
 #include "call_service.h"
 #include "cell_service.h"
 #include "document_api.h"
@@ -11,6 +14,7 @@
 #include "key_service.h"
 #include "replies.h"
 #include "sesamesill/log.h"
+#include "sesamesill/metrics.h"
 #include "sesamesill/rpc.h"
 #include "worker_service.h"
 
@@ -41,6 +45,7 @@
     key_service keys;
     call_service calls;
     job_service jobs;
+    admin_service admin;
     bool draining = false;
     time_point drain_until;
 
@@ -50,16 +55,14 @@
           documents(l, client, cell, journal, settings), document_calls(documents, settings),
           workers(l, client, cell, settings), keys(l, cell, journal, settings),
           calls(l, client, cell, keys, documents),
-          jobs(l, client, cell, journal, documents, workers)
+          jobs(l, client, cell, journal, documents, workers), admin(client, cell, settings)
     {
     }
 
-    bool ready() const
-    {
-        return !draining && journal.caught_up() && documents.current() && cell.ready();
-    }
-
+    std::string not_ready() const;
     void serve();
+    void serve_status();
+    void refresh_gauges();
     void serve_faults();
     void check_drained();
 };
@@ -77,8 +80,73 @@
         respond({200, "ok\n", {}, "text/plain"});
     });
     callers.route("GET", "/readyz", [this](const http_request&, const http_respond& respond) {
-        respond({ready() ? 200 : 503, ready() ? "ready\n" : "not ready\n", {}, "text/plain"});
+        const std::string reason = not_ready();
+        respond({reason.empty() ? 200 : 503,
+                 reason.empty() ? "ready\n" : reason + "\n",
+                 {},
+                 "text/plain"});
     });
+    serve_status();
+}
+
+/// Returns why this member takes no work, or "" where it does.
+std::string node::state::not_ready() const
+{
+    if (draining) {
+        return "draining";
+    }
+    if (const std::optional<error> why = documents.not_ready()) {
+        return to_string(*why);
+    }
+    if (!cell.ready()) {
+        return "not in a view of the cell";
+    }
+    return journal.caught_up() ? "" : "the log was not read to its end yet";
+}
+
+void node::state::serve_status()
+{
+    admin.add_status("document", [this] { return documents.status(); });
+    admin.add_status("load", [this] {
+        Json::Value load;
+        load["calls_in_flight"] = static_cast<Json::UInt64>(calls.in_flight());
+        load["appends_waiting"] = static_cast<Json::UInt64>(journal.waiting());
+        load["used_cpu_millis"] = static_cast<Json::Int64>(workers.used().cpu_millis);
+        load["size_cpu_millis"] = static_cast<Json::Int64>(workers.size().cpu_millis);
+        return load;
+    });
+    admin.add_status("not_ready", [this] { return Json::Value(not_ready()); });
+    admin.before_metrics([this] { refresh_gauges(); });
+    admin.serve(callers, rpc);
+}
+
+void node::state::refresh_gauges()
+{
+    metrics_registry& m = process_metrics();
+    m.gauge("sesamesill_document_version", "version of the document in force here") =
+        static_cast<double>(documents.version());
+    m.gauge("sesamesill_calls_in_flight", "calls taken and not answered") =
+        static_cast<double>(calls.in_flight());
+    m.gauge("sesamesill_appends_waiting", "items that wait for the log") =
+        static_cast<double>(journal.waiting());
+    m.gauge("sesamesill_log_appends_total", "appends sent to the log") =
+        static_cast<double>(journal.appends());
+    m.gauge("sesamesill_sent_bytes_total",
+            "bytes of requests sent to peers, endpoints and platform") =
+        static_cast<double>(client.bytes_sent());
+    m.gauge("sesamesill_received_bytes_total", "bytes of answers received") =
+        static_cast<double>(client.bytes_received());
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    m.gauge("process_cpu_seconds_total", "processor time of this process") =
+        static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+        static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+    m.gauge("process_max_resident_bytes", "largest resident memory so far") =
+        static_cast<double>(usage.ru_maxrss) * 1024.0;
+    const resources size = workers.size();
+    const resources used = workers.used();
+    m.gauge("sesamesill_packing_ratio", "reserved share of the fullest resource of owned workers") =
+        dominant_share(used, size);
 }
 
 /// Test only: {"cut_to":["127.0.0.1:7101"],"delay_ms":0} for the requests of this member.
@@ -122,6 +190,7 @@
 {
     state& s = *state_;
     s.serve();
+    s.admin.on_drain([this] { drain(); });
     if (s.settings.faults) {
         s.serve_faults();
     }
