--- /dev/null
+++ b/src/coordination.cc
@@ -0,0 +1,91 @@
+// Ages of vouches are evidence of life too, so one message serves both parts.
+
+#include "sesamesill/coordination.h"
+
+#include <algorithm>
+
+namespace sesamesill {
+namespace {
+
+constexpr std::size_t max_greeted = 8; ///< members told at once of a new view
+
+} // namespace
+
+coordinator::coordinator(const member& self, const membership_settings& peers,
+                         const ownership_settings& owners, std::uint64_t seed)
+    : peers_(self, peers, seed), owners_(self, owners), lease_(owners.lease)
+{
+}
+
+void coordinator::take_ages(const heartbeat& h, time_point asked)
+{
+    const view& current = owners_.current();
+    if (h.epoch != current.epoch || h.ages.size() != current.members.size()) {
+        return;
+    }
+    for (std::size_t i = 0; i < h.ages.size(); ++i) {
+        const std::optional<micros> age = age_from(h.ages[i], current.lease);
+        if (age) {
+            const member& m = current.members[i];
+            peers_.heard_of(m, asked - *age);
+        }
+    }
+}
+
+heartbeat coordinator::take_request(const heartbeat& h, time_point now)
+{
+    peers_.heard(h.from, now);
+    owners_.take_request(h, now);
+    take_ages(h, now);
+    if (h.epoch > owners_.epoch()) {
+        peers_.probe_soon(h.from.name);
+    }
+    return owners_.message(h.epoch, now);
+}
+
+void coordinator::take_answer(const heartbeat& h, time_point asked, time_point now)
+{
+    peers_.heard(h.from, now);
+    owners_.take_answer(h, asked, now);
+    take_ages(h, asked);
+}
+
+heartbeat coordinator::request(time_point now) const
+{
+    return owners_.message(owners_.epoch(), now);
+}
+
+void coordinator::greet(std::vector<member>& probes)
+{
+    const std::vector<member>& members = owners_.current().members;
+    greeted_epoch_ = owners_.epoch();
+    const std::optional<std::size_t> self = index_in(owners_.current(), peers_.self());
+    for (std::size_t i = 1; i <= members.size() && probes.size() < max_greeted; ++i) {
+        const member& m = members[(self.value_or(0) + i) % members.size()];
+        if (m != peers_.self()) {
+            probes.push_back(m);
+        }
+    }
+}
+
+coordination_actions coordinator::advance(std::uint64_t read_position, time_point now)
+{
+    coordination_actions actions;
+    peers_.advance(now);
+    owners_.advance(peers_, now);
+    if (owners_.epoch() != greeted_epoch_) {
+        const view& current = owners_.current();
+        peers_.scale(static_cast<double>(current.lease.count()) /
+                     static_cast<double>(lease_.count()));
+        greet(actions.probes);
+    }
+    const std::optional<member> next = peers_.next_probe(now);
+    if (next) {
+        actions.probes.push_back(*next);
+    }
+    actions.propose = owners_.propose(peers_, now);
+    actions.mark = owners_.mark(read_position, now);
+    return actions;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,298 @@
+// Evidence of life has one time for each peer, whatever its source; the rest follows from its age.
+
+#include "sesamesill/membership.h"
+
+#include <algorithm>
+
+#include "sesamesill/names.h"
+
+namespace sesamesill {
+namespace {
+
+// An exchange is a request and its answer with their HTTP and JSON-RPC frames.
+constexpr std::int64_t exchange_bytes = 900;
+constexpr std::int64_t exchange_bytes_per_member = 2;
+constexpr std::int64_t exchanges_per_probe = 2; ///< its own, and one that a peer begins
+constexpr millis suspect_probe_interval{300};
+constexpr std::size_t max_first_contacts = 16; ///< probed at once after a start
+
+constexpr name_table<liveness, 4> liveness_names{{{liveness::unknown, "unknown"},
+                                                  {liveness::alive, "alive"},
+                                                  {liveness::suspect, "suspect"},
+                                                  {liveness::dead, "dead"}}};
+
+micros scaled(millis time, double factor)
+{
+    return micros(static_cast<std::int64_t>(static_cast<double>(micros(time).count()) * factor));
+}
+
+bool contains(const std::vector<member>& members, const member& m)
+{
+    return std::find(members.begin(), members.end(), m) != members.end();
+}
+
+} // namespace
+
+std::string_view name_of(liveness state)
+{
+    return name_in(liveness_names, state);
+}
+
+millis probe_interval(std::size_t members, std::int64_t bytes_per_second)
+{
+    const std::int64_t bytes =
+        exchange_bytes + exchange_bytes_per_member * static_cast<std::int64_t>(members);
+    return millis(exchanges_per_probe * bytes * 1000 / bytes_per_second);
+}
+
+membership::membership(member self, const membership_settings& settings, std::uint64_t seed)
+    : self_(std::move(self)), settings_(settings), random_(seed)
+{
+}
+
+void membership::note(peer& p, time_point at)
+{
+    if (p.heard_ever && at <= p.heard) {
+        return;
+    }
+    if (!p.heard_ever || is_dead(p, at)) {
+        p.alive_since = at;
+        p.returned = p.heard_ever;
+    }
+    p.heard_ever = true;
+    p.heard = at;
+}
+
+void membership::heard_of(const member& m, time_point at)
+{
+    if (m.name == self_.name) {
+        return;
+    }
+    peer& p = peers_[m.name];
+    if (p.info.incarnation > m.incarnation) {
+        return;
+    }
+    if (p.info.incarnation < m.incarnation) {
+        p.heard_ever = false;
+        p.info = m;
+    }
+    note(p, at);
+}
+
+void membership::heard(const member& m, time_point now)
+{
+    heard_of(m, now);
+    const auto found = peers_.find(m.name);
+    if (found != peers_.end() && found->second.info == m) {
+        found->second.info = m;
+    }
+}
+
+void membership::listed(const std::vector<member>& entries, time_point now)
+{
+    std::map<std::string, bool> named;
+    for (const member& m : entries) {
+        named[m.name] = true;
+        if (m.name == self_.name) {
+            continue;
+        }
+        peer& p = peers_[m.name];
+        p.listed = true;
+        if (p.info.incarnation == 0) {
+            p.info = m;
+        }
+    }
+    for (std::pair<const std::string, peer>& entry : peers_) {
+        peer& p = entry.second;
+        if (named.count(entry.first) == 0 && (p.listed || !list_seen_)) {
+            p.listed = false;
+            p.unlisted_since = now;
+        }
+    }
+    list_seen_ = true;
+}
+
+void membership::advance(time_point now)
+{
+    if (last_advance_ == time_point()) {
+        started_ = now;
+    }
+    else if (now - last_advance_ > settings_.pause_limit) {
+        grace_until_ = now + scaled(settings_.dead_after, scale_);
+    }
+    last_advance_ = now;
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        const peer& p = it->second;
+        const bool old = now - std::max(p.heard, p.unlisted_since) > settings_.forget_after;
+        it = !p.listed && list_seen_ && old ? peers_.erase(it) : std::next(it);
+    }
+}
+
+const membership::peer* membership::find(const std::string& name) const
+{
+    const auto found = peers_.find(name);
+    return found != peers_.end() ? &found->second : nullptr;
+}
+
+bool membership::is_dead(const peer& p, time_point now) const
+{
+    return now >= grace_until_ && now - p.heard > scaled(settings_.dead_after, scale_);
+}
+
+liveness membership::state_of(const std::string& name, std::uint64_t incarnation,
+                              time_point now) const
+{
+    if (name == self_.name) {
+        return incarnation == self_.incarnation ? liveness::alive : liveness::dead;
+    }
+    const peer* p = find(name);
+    if (p == nullptr || !p->heard_ever || p->info.incarnation < incarnation) {
+        return liveness::unknown;
+    }
+    if (p->info.incarnation > incarnation || is_dead(*p, now)) {
+        return liveness::dead;
+    }
+    return now - p->heard > scaled(settings_.suspect_after, scale_) ? liveness::suspect
+                                                                    : liveness::alive;
+}
+
+bool membership::dropped(const std::string& name, micros quiet, time_point now) const
+{
+    if (!list_seen_ || name == self_.name || now - started_ < quiet) {
+        return false;
+    }
+    const peer* p = find(name);
+    if (p == nullptr) {
+        return true;
+    }
+    return !p->listed && now - p->unlisted_since >= quiet &&
+           (!p->heard_ever || now - p->heard >= quiet);
+}
+
+bool membership::awaits_listed() const
+{
+    return !list_seen_ || std::any_of(peers_.begin(), peers_.end(), [](const auto& entry) {
+        return entry.second.listed && !entry.second.heard_ever;
+    });
+}
+
+std::vector<member> membership::joined(const std::vector<member>& current, time_point now) const
+{
+    std::vector<member> stay;
+    std::vector<member> join;
+    bool settling = false;
+    time_point oldest = now;
+    for (const std::pair<const std::string, peer>& entry : peers_) {
+        const peer& p = entry.second;
+        if (!p.heard_ever || is_dead(p, now)) {
+            continue;
+        }
+        if (contains(current, p.info)) {
+            stay.push_back(p.info);
+            continue;
+        }
+        const bool settled = now - p.alive_since >= settings_.join_settle;
+        if (p.returned && now - p.alive_since < settings_.return_delay) {
+            continue;
+        }
+        settling = settling || !settled;
+        oldest = std::min(oldest, p.alive_since);
+        if (settled) {
+            join.push_back(p.info);
+        }
+    }
+    if (!settling || now - oldest >= settings_.join_limit) {
+        stay.insert(stay.end(), join.begin(), join.end());
+    }
+    stay.push_back(self_);
+    std::sort(stay.begin(), stay.end(),
+              [](const member& a, const member& b) { return a.name < b.name; });
+    return stay;
+}
+
+void membership::probe_soon(const std::string& name)
+{
+    if (peers_.count(name) > 0 && std::find(soon_.begin(), soon_.end(), name) == soon_.end()) {
+        soon_.push_back(name);
+    }
+}
+
+const membership::peer* membership::first_contact() const
+{
+    if (first_contacts_ >= max_first_contacts) {
+        return nullptr;
+    }
+    for (const std::pair<const std::string, peer>& entry : peers_) {
+        if (!entry.second.probed && entry.second.info.peer_address.port != 0) {
+            return &entry.second;
+        }
+    }
+    return nullptr;
+}
+
+const membership::peer* membership::urgent_suspect(time_point now) const
+{
+    for (const std::pair<const std::string, peer>& entry : peers_) {
+        const peer& p = entry.second;
+        if (p.heard_ever && now - p.last_probe >= suspect_probe_interval &&
+            state_of(entry.first, p.info.incarnation, now) == liveness::suspect) {
+            return &p;
+        }
+    }
+    return nullptr;
+}
+
+void membership::refill_ring()
+{
+    for (const std::pair<const std::string, peer>& entry : peers_) {
+        if (entry.second.info.peer_address.port != 0) {
+            ring_.push_back(entry.first);
+        }
+    }
+    std::shuffle(ring_.begin(), ring_.end(), random_);
+}
+
+const membership::peer* membership::next_in_ring(time_point now)
+{
+    if (ring_.empty()) {
+        refill_ring();
+    }
+    while (!ring_.empty()) {
+        const peer* p = find(ring_.back());
+        ring_.pop_back();
+        // The dead are probed only while the VM list names them.
+        if (p != nullptr && (p->listed || !is_dead(*p, now))) {
+            return p;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<member> membership::next_probe(time_point now)
+{
+    const peer* chosen = first_contact();
+    if (chosen != nullptr) {
+        ++first_contacts_;
+    }
+    else if (now < next_probe_at_) {
+        return std::nullopt;
+    }
+    else {
+        while (chosen == nullptr && !soon_.empty()) {
+            chosen = find(soon_.back());
+            soon_.pop_back();
+        }
+        chosen = chosen == nullptr ? urgent_suspect(now) : chosen;
+        chosen = chosen == nullptr ? next_in_ring(now) : chosen;
+        next_probe_at_ = now + probe_period();
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    peer& p = peers_[chosen->info.name];
+    p.probed = true;
+    p.last_probe = now;
+    return p.info;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/test/ownership_model.h
@@ -0,0 +1,588 @@
+// A cell of coordinators in virtual time: network, log, VM list, clocks and a seeded schedule of
+// faults. Checks that no shard has two members that may act on it at once.
+
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sesamesill/coordination.h"
+
+namespace sesamesill::model {
+
+using virtual_time = std::int64_t; ///< microseconds since the model began
+
+constexpr virtual_time ms = 1000;
+constexpr virtual_time sample_period = 20 * ms;
+
+struct options {
+    std::size_t members = 6;
+    membership_settings peers;
+    ownership_settings owners;
+    virtual_time tick = 25 * ms;
+    virtual_time read_wait = 125 * ms; ///< longest wait of a log read
+    virtual_time list_lag = 1500 * ms;
+    virtual_time length = 8000 * ms;
+    double rate_error = 0.04; ///< clocks run at 1 plus or minus this
+    bool faults = true;
+};
+
+/// Settings with all times divided by about four, so that a short run holds many faults.
+inline options compressed()
+{
+    options o;
+    o.peers.suspect_after = millis(250);
+    o.peers.dead_after = millis(500);
+    o.peers.join_settle = millis(100);
+    o.peers.join_limit = millis(250);
+    o.peers.return_delay = millis(500);
+    o.peers.pause_limit = millis(200);
+    o.peers.bytes_per_second = 30000;
+    o.owners.lease = millis(400);
+    o.owners.fence = millis(2500);
+    o.owners.rank_delay = millis(50);
+    o.owners.propose_timeout = millis(500);
+    o.owners.orphan_after = millis(1500);
+    o.owners.mark_interval = millis(1000);
+    o.owners.stale_margin = millis(20);
+    return o;
+}
+
+struct log_record {
+    enum class kind { view, release, mark };
+    kind type = kind::view;
+    member writer;
+    view proposed;
+    view_mark mark;
+};
+
+struct process {
+    std::size_t id = 0;
+    bool up = true;
+    bool frozen = false;
+    double rate = 1.0;
+    virtual_time offset = 0;
+    member self;
+    std::unique_ptr<coordinator> core;
+    std::vector<std::function<void()>> inbox; ///< arrived while frozen
+    std::uint64_t next_read = 0;
+    bool log_cut = false;
+    std::uint64_t bytes = 0; ///< heartbeats sent and received
+
+    time_point clock(virtual_time now) const
+    {
+        return time_point(micros(offset + static_cast<std::int64_t>(rate * double(now))));
+    }
+};
+
+struct result {
+    std::string violation; ///< empty where there was none
+    std::int64_t served = 0;
+    std::int64_t samples = 0;
+    std::uint64_t views = 0;
+};
+
+class cell {
+public:
+    cell(const options& o, std::uint64_t seed) : options_(o), random_(seed)
+    {
+        for (std::size_t i = 0; i < o.members; ++i) {
+            start("e" + std::string(i < 9 ? "0" : "") + std::to_string(i + 1), between(0, 50 * ms));
+        }
+        if (o.faults) {
+            at(between(500 * ms, 1500 * ms), [this] { fault(); });
+        }
+        at(sample_period, [this] { sample(); });
+    }
+
+    void run_until(virtual_time end)
+    {
+        while (!events_.empty() && events_.top().at <= end && outcome_.violation.empty()) {
+            // The queue gives only const access to its top; the event leaves it right after.
+            event next = std::move(const_cast<event&>(events_.top()));
+            events_.pop();
+            now_ = next.at;
+            next.action();
+        }
+        now_ = end;
+    }
+
+    result run()
+    {
+        run_until(options_.length);
+        outcome_.views = views_;
+        return outcome_;
+    }
+
+    virtual_time now() const { return now_; }
+    std::vector<std::unique_ptr<process>>& processes() { return processes_; }
+    std::uint64_t views() const { return views_; }
+    void set_loss(double loss) { loss_ = loss; }
+    void set_log_down(bool down) { log_down_ = down; }
+
+    process* find(const std::string& name)
+    {
+        for (const std::unique_ptr<process>& p : processes_) {
+            if (p->up && p->self.name == name) {
+                return p.get();
+            }
+        }
+        return nullptr;
+    }
+
+    process* actor(std::string_view shard)
+    {
+        for (const std::unique_ptr<process>& p : processes_) {
+            if (p->up && !p->frozen && p->core->owners().may_act(shard, p->clock(now_))) {
+                return p.get();
+            }
+        }
+        return nullptr;
+    }
+
+    /// Ends the process at once; its name leaves the VM list only with `vm_lost`.
+    void kill(process& p, bool vm_lost)
+    {
+        p.up = false;
+        p.inbox.clear();
+        if (vm_lost) {
+            const std::string name = p.self.name;
+            at(options_.list_lag, [this, name] {
+                if (find(name) == nullptr) {
+                    listed_.erase(name);
+                }
+            });
+        }
+    }
+
+    void start(const std::string& name, virtual_time delay)
+    {
+        at(delay, [this, name] {
+            if (find(name) == nullptr) {
+                add(name);
+            }
+        });
+    }
+
+    void freeze(process& p, virtual_time length)
+    {
+        p.frozen = true;
+        const std::size_t id = p.id;
+        at(length, [this, id] { thaw(id); });
+    }
+
+    void release(process& p)
+    {
+        log_record gone;
+        gone.type = log_record::kind::release;
+        gone.writer = p.self;
+        log_record next;
+        next.writer = p.self;
+        next.proposed = p.core->owners().release();
+        append(p.id, gone);
+        if (!next.proposed.members.empty()) {
+            append(p.id, next);
+        }
+        const std::size_t id = p.id;
+        at(500 * ms, [this, id] { kill(*processes_[id], true); });
+    }
+
+    /// Cuts messages from `a` to `b`; one way only.
+    void cut(std::size_t a, std::size_t b) { cuts_.insert({a, b}); }
+    void cut_log(process& p) { p.log_cut = true; }
+
+    void heal()
+    {
+        cuts_.clear();
+        log_down_ = false;
+        log_delay_ = 0;
+        loss_ = 0;
+        for (const std::unique_ptr<process>& p : processes_) {
+            p->log_cut = false;
+        }
+    }
+
+private:
+    struct event {
+        virtual_time at = 0;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const event& other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    virtual_time between(virtual_time low, virtual_time high)
+    {
+        return std::uniform_int_distribution<virtual_time>(low, high)(random_);
+    }
+
+    bool chance(double p) { return std::uniform_real_distribution<double>(0, 1)(random_) < p; }
+
+    void at(virtual_time delay, std::function<void()> action)
+    {
+        events_.push({now_ + delay, order_++, std::move(action)});
+    }
+
+    void add(const std::string& name)
+    {
+        std::unique_ptr<process> p = std::make_unique<process>();
+        p->id = processes_.size();
+        p->rate = 1.0 + options_.rate_error * (chance(0.5) ? 1 : -1) * (chance(0.7) ? 1 : 0);
+        p->offset = between(1, 1000000) * 1000 * ms;
+        p->self.name = name;
+        p->self.incarnation = p->id + 1;
+        p->self.peer_address = {"10.0.0.1", static_cast<std::uint16_t>(p->id + 1)};
+        p->core = std::make_unique<coordinator>(p->self, options_.peers, options_.owners,
+                                                random_());
+        const std::size_t id = p->id;
+        processes_.push_back(std::move(p));
+        at(listed_.count(name) > 0 || now_ < 100 * ms ? 0 : options_.list_lag,
+           [this, name] { listed_.insert(name); });
+        tick(id);
+        poll_list(id);
+        read(id);
+    }
+
+    /// Runs `action` in the process, after its freeze where it is frozen, never once it ended.
+    void deliver(std::size_t id, const std::function<void()>& action)
+    {
+        process& p = *processes_[id];
+        if (!p.up) {
+            return;
+        }
+        if (p.frozen) {
+            p.inbox.push_back(action);
+            return;
+        }
+        action();
+    }
+
+    void thaw(std::size_t id)
+    {
+        process& p = *processes_[id];
+        p.frozen = false;
+        check();
+        std::vector<std::function<void()>> inbox;
+        inbox.swap(p.inbox);
+        for (const std::function<void()>& action : inbox) {
+            deliver(id, action);
+        }
+    }
+
+    void tick(std::size_t id)
+    {
+        process& p = *processes_[id];
+        if (!p.up) {
+            return;
+        }
+        if (!p.frozen) {
+            act(p);
+        }
+        at(options_.tick, [this, id] { tick(id); });
+    }
+
+    void act(process& p)
+    {
+        p.core->owners().settle();
+        const coordination_actions actions = p.core->advance(p.next_read, p.clock(now_));
+        for (const member& m : actions.probes) {
+            probe(p, m);
+        }
+        log_record record;
+        record.writer = p.self;
+        if (actions.propose) {
+            record.proposed = *actions.propose;
+            append(p.id, record);
+        }
+        if (actions.mark) {
+            record.type = log_record::kind::mark;
+            record.mark = *actions.mark;
+            append(p.id, record);
+        }
+    }
+
+    // Network.
+
+    void send(std::size_t from, std::size_t to, std::function<void()> action)
+    {
+        if (cuts_.count({from, to}) > 0 || chance(loss_)) {
+            return;
+        }
+        const virtual_time late = chance(0.01) ? between(0, 600 * ms) : 0;
+        at(between(1 * ms, 3 * ms) + late,
+           [this, to, action = std::move(action)] { deliver(to, action); });
+    }
+
+    void probe(process& p, const member& to)
+    {
+        process* peer = find(to.name);
+        if (peer == nullptr) {
+            return;
+        }
+        const std::size_t a = p.id;
+        const std::size_t b = peer->id;
+        const time_point asked = p.clock(now_);
+        const std::shared_ptr<heartbeat> request =
+            std::make_shared<heartbeat>(p.core->request(asked));
+        count_bytes(a, b, *request);
+        send(a, b, [this, a, b, asked, request] {
+            process& receiver = *processes_[b];
+            const std::shared_ptr<heartbeat> answer = std::make_shared<heartbeat>(
+                receiver.core->take_request(*request, receiver.clock(now_)));
+            act(receiver);
+            count_bytes(a, b, *answer);
+            send(b, a, [this, a, asked, answer] {
+                process& asker = *processes_[a];
+                asker.core->take_answer(*answer, asked, asker.clock(now_));
+                act(asker);
+            });
+        });
+    }
+
+    void count_bytes(std::size_t a, std::size_t b, const heartbeat& h)
+    {
+        const std::uint64_t bytes = 450 + h.ages.size();
+        processes_[a]->bytes += bytes;
+        processes_[b]->bytes += bytes;
+    }
+
+    // Log.
+
+    bool log_refuses(const process& p) const { return log_down_ || p.log_cut; }
+
+    void append(std::size_t id, const log_record& record)
+    {
+        at(between(1 * ms, 4 * ms) + log_delay_, [this, id, record] {
+            const process& p = *processes_[id];
+            if (!p.up) {
+                return;
+            }
+            if (log_refuses(p)) {
+                at(100 * ms, [this, id, record] { append(id, record); });
+                return;
+            }
+            log_.push_back(record);
+            wake_readers();
+        });
+    }
+
+    void read(std::size_t id)
+    {
+        const virtual_time asked = now_;
+        at(between(1 * ms, 3 * ms) + log_delay_, [this, id, asked] {
+            process& p = *processes_[id];
+            if (!p.up) {
+                return;
+            }
+            if (log_refuses(p)) {
+                at(50 * ms, [this, id] { deliver(id, [this, id] { read(id); }); });
+                return;
+            }
+            readers_.push_back({id, asked, now_ + options_.read_wait});
+            at(options_.read_wait, [this] { wake_readers(); });
+            wake_readers();
+        });
+    }
+
+    struct reader {
+        std::size_t id = 0;
+        virtual_time asked = 0;
+        virtual_time until = 0;
+    };
+
+    void wake_readers()
+    {
+        std::vector<reader> waiting;
+        waiting.swap(readers_);
+        for (const reader& r : waiting) {
+            process& p = *processes_[r.id];
+            if (p.next_read >= log_.size() && now_ < r.until && !log_refuses(p)) {
+                readers_.push_back(r);
+                continue;
+            }
+            const std::size_t end = log_refuses(p) ? p.next_read : log_.size();
+            const bool whole = !log_refuses(p);
+            const std::size_t id = r.id;
+            const virtual_time asked = r.asked;
+            at(between(1 * ms, 3 * ms) + log_delay_, [this, id, asked, end, whole] {
+                deliver(id, [this, id, asked, end, whole] {
+                    take_records(*processes_[id], asked, end, whole);
+                    read(id);
+                });
+            });
+        }
+    }
+
+    void take_records(process& p, virtual_time asked, std::size_t end, bool whole)
+    {
+        const time_point now = p.clock(now_);
+        ownership& owners = p.core->owners();
+        for (; p.next_read < end; ++p.next_read) {
+            const log_record& record = log_[p.next_read];
+            owners.log_sign(record.writer.name, record.writer.incarnation, now);
+            view v = record.proposed;
+            v.epoch = p.next_read + 1;
+            if (record.type == log_record::kind::release) {
+                owners.take_release(record.writer.name, record.writer.incarnation, now);
+            }
+            else if (record.type == log_record::kind::mark) {
+                owners.take_mark(record.mark, now);
+            }
+            else if (owners.take_view(v, now) && v.epoch > newest_) {
+                newest_ = v.epoch;
+                ++views_;
+            }
+        }
+        if (whole) {
+            owners.log_read(p.clock(asked), now);
+        }
+        act(p);
+    }
+
+    // VM list.
+
+    void poll_list(std::size_t id)
+    {
+        process& p = *processes_[id];
+        if (!p.up) {
+            return;
+        }
+        std::vector<member> entries;
+        for (const std::string& name : listed_) {
+            member m;
+            m.name = name;
+            m.peer_address = {"10.0.0.1", 1};
+            entries.push_back(m);
+        }
+        deliver(id, [this, id, entries] {
+            process& reader = *processes_[id];
+            reader.core->peers().listed(entries, reader.clock(now_));
+        });
+        at(250 * ms, [this, id] { poll_list(id); });
+    }
+
+    // Faults.
+
+    process* some_process()
+    {
+        std::vector<process*> up;
+        for (const std::unique_ptr<process>& p : processes_) {
+            if (p->up) {
+                up.push_back(p.get());
+            }
+        }
+        return up.empty() ? nullptr : up[static_cast<std::size_t>(between(0, 1000)) % up.size()];
+    }
+
+    void split()
+    {
+        std::vector<std::size_t> side(processes_.size());
+        for (std::size_t& s : side) {
+            s = static_cast<std::size_t>(between(0, 1));
+        }
+        const bool both_ways = chance(0.6);
+        const bool log_for_one = chance(0.5);
+        for (std::size_t a = 0; a < side.size(); ++a) {
+            processes_[a]->log_cut = log_for_one && side[a] == 1;
+            for (std::size_t b = 0; b < side.size(); ++b) {
+                if (side[a] != side[b] && (both_ways || side[a] == 0)) {
+                    cut(a, b);
+                }
+            }
+        }
+    }
+
+    void restart(process& p)
+    {
+        kill(p, false);
+        start(p.self.name, between(20 * ms, 1500 * ms));
+    }
+
+    void replace(process& p)
+    {
+        kill(p, true);
+        start("n" + std::to_string(processes_.size()), between(50 * ms, 1000 * ms));
+    }
+
+    void fault()
+    {
+        process* p = some_process();
+        if (p != nullptr) {
+            switch (between(0, 13)) {
+            case 0:
+            case 1: split(); break;
+            case 2: log_down_ = true; break;
+            case 3: log_down_ = false; break;
+            case 4: cut_log(*p); break;
+            case 5: freeze(*p, between(100 * ms, 3000 * ms)); break;
+            case 6: restart(*p); break;
+            case 7: replace(*p); break;
+            case 8: release(*p); start("n" + std::to_string(processes_.size()), 300 * ms); break;
+            case 9: loss_ = 0.1 * double(between(0, 6)); break;
+            case 10: log_delay_ = between(0, 100 * ms); break;
+            case 11: cut(p->id, some_process()->id); break;
+            default: heal(); break;
+            }
+        }
+        at(between(50 * ms, 900 * ms), [this] { fault(); });
+    }
+
+    // Checks.
+
+    void sample()
+    {
+        check();
+        at(sample_period, [this] { sample(); });
+    }
+
+    void check()
+    {
+        static const std::vector<std::string> shards{"dc1/r1", "dc2/r2", "dc3/r3", "dc4/r4"};
+        for (const std::string& shard : shards) {
+            std::vector<const process*> actors;
+            for (const std::unique_ptr<process>& p : processes_) {
+                if (p->up && !p->frozen && p->core->owners().may_act(shard, p->clock(now_))) {
+                    actors.push_back(p.get());
+                }
+            }
+            ++outcome_.samples;
+            outcome_.served += actors.empty() ? 0 : 1;
+            if (actors.size() > 1) {
+                outcome_.violation = shard + " has " + actors[0]->self.name + " in view " +
+                                     std::to_string(actors[0]->core->owners().epoch()) + " and " +
+                                     actors[1]->self.name + " in view " +
+                                     std::to_string(actors[1]->core->owners().epoch()) + " at " +
+                                     std::to_string(now_ / ms) + " ms";
+            }
+        }
+    }
+
+    options options_;
+    std::mt19937_64 random_;
+    virtual_time now_ = 0;
+    std::uint64_t order_ = 0;
+    std::priority_queue<event> events_;
+    std::vector<std::unique_ptr<process>> processes_; ///< those that ended stay
+    std::vector<log_record> log_;
+    std::vector<reader> readers_;
+    std::set<std::string> listed_;
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    bool log_down_ = false;
+    virtual_time log_delay_ = 0;
+    double loss_ = 0;
+    std::uint64_t newest_ = 0;
+    std::uint64_t views_ = 0;
+    result outcome_;
+};
+
+} // namespace sesamesill::model
