--- a/include/sesamesill/membership.h
+++ b/include/sesamesill/membership.h
@@ -44,7 +44,8 @@
     millis join_limit{1000};   ///< longest wait for others that are still settling
     millis return_delay{5000}; ///< heard for so long before a member once dead counts again
     millis pause_limit{500};   ///< a longer gap between advances is a pause of this process
-    millis forget_after{60000};
+    millis list_lag{60000}; ///< longest delay of the VM list, for an entry that it never showed
+    millis forget_after{120000};
     std::int64_t bytes_per_second = 4500; ///< for heartbeats, both ways, sent and received
 };
 
@@ -72,7 +73,8 @@
     void probe_soon(const std::string& name);
 
     liveness state_of(const std::string& name, std::uint64_t incarnation, time_point now) const;
-    /// Returns whether the VM list lacks `name` and nobody heard it, both for `quiet`.
+    /// Returns whether the VM list dropped `name` and nobody heard it, both for `quiet`. A name
+    /// that it never showed may only be late: that must have lasted for the list's lag.
     bool dropped(const std::string& name, micros quiet, time_point now) const;
     /// Returns the members that belong into a view that follows `current`, by name.
     std::vector<member> joined(const std::vector<member>& current, time_point now) const;
@@ -88,6 +90,7 @@
     struct peer {
         member info;
         bool listed = false;
+        bool ever_listed = false;
         bool returned = false;   ///< was dead before under the same incarnation
         bool probed = false;     ///< at least once
         bool heard_ever = false; ///< under this incarnation
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -68,7 +68,11 @@
     if (m.name == self_.name) {
         return;
     }
+    const bool fresh = peers_.count(m.name) == 0;
     peer& p = peers_[m.name];
+    if (fresh) {
+        p.unlisted_since = at;
+    }
     if (p.info.incarnation > m.incarnation) {
         return;
     }
@@ -98,6 +102,7 @@
         }
         peer& p = peers_[m.name];
         p.listed = true;
+        p.ever_listed = true;
         if (p.info.incarnation == 0) {
             p.info = m;
         }
@@ -158,14 +163,15 @@
 
 bool membership::dropped(const std::string& name, micros quiet, time_point now) const
 {
-    if (!list_seen_ || name == self_.name || now - started_ < quiet) {
+    if (!list_seen_ || name == self_.name) {
         return false;
     }
     const peer* p = find(name);
     if (p == nullptr) {
-        return true;
+        return now - started_ >= settings_.list_lag;
     }
-    return !p->listed && now - p->unlisted_since >= quiet &&
+    const micros unlisted = now - std::max(p->unlisted_since, started_);
+    return !p->listed && unlisted >= (p->ever_listed ? quiet : micros(settings_.list_lag)) &&
            (!p->heard_ever || now - p->heard >= quiet);
 }
 
