--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -32,8 +32,12 @@
     millis drain_limit{30000};
     std::string operator_token; ///< empty: operators' changes are refused
     bool faults = false;        ///< test only: serve /test/faults
+    std::string disable;        ///< test only: mechanisms to switch off, comma-separated
 };
 
+/// Returns whether the test-only list `settings.disable` names `mechanism`.
+bool is_disabled(const node_settings& settings, std::string_view mechanism);
+
 /// Returns the settings, or nothing and every fault found.
 std::optional<node_settings> parse_settings(std::string_view text, std::vector<fault>& faults);
 
