Carry views and heartbeats in the daemon, release on a planned stop

Cause: owners followed from the lagging VM list, so two members could own a shard at once. Change: cell_service feeds a coordinator (membership + ownership); views and releases go to the log, heartbeats by JSON-RPC; /readyz waits for a view; GET /v1/cell shows it. A stop waits at most 2 s for the log to take the release: waiting for it with the log gone made each stop take the whole drain limit. Ruled out: owners from joined heartbeats alone (no agreement), a claim per shard (appends grow with shards).

--- a/include/sesamesill/membership.h
+++ b/include/sesamesill/membership.h
@@ -44,7 +44,7 @@
     millis join_limit{1000};   ///< longest wait for others that are still settling
     millis return_delay{5000}; ///< heard for so long before a member once dead counts again
     millis pause_limit{500};   ///< a longer gap between advances is a pause of this process
-    millis list_lag{60000}; ///< longest delay of the VM list, for an entry that it never showed
+    millis list_lag{60000};    ///< longest delay of the VM list, for an entry that it never showed
     millis forget_after{120000};
     std::int64_t bytes_per_second = 4500; ///< for heartbeats, both ways, sent and received
 };
--- a/include/sesamesill/ownership.h
+++ b/include/sesamesill/ownership.h
@@ -119,6 +119,21 @@
     bool may_act(std::string_view shard_or_key, time_point now) const;
     /// Returns how long this member may go on acting without further news, 0 where it may not.
     micros authority_left(time_point now) const;
+    /// What decides `may_act`; while it is the same, so are the answers.
+    struct standing {
+        std::uint64_t epoch = 0;
+        std::size_t open_views = 0;
+        std::size_t free_owners = 0; ///< over all open views
+        bool acting = false;
+
+        bool operator==(const standing& other) const
+        {
+            return epoch == other.epoch && open_views == other.open_views &&
+                   free_owners == other.free_owners && acting == other.acting;
+        }
+    };
+
+    standing standing_at(time_point now) const;
     /// Returns the views under which some member may still act.
     std::size_t open_views() const { return earlier_.size(); }
     /// Returns how often the view changed.
--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -24,7 +24,7 @@
     endpoint vm_list;
     millis commit_interval{20}; ///< between group commits to the log
     millis heartbeat_interval{500};
-    millis lease{2000}; ///< validity of an authority once confirmed
+    millis lease{1500}; ///< validity of an authority once confirmed
     millis vm_list_interval{1000};
     millis sync_interval{500}; ///< between reports asked of a worker
     millis task_lease{10000};
--- /dev/null
+++ b/src/cell_messages.cc
@@ -0,0 +1,199 @@
+// Everything that is read is checked: a bad message changes nothing.
+
+#include "cell_messages.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr std::size_t max_views = 64;
+
+std::uint64_t count_at(const Json::Value& object, const char* key)
+{
+    const Json::Value& value = object[key];
+    return value.isUInt64() ? value.asUInt64() : 0;
+}
+
+std::string text_at(const Json::Value& object, const char* key)
+{
+    const Json::Value& value = object[key];
+    return value.isString() ? value.asString() : std::string();
+}
+
+void refuse(error& why, const std::string& reason)
+{
+    why = {error_code::invalid, step::membership, why.peer, reason};
+}
+
+void write_member(Json::Value& out, const member& m)
+{
+    out["name"] = m.name;
+    out["incarnation"] = static_cast<Json::UInt64>(m.incarnation);
+    out["address"] = to_string(m.address);
+    out["peer_address"] = to_string(m.peer_address);
+}
+
+std::optional<member> member_from(const Json::Value& value, error& why)
+{
+    if (!value.isObject()) {
+        refuse(why, "a member that is no object");
+        return std::nullopt;
+    }
+    const std::optional<endpoint> address = endpoint_from(text_at(value, "address"));
+    const std::optional<endpoint> peer_address = endpoint_from(text_at(value, "peer_address"));
+    member m;
+    m.name = text_at(value, "name");
+    m.incarnation = count_at(value, "incarnation");
+    if (m.name.empty() || m.incarnation == 0 || !address || !peer_address) {
+        refuse(why, "a member without name, incarnation or addresses");
+        return std::nullopt;
+    }
+    m.address = *address;
+    m.peer_address = *peer_address;
+    return m;
+}
+
+Json::Value list_of(const std::vector<view>& views)
+{
+    Json::Value list(Json::arrayValue);
+    for (const view& v : views) {
+        list.append(to_json(v));
+    }
+    return list;
+}
+
+std::optional<std::vector<view>> views_from(const Json::Value& list, error& why)
+{
+    std::vector<view> views;
+    if (!list.isArray() || list.size() > max_views) {
+        refuse(why, "views are no short array");
+        return std::nullopt;
+    }
+    for (const Json::Value& entry : list) {
+        std::optional<view> v = view_from(entry, why);
+        if (!v) {
+            return std::nullopt;
+        }
+        views.push_back(std::move(*v));
+    }
+    return views;
+}
+
+} // namespace
+
+Json::Value to_json(const view& v)
+{
+    Json::Value out;
+    out["base"] = static_cast<Json::UInt64>(v.base);
+    out["lease_ms"] = static_cast<Json::Int64>(v.lease.count());
+    out["fence_ms"] = static_cast<Json::Int64>(v.fence.count());
+    out["members"] = Json::Value(Json::arrayValue);
+    for (const member& m : v.members) {
+        write_member(out["members"].append(Json::Value()), m);
+    }
+    if (v.epoch != 0) {
+        out["epoch"] = static_cast<Json::UInt64>(v.epoch);
+    }
+    return out;
+}
+
+std::optional<view> view_from(const Json::Value& value, error& why)
+{
+    if (!value.isObject() || !value["members"].isArray()) {
+        refuse(why, "a view without members");
+        return std::nullopt;
+    }
+    view v;
+    v.epoch = count_at(value, "epoch");
+    v.base = count_at(value, "base");
+    v.lease = millis(static_cast<std::int64_t>(count_at(value, "lease_ms")));
+    v.fence = millis(static_cast<std::int64_t>(count_at(value, "fence_ms")));
+    for (const Json::Value& entry : value["members"]) {
+        std::optional<member> m = member_from(entry, why);
+        if (!m) {
+            return std::nullopt;
+        }
+        v.members.push_back(std::move(*m));
+    }
+    std::string reason;
+    if (!is_valid(v, reason)) {
+        refuse(why, reason);
+        return std::nullopt;
+    }
+    return v;
+}
+
+Json::Value to_json(const view_mark& mark)
+{
+    Json::Value out;
+    out["as_of"] = static_cast<Json::UInt64>(mark.as_of);
+    out["closed"] = static_cast<Json::UInt64>(mark.closed);
+    out["views"] = list_of(mark.views);
+    return out;
+}
+
+std::optional<view_mark> view_mark_from(const Json::Value& value, error& why)
+{
+    if (!value.isObject()) {
+        refuse(why, "a mark that is no object");
+        return std::nullopt;
+    }
+    std::optional<std::vector<view>> views = views_from(value["views"], why);
+    if (!views) {
+        return std::nullopt;
+    }
+    return view_mark{count_at(value, "as_of"), count_at(value, "closed"), std::move(*views)};
+}
+
+Json::Value to_json(const heartbeat& h, const std::string& cell)
+{
+    Json::Value out;
+    out["cell"] = cell;
+    write_member(out, h.from);
+    out["epoch"] = static_cast<Json::UInt64>(h.epoch);
+    out["settled"] = static_cast<Json::UInt64>(h.settled);
+    out["closed"] = static_cast<Json::UInt64>(h.closed);
+    out["ages"] = h.ages;
+    if (h.log_age) {
+        out["log_age_ms"] = static_cast<Json::Int64>(h.log_age->count());
+    }
+    if (!h.views.empty()) {
+        out["views"] = list_of(h.views);
+    }
+    return out;
+}
+
+std::optional<heartbeat> heartbeat_from(const Json::Value& value, const std::string& cell,
+                                        error& why)
+{
+    if (!value.isObject() || text_at(value, "cell") != cell) {
+        refuse(why, "a heartbeat of another cell");
+        return std::nullopt;
+    }
+    std::optional<member> from = member_from(value, why);
+    if (!from) {
+        return std::nullopt;
+    }
+    heartbeat h;
+    h.from = std::move(*from);
+    h.epoch = count_at(value, "epoch");
+    h.settled = count_at(value, "settled");
+    h.closed = count_at(value, "closed");
+    h.ages = text_at(value, "ages");
+    if (value["log_age_ms"].isUInt64()) {
+        h.log_age = millis(static_cast<std::int64_t>(count_at(value, "log_age_ms")));
+    }
+    if (value.isMember("views")) {
+        std::optional<std::vector<view>> views = views_from(value["views"], why);
+        if (!views) {
+            return std::nullopt;
+        }
+        h.views = std::move(*views);
+    }
+    if (h.settled > h.epoch || h.closed > h.epoch) {
+        refuse(why, "a heartbeat that settles a view which its sender does not know");
+        return std::nullopt;
+    }
+    return h;
+}
+
+} // namespace sesamesill
--- a/src/cell_service.cc
+++ b/src/cell_service.cc
@@ -1,25 +1,76 @@
-// Polls the VM list; owners follow from the members by rendezvous hashing.
+// Feeds the coordinator and carries out what it says.
 
 #include "cell_service.h"
 
 #include <algorithm>
+#include <cstdlib>
 
-#include <xxhash.h>
-
+#include "cell_messages.h"
 #include "sesamesill/log.h"
 #include "sesamesill/rpc.h"
 
 namespace sesamesill {
+namespace {
+
+constexpr millis act_interval{20};
+constexpr millis heartbeat_timeout{500};
+constexpr const char* stream = "cell";
+
+/// Returns the number after the last '#' of a journal's writer.
+std::uint64_t incarnation_in(const std::string& writer)
+{
+    const std::size_t mark = writer.rfind('#');
+    return mark != std::string::npos ? std::strtoull(writer.c_str() + mark + 1, nullptr, 10) : 0;
+}
+
+member self_from(const node_settings& settings, const journal_service& journal)
+{
+    return {settings.name, incarnation_in(journal.writer()), settings.listen, settings.peer_listen};
+}
+
+ownership_settings ownership_settings_from(const node_settings& settings)
+{
+    ownership_settings s;
+    s.lease = settings.lease;
+    s.handover_wait = !is_disabled(settings, "handover_wait");
+    s.seal = !is_disabled(settings, "seal");
+    s.seal_less = is_disabled(settings, "seal_one_less") ? 1 : 0;
+    s.own_word = !is_disabled(settings, "own_word");
+    return s;
+}
+
+} // namespace
 
-cell_service::cell_service(event_loop& loop, http_client& client, const node_settings& settings)
-    : loop_(loop), client_(client), settings_(settings)
+cell_service::cell_service(event_loop& loop, http_client& client, const node_settings& settings,
+                           journal_service& journal)
+    : loop_(loop), client_(client), settings_(settings), journal_(journal),
+      self_(self_from(settings, journal)),
+      core_(self_, membership_settings{}, ownership_settings_from(settings), self_.incarnation)
 {
 }
 
 void cell_service::start()
 {
+    tail_log();
     poll();
     loop_.every(settings_.vm_list_interval, [this] { poll(); });
+    loop_.every(act_interval, [this] { act(); });
+}
+
+void cell_service::serve(http_server& callers, rpc_server& rpc)
+{
+    rpc.add("heartbeat", [this](const Json::Value& params, error& why) {
+        const std::optional<heartbeat> h = decoded(params, why);
+        std::optional<Json::Value> answer;
+        if (h) {
+            answer = encoded(core_.take_request(*h, boot_clock::now()));
+            act();
+        }
+        return answer;
+    });
+    callers.route("GET", "/v1/cell", [this](const http_request&, const http_respond& respond) {
+        respond({200, to_text(status()), {}, "application/json"});
+    });
 }
 
 void cell_service::poll()
@@ -37,46 +88,247 @@
                          log_error("vm_list_failed", why);
                          return;
                      }
-                     take(std::move(*vms));
+                     take_vms(std::move(*vms));
                  });
 }
 
-void cell_service::take(std::vector<vm> vms)
+void cell_service::take_vms(std::vector<vm> vms)
 {
     vms_ = std::move(vms);
-    members_.clear();
+    std::vector<member> entries;
     for (const vm& v : vms_) {
-        if (v.role == vm_role::entry && v.state == vm_state::live) {
-            members_.push_back({v.name, v.address, v.peer_address});
+        if (v.role == vm_role::entry) {
+            entries.push_back({v.name, 0, v.address, v.peer_address});
         }
     }
-    std::sort(members_.begin(), members_.end(),
-              [](const member& a, const member& b) { return a.name < b.name; });
+    core_.peers().listed(entries, boot_clock::now());
+    act();
     for (const std::function<void()>& action : changed_) {
         action();
     }
 }
 
-std::optional<member> cell_service::owner_of(std::string_view shard_or_key) const
+void cell_service::tail_log()
 {
-    const member* best = nullptr;
-    XXH64_hash_t best_score = 0;
-    for (const member& m : members_) {
-        const XXH64_hash_t seed = XXH3_64bits(m.name.data(), m.name.size());
-        const XXH64_hash_t score =
-            XXH3_64bits_withSeed(shard_or_key.data(), shard_or_key.size(), seed);
-        if (best == nullptr || score > best_score) {
-            best = &m;
-            best_score = score;
+    for (const char* type : {"view", "view_mark", "release"}) {
+        journal_.on(type, [this](const journal_item& item) { take_item(item); });
+    }
+}
+
+void cell_service::take_item(const journal_item& item)
+{
+    const time_point now = boot_clock::now();
+    ownership& owners = core_.owners();
+    error why;
+    why.peer = item.writer;
+    read_position_ = item.offset + 1;
+    if (journal_.caught_up()) {
+        owners.log_sign(item.writer.substr(0, item.writer.rfind('#')), incarnation_in(item.writer),
+                        now);
+    }
+    if (item.type == "release") {
+        owners.take_release(item.value["name"].asString(), item.value["incarnation"].asUInt64(),
+                            now);
+    }
+    else if (item.type == "view_mark") {
+        const std::optional<view_mark> mark = view_mark_from(item.value, why);
+        if (mark) {
+            owners.take_mark(*mark, now);
         }
     }
-    return best != nullptr ? std::optional<member>(*best) : std::nullopt;
+    else {
+        std::optional<view> v = view_from(item.value, why);
+        if (v) {
+            v->epoch = item.offset + 1;
+            owners.take_view(*v, now);
+        }
+    }
+    if (why.code != error_code::none) {
+        log_error("record_skipped", why);
+    }
+    loop_.after(millis(0), [this] { act(); });
+}
+
+void cell_service::append(const std::string& type, Json::Value item)
+{
+    item["type"] = type;
+    ++waiting_;
+    journal_.append(stream, std::move(item), [this](std::uint64_t /*offset*/) { --waiting_; });
+}
+
+void cell_service::act()
+{
+    const time_point now = boot_clock::now();
+    ownership& owners = core_.owners();
+    const time_point read = journal_.last_read_begun();
+    if (read != read_seen_) {
+        read_seen_ = read;
+        owners.log_read(read, now);
+    }
+    if (std::all_of(settled_.begin(), settled_.end(), [](const auto& idle) { return idle(); })) {
+        owners.settle();
+    }
+    coordination_actions actions = core_.advance(read_position_, now);
+    for (const member& m : actions.probes) {
+        probe(m);
+    }
+    if (actions.propose) {
+        append("view", to_json(*actions.propose));
+    }
+    if (actions.mark) {
+        append("view_mark", to_json(*actions.mark));
+    }
+    note_change(now);
+}
+
+void cell_service::note_change(time_point now)
+{
+    const ownership::standing standing = core_.owners().standing_at(now);
+    if (standing == standing_) {
+        return;
+    }
+    if (standing.epoch != standing_.epoch) {
+        log_view();
+    }
+    standing_ = standing;
+    for (const std::function<void()>& action : changed_) {
+        action();
+    }
+}
+
+void cell_service::log_view() const
+{
+    std::string names;
+    for (const member& m : members()) {
+        names += (names.empty() ? "" : ",") + m.name;
+    }
+    log_event(log_level::info, "view",
+              {{"epoch", static_cast<std::int64_t>(epoch())}, {"members", names}});
+}
+
+Json::Value cell_service::encoded(const heartbeat& h) const
+{
+    Json::Value out = to_json(h, settings_.environment);
+    for (const shared_value& s : shared_) {
+        out["shared"][s.key] = s.source();
+    }
+    return out;
+}
+
+std::optional<heartbeat> cell_service::decoded(const Json::Value& value, error& why)
+{
+    std::optional<heartbeat> h = heartbeat_from(value, settings_.environment, why);
+    if (h && value["shared"].isObject()) {
+        for (const shared_value& s : shared_) {
+            if (value["shared"].isMember(s.key)) {
+                s.taker(h->from.name, value["shared"][s.key]);
+            }
+        }
+    }
+    return h;
+}
+
+void cell_service::probe(const member& to)
+{
+    const time_point asked = boot_clock::now();
+    call_rpc(client_, to.peer_address, "heartbeat", encoded(core_.request(asked)),
+             heartbeat_timeout,
+             [this, asked](const std::optional<Json::Value>& result, const error& failure) {
+                 error why = failure;
+                 const std::optional<heartbeat> h = result ? decoded(*result, why) : std::nullopt;
+                 if (!h) {
+                     log_event(log_level::debug, "heartbeat_failed",
+                               {{"peer", why.peer}, {"reason", why.reason}});
+                     return;
+                 }
+                 core_.take_answer(*h, asked, boot_clock::now());
+                 act();
+             });
+}
+
+void cell_service::answered(const std::string& name)
+{
+    for (const member& m : members()) {
+        if (m.name == name) {
+            core_.peers().heard_of(m, boot_clock::now());
+        }
+    }
+}
+
+bool cell_service::ready() const
+{
+    return core_.owners().in_view() && !core_.owners().released();
+}
+
+std::optional<member> cell_service::owner_of(std::string_view shard_or_key) const
+{
+    const member* owner = core_.owners().owner_of(shard_or_key);
+    return owner != nullptr ? std::optional<member>(*owner) : std::nullopt;
 }
 
 bool cell_service::may_act(std::string_view shard_or_key) const
 {
-    const std::optional<member> owner = owner_of(shard_or_key);
-    return owner && owner->name == settings_.name;
+    return core_.owners().may_act(shard_or_key, boot_clock::now());
+}
+
+millis cell_service::authority_left() const
+{
+    return std::chrono::duration_cast<millis>(core_.owners().authority_left(boot_clock::now()));
+}
+
+void cell_service::release()
+{
+    if (core_.owners().released()) {
+        return;
+    }
+    const view next = core_.owners().release();
+    Json::Value released;
+    released["name"] = self_.name;
+    released["incarnation"] = static_cast<Json::UInt64>(self_.incarnation);
+    append("release", std::move(released));
+    if (!next.members.empty()) {
+        append("view", to_json(next));
+    }
+    note_change(boot_clock::now());
+}
+
+void cell_service::share(const std::string& key, std::function<Json::Value()> source,
+                         std::function<void(const std::string&, const Json::Value&)> taker)
+{
+    shared_.push_back({key, std::move(source), std::move(taker)});
+}
+
+Json::Value cell_service::status() const
+{
+    const time_point now = boot_clock::now();
+    const ownership& owners = core_.owners();
+    Json::Value out;
+    out["self"] = self_.name;
+    out["incarnation"] = static_cast<Json::UInt64>(self_.incarnation);
+    out["epoch"] = static_cast<Json::UInt64>(owners.epoch());
+    out["in_view"] = owners.in_view();
+    out["releasing"] = owners.released();
+    out["authority_left_ms"] = static_cast<Json::Int64>(authority_left().count());
+    out["open_views"] = static_cast<Json::UInt64>(owners.open_views());
+    out["view_changes"] = static_cast<Json::UInt64>(owners.changes());
+    out["members"] = Json::Value(Json::arrayValue);
+    for (const member& m : members()) {
+        Json::Value entry;
+        entry["name"] = m.name;
+        entry["incarnation"] = static_cast<Json::UInt64>(m.incarnation);
+        entry["state"] = std::string(name_of(core_.peers().state_of(m.name, m.incarnation, now)));
+        out["members"].append(entry);
+    }
+    out["shards"] = Json::Value(Json::objectValue);
+    for (const vm& v : vms_) {
+        const std::string shard = shard_of(v);
+        if (v.role != vm_role::entry && !out["shards"].isMember(shard)) {
+            const member* owner = owners.owner_of(shard);
+            out["shards"][shard]["owner"] = owner != nullptr ? owner->name : "";
+            out["shards"][shard]["acting"] = owners.may_act(shard, now);
+        }
+    }
+    return out;
 }
 
 } // namespace sesamesill
--- a/src/node.cc
+++ b/src/node.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr millis drain_check_interval{20};
+constexpr millis release_limit{2000}; ///< longest wait for the log to take the release
 
 std::string new_incarnation()
 {
@@ -41,10 +42,11 @@
     job_service jobs;
     bool draining = false;
     time_point drain_until;
+    time_point release_until;
 
     state(event_loop& l, const node_settings& s)
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
-          journal(l, client, settings, new_incarnation()), cell(l, client, settings),
+          journal(l, client, settings, new_incarnation()), cell(l, client, settings, journal),
           documents(journal, settings), workers(l, client, cell, settings),
           keys(l, cell, journal, settings), calls(l, client, cell, keys, documents),
           jobs(l, client, cell, journal, documents, workers)
@@ -63,6 +65,7 @@
 void node::state::serve()
 {
     documents.serve(callers);
+    cell.serve(callers, rpc);
     calls.serve(callers, peers);
     jobs.serve(callers, peers, rpc);
     peers.route("POST", "/rpc", [this](const http_request& r, const http_respond& respond) {
@@ -78,7 +81,9 @@
 
 void node::state::check_drained()
 {
-    const bool idle = callers.pending() == 0 && peers.pending() == 0 && journal.waiting() == 0;
+    const bool released = cell.waiting() == 0 || boot_clock::now() >= release_until;
+    const bool idle = callers.pending() == 0 && peers.pending() == 0 &&
+                      journal.waiting() <= cell.waiting() && released;
     if (idle || boot_clock::now() >= drain_until) {
         log_event(idle ? log_level::info : log_level::error, "drained",
                   {{"cut_off", static_cast<std::int64_t>(callers.pending())}});
@@ -116,6 +121,8 @@
         return;
     }
     s.draining = true;
+    s.release_until = boot_clock::now() + release_limit;
+    s.cell.release();
     s.drain_until = boot_clock::now() + s.settings.drain_limit;
     s.loop.every(drain_check_interval, [&s] { s.check_drained(); });
     log_event(log_level::info, "draining");
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -505,6 +505,20 @@
         [this, shard_or_key](const earlier_view& e) { return blocks(e, shard_or_key); });
 }
 
+ownership::standing ownership::standing_at(time_point now) const
+{
+    standing s;
+    s.epoch = current_.epoch;
+    s.open_views = earlier_.size();
+    s.acting = authority_left(now) > micros(0);
+    for (const earlier_view& e : earlier_) {
+        for (std::size_t i = 0; i < e.v.members.size(); ++i) {
+            s.free_owners += is_free(e, i) ? 1 : 0;
+        }
+    }
+    return s;
+}
+
 bool ownership::log_is_fresh(time_point now) const
 {
     return history_known_ && read_began_ && read_epoch_ == current_.epoch &&
--- /dev/null
+++ b/test/cell_messages-test.cc
@@ -0,0 +1,68 @@
+// Tests of the JSON between members: both ways, and bad input that changes nothing.
+
+#include "cell_messages.h"
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/rpc.h"
+
+using namespace sesamesill;
+
+namespace {
+
+heartbeat sample_heartbeat()
+{
+    heartbeat h;
+    h.from = {"e1", 42, {"10.0.0.1", 7100}, {"10.0.0.1", 7101}};
+    h.epoch = 7;
+    h.settled = 6;
+    h.closed = 5;
+    h.ages = "A-";
+    h.log_age = millis(120);
+    h.views.push_back({7, 3, millis(1500), millis(60000), {h.from}});
+    return h;
+}
+
+} // namespace
+
+Test(cell_messages, heartbeat_goes_both_ways)
+{
+    error why;
+    const std::optional<heartbeat> h =
+        heartbeat_from(to_json(sample_heartbeat(), "production"), "production", why);
+    cr_assert(h.has_value());
+    cr_assert(h->from == sample_heartbeat().from);
+    cr_assert(h->ages == "A-" && h->epoch == 7 && h->settled == 6 && h->closed == 5);
+    cr_assert(h->log_age == millis(120));
+    cr_assert(h->views.size() == 1 && h->views[0].base == 3 && h->views[0].epoch == 7);
+}
+
+Test(cell_messages, bad_heartbeats_are_refused_with_a_reason)
+{
+    const Json::Value good = to_json(sample_heartbeat(), "production");
+    error why;
+    cr_assert_not(heartbeat_from(good, "trial", why).has_value());
+    cr_assert(why.reason == "a heartbeat of another cell" && why.where == step::membership);
+    cr_assert_not(heartbeat_from(Json::Value(3), "production", why).has_value());
+    for (const char* key : {"name", "incarnation", "address", "peer_address"}) {
+        Json::Value bad = good;
+        bad[key] = Json::Value(Json::arrayValue);
+        cr_assert_not(heartbeat_from(bad, "production", why).has_value(), "%s", key);
+    }
+    Json::Value ahead = good;
+    ahead["settled"] = 8;
+    cr_assert_not(heartbeat_from(ahead, "production", why).has_value());
+    Json::Value views = good;
+    views["views"][0]["members"][0].removeMember("name");
+    cr_assert_not(heartbeat_from(views, "production", why).has_value());
+}
+
+Test(cell_messages, a_mark_goes_both_ways)
+{
+    error why;
+    const view_mark mark{9, 5, {sample_heartbeat().views}};
+    const std::optional<view_mark> read = view_mark_from(to_json(mark), why);
+    cr_assert(read.has_value());
+    cr_assert(read->as_of == 9 && read->closed == 5 && read->views.size() == 1);
+    cr_assert_not(view_mark_from(Json::Value("x"), why).has_value());
+}
--- /dev/null
+++ b/test/membership-test.cc
@@ -0,0 +1,169 @@
+// Tests of liveness, joining, the VM list's word and the budget of probes.
+
+#include "sesamesill/membership.h"
+
+#include <criterion/criterion.h>
+
+using namespace sesamesill;
+
+namespace {
+
+const time_point start = time_point(std::chrono::hours(1));
+
+member peer(const std::string& name, std::uint64_t incarnation)
+{
+    return {name, incarnation, {"10.0.0.1", 7100}, {"10.0.0.1", 7101}};
+}
+
+membership new_membership()
+{
+    membership m(peer("e1", 1), membership_settings{}, 1);
+    m.advance(start);
+    return m;
+}
+
+/// Moves time on without a pause.
+void run(membership& m, time_point from, millis length)
+{
+    for (millis t{0}; t <= length; t += millis(100)) {
+        m.advance(from + t);
+    }
+}
+
+} // namespace
+
+Test(membership, suspects_before_dead)
+{
+    membership m = new_membership();
+    m.heard(peer("e2", 5), start);
+    run(m, start, millis(2100));
+    cr_assert(m.state_of("e2", 5, start + millis(900)) == liveness::alive);
+    cr_assert(m.state_of("e2", 5, start + millis(1100)) == liveness::suspect);
+    cr_assert(m.state_of("e2", 5, start + millis(2100)) == liveness::dead);
+    cr_assert(m.state_of("e3", 1, start) == liveness::unknown);
+}
+
+Test(membership, a_peers_word_keeps_alive_over_a_cut)
+{
+    membership m = new_membership();
+    m.heard(peer("e2", 5), start);
+    run(m, start, millis(2500));
+    m.heard_of(peer("e2", 5), start + millis(2000));
+    cr_assert(m.state_of("e2", 5, start + millis(2500)) == liveness::alive);
+}
+
+Test(membership, a_newer_incarnation_replaces_the_older)
+{
+    membership m = new_membership();
+    m.heard(peer("e2", 5), start);
+    m.heard(peer("e2", 6), start);
+    cr_assert(m.state_of("e2", 5, start) == liveness::dead);
+    m.heard(peer("e2", 5), start + millis(10));
+    cr_assert(m.state_of("e2", 6, start) == liveness::alive, "an older one changes nothing");
+}
+
+Test(membership, a_pause_of_this_process_kills_nobody)
+{
+    membership m = new_membership();
+    m.heard(peer("e2", 5), start);
+    const time_point thawed = start + std::chrono::minutes(1);
+    m.advance(thawed);
+    cr_assert(m.state_of("e2", 5, thawed) != liveness::dead);
+    run(m, thawed, millis(2500));
+    cr_assert(m.state_of("e2", 5, thawed + millis(2500)) == liveness::dead);
+}
+
+Test(membership, members_that_come_close_together_join_together)
+{
+    membership m = new_membership();
+    m.heard(peer("e2", 5), start);
+    m.heard(peer("e3", 5), start + millis(200));
+    cr_assert_eq(m.joined({}, start + millis(350)).size(), 1);
+    m.heard(peer("e2", 5), start + millis(400));
+    cr_assert_eq(m.joined({}, start + millis(550)).size(), 3);
+}
+
+Test(membership, one_that_was_dead_returns_only_after_a_while)
+{
+    membership m = new_membership();
+    const time_point back = start + millis(3000);
+    m.heard(peer("e2", 5), start);
+    run(m, start, millis(3000));
+    m.heard(peer("e2", 5), back);
+    run(m, back, millis(500));
+    cr_assert_eq(m.joined({}, back + millis(500)).size(), 1);
+    for (millis t{500}; t <= millis(5100); t += millis(100)) {
+        m.heard(peer("e2", 5), back + t);
+        m.advance(back + t);
+    }
+    cr_assert_eq(m.joined({}, back + millis(5100)).size(), 2);
+}
+
+Test(membership, a_listed_name_that_vanishes_unheard_is_dropped)
+{
+    membership m = new_membership();
+    m.heard(peer("e2", 5), start);
+    m.listed({peer("e2", 0)}, start);
+    m.listed({}, start + millis(1000));
+    run(m, start, millis(4000));
+    cr_assert_not(m.dropped("e2", millis(2000), start + millis(2500)));
+    cr_assert(m.dropped("e2", millis(2000), start + millis(3000)));
+    m.heard(peer("e2", 5), start + millis(3500));
+    cr_assert_not(m.dropped("e2", millis(2000), start + millis(4000)));
+}
+
+// Model seed 689: the list shows a new VM late, which must not count as dropped.
+Test(membership, a_name_never_listed_may_only_be_late)
+{
+    membership m = new_membership();
+    m.listed({}, start);
+    m.heard(peer("e2", 5), start);
+    run(m, start, millis(10000));
+    cr_assert_not(m.dropped("e2", millis(2000), start + millis(10000)));
+    cr_assert(m.dropped("e2", millis(2000), start + membership_settings{}.list_lag));
+}
+
+Test(membership, probes_keep_to_the_budget_at_every_size)
+{
+    for (const int size : {3, 6, 12, 24, 60, 300}) {
+        membership m = new_membership();
+        for (int i = 2; i <= size; ++i) {
+            m.heard(peer("e" + std::to_string(i), 1), start);
+        }
+        std::int64_t probes = 0;
+        for (millis t{0}; t < millis(60000); t += millis(20)) {
+            m.advance(start + t);
+            for (int i = 2; i <= size; ++i) {
+                m.heard(peer("e" + std::to_string(i), 1), start + t);
+            }
+            probes += m.next_probe(start + t) ? 1 : 0;
+        }
+        // An exchange of 900 bytes and 2 a member, its own and one that a peer begins.
+        const std::int64_t bytes = probes * 2 * (900 + 2 * size) / 60;
+        cr_assert_lt(bytes, 6000, "%lld bytes a second at %d", static_cast<long long>(bytes), size);
+        cr_assert_gt(probes, 60);
+    }
+}
+
+Test(membership, each_peer_is_probed_in_a_pass)
+{
+    membership m = new_membership();
+    for (int i = 2; i <= 7; ++i) {
+        m.heard(peer("e" + std::to_string(i), 1), start);
+    }
+    std::map<std::string, int> times;
+    for (millis t{0}; t < millis(1000) * 20; t += millis(20)) {
+        m.advance(start + t);
+        for (int i = 2; i <= 7; ++i) {
+            m.heard(peer("e" + std::to_string(i), 1), start + t);
+        }
+        const std::optional<member> chosen = m.next_probe(start + t);
+        if (chosen) {
+            ++times[chosen->name];
+        }
+    }
+    cr_assert_eq(times.size(), 6);
+    for (const std::pair<const std::string, int>& entry : times) {
+        cr_assert_geq(entry.second, 7, "%s", entry.first.c_str());
+    }
+}
