--- a/test/ownership-test.cc
+++ b/test/ownership-test.cc
@@ -145,7 +145,7 @@
                              const std::string& to)
 {
     for (int i = 0; i < 10000; ++i) {
-        const std::string shard = "r" + std::to_string(i);
+        std::string shard = "r" + std::to_string(i);
         if (owner_in(one, shard)->name == from && owner_in(other, shard)->name == to) {
             return shard;
         }
