--- a/src/node.cc
+++ b/src/node.cc
@@ -4,6 +4,7 @@
 
 #include "call_service.h"
 #include "cell_service.h"
+#include "document_api.h"
 #include "document_service.h"
 #include "job_service.h"
 #include "journal_service.h"
@@ -36,6 +37,7 @@
     journal_service journal;
     cell_service cell;
     document_service documents;
+    document_api document_calls;
     worker_service workers;
     key_service keys;
     call_service calls;
@@ -47,8 +49,9 @@
     state(event_loop& l, const node_settings& s)
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings, journal),
-          documents(journal, settings), workers(l, client, cell, settings),
-          keys(l, cell, journal, settings), calls(l, client, cell, keys, documents),
+          documents(l, client, cell, journal, settings), document_calls(documents, settings),
+          workers(l, client, cell, settings), keys(l, cell, journal, settings),
+          calls(l, client, cell, keys, documents),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
@@ -64,8 +67,9 @@
 
 void node::state::serve()
 {
-    documents.serve(callers);
     cell.serve(callers, rpc);
+    documents.serve(rpc);
+    document_calls.serve(callers);
     calls.serve(callers, peers);
     jobs.serve(callers, peers, rpc);
     peers.route("POST", "/rpc", [this](const http_request& r, const http_respond& respond) {
@@ -107,6 +111,7 @@
     }
     s.journal.start();
     s.cell.start();
+    s.documents.start();
     s.workers.start();
     s.jobs.start();
     log_event(log_level::info, "started", {{"listen", to_string(s.settings.listen)}});
