--- a/src/node.cc
+++ b/src/node.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr millis drain_check_interval{20};
+constexpr millis release_limit{2000}; ///< longest wait for the log to take the release
 
 std::string new_incarnation()
 {
@@ -48,10 +49,11 @@
     admin_service admin;
     bool draining = false;
     time_point drain_until;
+    time_point release_until;
 
     state(event_loop& l, const node_settings& s)
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
-          journal(l, client, settings, new_incarnation()), cell(l, client, settings),
+          journal(l, client, settings, new_incarnation()), cell(l, client, settings, journal),
           documents(l, client, cell, journal, settings), document_calls(documents, settings),
           workers(l, client, cell, settings), keys(l, cell, journal, settings),
           calls(l, client, cell, keys, documents),
@@ -69,6 +71,7 @@
 
 void node::state::serve()
 {
+    cell.serve(callers, rpc);
     documents.serve(rpc);
     document_calls.serve(callers);
     calls.serve(callers, peers);
@@ -171,7 +174,9 @@
 
 void node::state::check_drained()
 {
-    const bool idle = callers.pending() == 0 && peers.pending() == 0 && journal.waiting() == 0;
+    const bool released = cell.waiting() == 0 || boot_clock::now() >= release_until;
+    const bool idle = callers.pending() == 0 && peers.pending() == 0 &&
+                      journal.waiting() <= cell.waiting() && released;
     if (idle || boot_clock::now() >= drain_until) {
         log_event(idle ? log_level::info : log_level::error, "drained",
                   {{"cut_off", static_cast<std::int64_t>(callers.pending())}});
@@ -214,6 +219,8 @@
         return;
     }
     s.draining = true;
+    s.release_until = boot_clock::now() + release_limit;
+    s.cell.release();
     s.drain_until = boot_clock::now() + s.settings.drain_limit;
     s.loop.every(drain_check_interval, [&s] { s.check_drained(); });
     log_event(log_level::info, "draining");
