Count workers, index their free capacity and choose a place by strategy

Cause: the daemon scanned all workers for the least processors left, 476 us a decision at 28,000 workers. Change: an aggregate for one worker, a cell that indexes workers by quantised free amounts, and a table of strategies with the plain ones as baselines. Best fit weighs what is left by how scarce it is.

--- /dev/null
+++ b/bench/cells.h
@@ -0,0 +1,113 @@
+// Cells and mixes of tasks that the benchmarks share: both users' of today and the two-year size.
+
+#pragma once
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sesamesill/cell.h"
+
+namespace bench {
+
+using namespace sesamesill;
+
+constexpr std::uint32_t workers_per_rack = 6;
+
+struct shape {
+    std::string name;
+    resources size;
+    std::vector<resources> mix; ///< sizes of tasks, each as likely as the others
+};
+
+/// Camp registration: cohort placements, reviews, small services beside them.
+inline shape tabara()
+{
+    return {"tabara",
+            {32000, 65536, 0},
+            {{500, 1024, 0},
+             {1000, 2048, 0},
+             {2000, 2048, 0},
+             {2000, 6144, 0},
+             {4000, 8192, 0},
+             {4000, 4096, 0},
+             {1000, 4096, 0},
+             {8000, 12288, 0}}};
+}
+
+/// Keeper rotas: season builds that must fit beside quick checks.
+inline shape liit()
+{
+    return {"liit",
+            {16000, 32768, 0},
+            {{250, 512, 0},
+             {500, 1024, 0},
+             {1000, 1024, 0},
+             {1000, 3072, 0},
+             {2000, 4096, 0},
+             {2000, 2048, 0},
+             {500, 2048, 0},
+             {4000, 8192, 0}}};
+}
+
+/// The two-year cell: sixteen tasks on a worker leave it about nine tenths full.
+inline shape two_year()
+{
+    return {"two_year",
+            {32000, 65536, 0},
+            {{500, 1024, 0},
+             {1000, 2048, 0},
+             {1000, 4096, 0},
+             {2000, 2048, 0},
+             {2000, 4096, 0},
+             {4000, 6144, 0},
+             {1500, 3072, 0},
+             {2000, 6144, 0}}};
+}
+
+/// Fills `where` with live workers; every `accelerated`th one has eight accelerators.
+inline void fill(cell& where, const shape& s, std::uint32_t workers, std::uint32_t data_centers,
+                 std::uint32_t accelerated)
+{
+    for (std::uint32_t i = 0; i < workers; ++i) {
+        worker_entry entry;
+        entry.name = "w" + std::to_string(i);
+        entry.size = s.size;
+        if (accelerated > 0 && i * 1000 % accelerated < 1000) {
+            entry.size.accelerators = 8;
+        }
+        const std::uint32_t rack = i / workers_per_rack;
+        entry.rack = "r" + std::to_string(rack);
+        entry.data_center = "dc" + std::to_string(rack % data_centers);
+        where.set_state(where.put(entry), worker_state::live);
+    }
+}
+
+inline resources pick(const std::vector<resources>& mix, std::mt19937_64& random)
+{
+    return mix[random() % mix.size()];
+}
+
+inline std::string task_name(std::uint64_t number)
+{
+    char text[48];
+    std::snprintf(text, sizeof text, "%032llx/%d", static_cast<unsigned long long>(number), 0);
+    return text;
+}
+
+/// Resident memory of this process in MB.
+inline std::int64_t resident_mb()
+{
+    std::FILE* file = std::fopen("/proc/self/statm", "r");
+    long pages = 0;
+    long resident = 0;
+    if (file != nullptr) {
+        if (std::fscanf(file, "%ld %ld", &pages, &resident) != 2) {
+            resident = 0;
+        }
+        std::fclose(file);
+    }
+    return resident * 4096 / 1048576;
+}
+
+} // namespace bench
--- /dev/null
+++ b/bench/placement.cc
@@ -0,0 +1,224 @@
+// Measures the decision: cost by size of the cell, and packing against the plain strategies.
+// Prints one JSON object a line.
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "cells.h"
+#include "sesamesill/placement.h"
+
+DEFINE_string(cases, "sizes,packing", "which cases to run");
+DEFINE_int32(decisions, 100000, "decisions measured at each size");
+DEFINE_int32(seeds, 20, "runs of each packing case");
+
+namespace {
+
+using namespace sesamesill;
+using bench::shape;
+
+using steady = std::chrono::steady_clock;
+
+constexpr std::uint32_t two_year_workers = 28000;
+constexpr std::uint32_t two_year_tasks = 440000;
+constexpr std::uint32_t accelerated_share = 3394; // one of 3.394 has 8: 66,000 over 28,000
+
+double micros_since(steady::time_point begin)
+{
+    return std::chrono::duration<double, std::micro>(steady::now() - begin).count();
+}
+
+double quantile(std::vector<double>& values, double q)
+{
+    const std::size_t at = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
+                     values.end());
+    return values[at];
+}
+
+struct placed {
+    std::string name;
+    worker_id where;
+};
+
+/// A cell with as many tasks for each worker as the two-year cell has.
+class loaded_cell {
+public:
+    loaded_cell(const shape& s, std::uint32_t workers, strategy how)
+        : shape_(s), random_(7), place_(cell_, how, 0.5, 7),
+          filler_(cell_, strategy::best_fit, 0.5, 7)
+    {
+        bench::fill(cell_, s, workers, std::min<std::uint32_t>(13, workers / 12),
+                    accelerated_share);
+        const std::uint64_t tasks = std::uint64_t{two_year_tasks} * workers / two_year_workers;
+        while (tasks_.size() < tasks && decide_by(filler_)) {
+        }
+    }
+
+    bool decide() { return decide_by(place_); }
+
+    bool decide_by(placement& place)
+    {
+        resources size = bench::pick(shape_.mix, random_);
+        if (random_() % 16 == 0) {
+            size.accelerators = 1;
+        }
+        task_need need;
+        need.size = size;
+        const std::optional<placement_choice> choice = place.choose(need);
+        if (!choice) {
+            return false;
+        }
+        held_task task;
+        task.name = bench::task_name(next_++);
+        task.reserved = size;
+        task.listed = true;
+        tasks_.push_back({task.name, choice->worker});
+        return cell_.start(choice->worker, std::move(task));
+    }
+
+    void end_one()
+    {
+        const std::size_t i = random_() % tasks_.size();
+        cell_.end(tasks_[i].where, tasks_[i].name);
+        std::swap(tasks_[i], tasks_.back());
+        tasks_.pop_back();
+    }
+
+    std::size_t tasks() const { return tasks_.size(); }
+    std::uint32_t examined() const { return place_.examined(); }
+
+private:
+    shape shape_;
+    cell cell_;
+    std::mt19937_64 random_;
+    placement place_;
+    placement filler_;
+    std::vector<placed> tasks_;
+    std::uint64_t next_ = 1;
+};
+
+void measure_size(std::uint32_t workers, strategy how, int decisions)
+{
+    loaded_cell cell(bench::two_year(), workers, how);
+    std::vector<double> times;
+    times.reserve(static_cast<std::size_t>(decisions));
+    std::uint64_t examined = 0;
+    std::uint32_t most_examined = 0;
+    int refused = 0;
+    const steady::time_point begin = steady::now();
+    for (int i = 0; i < decisions; ++i) {
+        cell.end_one();
+        const steady::time_point start = steady::now();
+        refused += cell.decide() ? 0 : 1;
+        times.push_back(micros_since(start));
+        examined += cell.examined();
+        most_examined = std::max(most_examined, cell.examined());
+    }
+    const double seconds = micros_since(begin) / 1e6;
+    std::printf("{\"case\":\"sizes\",\"strategy\":\"%s\",\"workers\":%u,\"tasks\":%zu,"
+                "\"decisions_per_second\":%.0f,\"p50_us\":%.2f,\"p99_us\":%.2f,"
+                "\"workers_examined\":%.1f,\"workers_examined_most\":%u,\"refused\":%d,"
+                "\"memory_mb\":%lld}\n",
+                std::string(name_of(how)).c_str(), workers, cell.tasks(), decisions / seconds,
+                quantile(times, 0.5), quantile(times, 0.99),
+                static_cast<double>(examined) / decisions, most_examined, refused,
+                static_cast<long long>(bench::resident_mb()));
+}
+
+struct packing {
+    double used = 0.0;  ///< fullest dimension at the first refusal
+    double bound = 0.0; ///< the same had tasks been divisible
+    double stranded_cpu = 0.0;
+    double stranded_memory = 0.0;
+};
+
+packing pack_once(const shape& s, strategy how, std::uint64_t seed)
+{
+    cell where;
+    bench::fill(where, s, 50, 4, 0);
+    placement place(where, how, 0.0, seed);
+    std::mt19937_64 random(seed);
+    packing result;
+    resources asked;
+    bool refused = false;
+    for (std::uint64_t i = 0; fits(asked, where.total()); ++i) {
+        const resources size = bench::pick(s.mix, random);
+        result.bound = dominant_share(asked, where.total());
+        asked += size;
+        task_need need;
+        need.size = size;
+        const std::optional<placement_choice> choice = refused ? std::nullopt : place.choose(need);
+        if (!choice && !refused) {
+            refused = true;
+            const resources claimed = where.claimed();
+            result.used = dominant_share(claimed, where.total());
+            const resources left = where.total() - claimed;
+            result.stranded_cpu = dominant_share({left.cpu_millis, 0, 0}, where.total());
+            result.stranded_memory = dominant_share({0, left.memory_mb, 0}, where.total());
+        }
+        if (choice) {
+            held_task task;
+            task.name = bench::task_name(i);
+            task.reserved = size;
+            where.start(choice->worker, std::move(task));
+        }
+    }
+    return result;
+}
+
+void measure_packing(const shape& s, strategy how)
+{
+    packing sum;
+    double worst = 1.0;
+    for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
+        const packing p = pack_once(s, how, static_cast<std::uint64_t>(seed));
+        sum.used += p.used;
+        sum.bound += p.bound;
+        sum.stranded_cpu += p.stranded_cpu;
+        sum.stranded_memory += p.stranded_memory;
+        worst = std::min(worst, p.used / p.bound);
+    }
+    std::printf("{\"case\":\"packing\",\"shape\":\"%s\",\"workers\":50,\"baseline\":\"%s\","
+                "\"packing_ratio\":%.4f,\"worst_packing_ratio\":%.4f,\"stranded_cpu\":%.4f,"
+                "\"stranded_memory\":%.4f,\"seeds\":%d}\n",
+                s.name.c_str(), std::string(name_of(how)).c_str(), sum.used / sum.bound, worst,
+                sum.stranded_cpu / FLAGS_seeds, sum.stranded_memory / FLAGS_seeds, FLAGS_seeds);
+}
+
+bool wanted(const std::string& name)
+{
+    return ("," + FLAGS_cases + ",").find("," + name + ",") != std::string::npos;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (wanted("sizes")) {
+        for (const strategy how : {strategy::best_fit, strategy::balance, strategy::alignment,
+                                   strategy::spread, strategy::sampling, strategy::scan}) {
+            for (const std::uint32_t workers : {50U, 500U, 5000U, two_year_workers}) {
+                measure_size(workers, how,
+                             how == strategy::scan ? FLAGS_decisions / 100 : FLAGS_decisions);
+            }
+        }
+    }
+    if (wanted("packing")) {
+        for (const shape& s : {bench::tabara(), bench::liit()}) {
+            for (const strategy how :
+                 {strategy::best_fit, strategy::balance, strategy::alignment, strategy::sampling,
+                  strategy::scan, strategy::cpu_scan, strategy::first_fit, strategy::least_loaded,
+                  strategy::random}) {
+                measure_packing(s, how);
+            }
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/include/sesamesill/cell.h
@@ -0,0 +1,112 @@
+// The workers of a cell by data centre, rack and attributes, with an index of what they have free.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "sesamesill/capacity_index.h"
+#include "sesamesill/worker.h"
+
+namespace sesamesill {
+
+using attribute_map = std::map<std::string, std::string>;
+
+/// What the VM list says of a worker.
+struct worker_entry {
+    std::string name;
+    resources size;
+    std::string data_center;
+    std::string rack;
+    attribute_map attributes;
+};
+
+/// Workers of one data centre with the same attributes.
+struct worker_pool {
+    std::uint32_t data_center = 0;
+    attribute_map attributes;
+    std::vector<std::pair<resources, std::int64_t>> sizes; ///< sizes that exist, with their number
+};
+
+/// Returns whether `attributes` has all that `required` names.
+bool has_attributes(const attribute_map& attributes, const attribute_map& required);
+
+/// Invariant: both indexes hold each live worker with room under the room that it has now.
+class cell {
+public:
+    /// Adds a worker, or takes over its new size and place; a new one is unaccounted.
+    worker_id put(const worker_entry& entry);
+    void remove(worker_id w);
+
+    std::optional<worker_id> find(std::string_view name) const;
+    const worker& at(worker_id w) const { return slots_[w].state; }
+    bool has(worker_id w) const { return w < slots_.size() && slots_[w].present; }
+    std::uint32_t rack_of(worker_id w) const { return slots_[w].rack; }
+    std::uint32_t data_center_of(worker_id w) const { return slots_[w].data_center; }
+    const std::string& rack_name(std::uint32_t rack) const { return racks_.names[rack]; }
+    const std::string& data_center_name(std::uint32_t dc) const { return data_centers_.names[dc]; }
+    std::size_t data_centers() const { return data_centers_.names.size(); }
+    /// Ids run from 0 up to this; some may be unused.
+    worker_id end_id() const { return static_cast<worker_id>(slots_.size()); }
+    std::size_t size() const { return by_name_.size(); }
+    const std::vector<worker_pool>& pools() const { return pools_; }
+
+    const capacity_index& free() const { return free_; }
+    /// As free(), with the preemptible work counted as gone.
+    const capacity_index& reclaimable() const { return reclaimable_; }
+    const resources& largest() const { return largest_; }
+    const resources& total() const { return total_; }
+    const resources& claimed() const { return claimed_; }
+
+    bool start(worker_id w, held_task task);
+    bool end(worker_id w, std::string_view task);
+    bool vacate(worker_id w, std::string_view task);
+    bool hold(worker_id w, const resources& size);
+    void hold_ahead(worker_id w, const resources& size);
+    void release(worker_id w, const resources& size);
+    void set_state(worker_id w, worker_state state);
+    report_result report(worker_id w, const std::vector<task_usage>& listed, time_point asked,
+                         micros grace);
+
+private:
+    struct slot {
+        worker state;
+        pool_id pool = 0;
+        std::uint32_t rack = 0;
+        std::uint32_t data_center = 0;
+        bool present = false;
+    };
+
+    struct name_ids {
+        std::vector<std::string> names;
+        std::unordered_map<std::string, std::uint32_t> ids;
+
+        std::uint32_t id(const std::string& name);
+    };
+
+    pool_id pool_of(std::uint32_t data_center, const attribute_map& attributes);
+    void count(pool_id pool, const resources& size, std::int64_t change);
+    void cover(const resources& size);
+    void index(worker_id w);
+    template<typename Change>
+    void change(worker_id w, Change apply);
+
+    std::vector<slot> slots_;
+    std::vector<worker_id> unused_;
+    std::unordered_map<std::string, worker_id> by_name_;
+    name_ids racks_;
+    name_ids data_centers_;
+    std::vector<worker_pool> pools_;
+    capacity_index free_;
+    capacity_index reclaimable_;
+    resources largest_;
+    resources total_;
+    resources claimed_; ///< sum over the workers
+};
+
+} // namespace sesamesill
--- /dev/null
+++ b/include/sesamesill/worker.h
@@ -0,0 +1,109 @@
+// One worker as its shard's owner counts it: what runs there, what it reported, what is left.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sesamesill/clock.h"
+#include "sesamesill/environment.h"
+#include "sesamesill/resources.h"
+
+namespace sesamesill {
+
+using worker_id = std::uint32_t;
+
+/// Only a live worker has room; an unaccounted one has not been heard yet.
+enum class worker_state : std::uint8_t { unaccounted, live, leaving, out };
+
+std::string_view name_of(worker_state state);
+
+/// Returns the larger amount of each dimension.
+resources larger(const resources& a, const resources& b);
+
+/// A task that a worker holds, as declared when it was started and as reported since.
+struct held_task {
+    std::string name;
+    resources reserved;
+    resources used; ///< by the last report, zero before it
+    time_point started;
+    std::uint32_t job = 0;
+    priority_band band = priority_band::normal;
+    bool preemptible = false;
+    bool listed = false;   ///< the worker has listed it at least once
+    bool vacating = false; ///< told to stop; still counted until the worker says that it ended
+
+    /// Returns what it counts for: never less than declared, never less than reported.
+    resources claim() const { return larger(reserved, used); }
+};
+
+/// What a worker says of one task.
+struct task_usage {
+    std::string name;
+    resources reserved;
+    resources used;
+    bool holds = true; ///< false once it has ended
+};
+
+/// What a report changed.
+struct report_result {
+    std::vector<std::string> ended;   ///< listed as ended
+    std::vector<std::string> missing; ///< should be listed and is not
+    std::vector<std::string> adopted; ///< listed and unknown here
+    std::vector<std::string> over;    ///< report more use than was reserved
+};
+
+/// Invariant: claimed() is the sum of the claims of tasks() and of the holds.
+/// Invariant: start and hold never raise claimed() above size().
+class worker {
+public:
+    worker(std::string name, const resources& size) : name_(std::move(name)), size_(size) {}
+
+    const std::string& name() const { return name_; }
+    const resources& size() const { return size_; }
+    const resources& claimed() const { return claimed_; }
+    const std::vector<held_task>& tasks() const { return tasks_; }
+    worker_state state() const { return state_; }
+    /// Starts sent since the last report was asked for.
+    std::uint32_t recent_starts() const { return recent_starts_; }
+
+    /// Returns what may be given out now; zero in every state but live.
+    resources room() const;
+    /// Returns the room there would be if all preemptible work below `band` had left.
+    resources room_above(priority_band band) const;
+    const held_task* find(std::string_view task) const;
+
+    void set_state(worker_state state) { state_ = state; }
+    void set_size(const resources& size) { size_ = size; }
+    /// Returns whether the task was taken; refuses what does not fit and what it holds already.
+    bool start(held_task task);
+    /// Returns whether the task was held.
+    bool end(std::string_view task);
+    /// Marks a task that was told to leave; its claim stays until the worker says that it ended.
+    bool vacate(std::string_view task);
+    /// Keeps room for a task that is to start here later; returns whether there was room.
+    bool hold(const resources& size);
+    /// Keeps room that vacating tasks will free: the room may fall below zero until they end.
+    void hold_ahead(const resources& size);
+    void release(const resources& size);
+    /// Takes a list that was asked for at `asked`. What was started within `grace` before that
+    /// may be under way and is never counted as missing.
+    report_result report(const std::vector<task_usage>& listed, time_point asked, micros grace);
+
+private:
+    void take_listed(const task_usage& usage, time_point asked, report_result& result);
+    void take_unlisted(const std::vector<task_usage>& listed, time_point asked, micros grace,
+                       report_result& result);
+    std::vector<held_task>::iterator position(std::string_view task);
+
+    std::string name_;
+    resources size_;
+    resources claimed_;
+    std::vector<held_task> tasks_;
+    worker_state state_ = worker_state::unaccounted;
+    std::uint32_t recent_starts_ = 0;
+};
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/cell.cc
@@ -0,0 +1,207 @@
+// Each change of a worker goes through here, so that the indexes follow it.
+
+#include "sesamesill/cell.h"
+
+#include <algorithm>
+
+namespace sesamesill {
+namespace {
+
+bool has_any(const resources& room)
+{
+    return room.cpu_millis > 0 && room.memory_mb > 0;
+}
+
+} // namespace
+
+bool has_attributes(const attribute_map& attributes, const attribute_map& required)
+{
+    return std::all_of(required.begin(), required.end(),
+                       [&attributes](const attribute_map::value_type& want) {
+                           const auto found = attributes.find(want.first);
+                           return found != attributes.end() && found->second == want.second;
+                       });
+}
+
+std::uint32_t cell::name_ids::id(const std::string& name)
+{
+    const auto added = ids.emplace(name, static_cast<std::uint32_t>(names.size()));
+    if (added.second) {
+        names.push_back(name);
+    }
+    return added.first->second;
+}
+
+pool_id cell::pool_of(std::uint32_t data_center, const attribute_map& attributes)
+{
+    for (pool_id p = 0; p < pools_.size(); ++p) {
+        if (pools_[p].data_center == data_center && pools_[p].attributes == attributes) {
+            return p;
+        }
+    }
+    pools_.push_back({data_center, attributes, {}});
+    free_.add_pool();
+    return reclaimable_.add_pool();
+}
+
+void cell::count(pool_id pool, const resources& size, std::int64_t change)
+{
+    total_ += scaled(size, change);
+    std::vector<std::pair<resources, std::int64_t>>& sizes = pools_[pool].sizes;
+    const auto found = std::find_if(
+        sizes.begin(), sizes.end(),
+        [&size](const std::pair<resources, std::int64_t>& s) { return s.first == size; });
+    if (found == sizes.end()) {
+        sizes.emplace_back(size, change);
+        return;
+    }
+    found->second += change;
+    if (found->second == 0) {
+        sizes.erase(found);
+    }
+}
+
+void cell::cover(const resources& size)
+{
+    largest_ = larger(largest_, size);
+    if (!free_.cover(size)) {
+        return;
+    }
+    reclaimable_.cover(size);
+    for (worker_id w = 0; w < slots_.size(); ++w) {
+        if (slots_[w].present) {
+            index(w);
+        }
+    }
+}
+
+worker_id cell::put(const worker_entry& entry)
+{
+    const auto known = by_name_.find(entry.name);
+    worker_id w = 0;
+    if (known != by_name_.end()) {
+        w = known->second;
+        count(slots_[w].pool, slots_[w].state.size(), -1);
+        slots_[w].state.set_size(entry.size);
+    }
+    else if (!unused_.empty()) {
+        w = unused_.back();
+        unused_.pop_back();
+        slots_[w].state = worker(entry.name, entry.size);
+    }
+    else {
+        w = static_cast<worker_id>(slots_.size());
+        slots_.push_back({worker(entry.name, entry.size), 0, 0, 0, false});
+    }
+    by_name_[entry.name] = w;
+    slot& s = slots_[w];
+    s.present = true;
+    s.data_center = data_centers_.id(entry.data_center);
+    s.rack = racks_.id(entry.data_center + "/" + entry.rack);
+    s.pool = pool_of(s.data_center, entry.attributes);
+    count(s.pool, entry.size, 1);
+    cover(entry.size);
+    index(w);
+    return w;
+}
+
+void cell::remove(worker_id w)
+{
+    slot& s = slots_[w];
+    free_.remove(w);
+    reclaimable_.remove(w);
+    count(s.pool, s.state.size(), -1);
+    claimed_ -= s.state.claimed();
+    by_name_.erase(s.state.name());
+    s.state = worker("", {});
+    s.present = false;
+    unused_.push_back(w);
+}
+
+std::optional<worker_id> cell::find(std::string_view name) const
+{
+    const auto found = by_name_.find(std::string(name));
+    return found == by_name_.end() ? std::nullopt : std::optional<worker_id>(found->second);
+}
+
+void cell::index(worker_id w)
+{
+    const slot& s = slots_[w];
+    const resources room = s.state.room();
+    if (has_any(room)) {
+        free_.put(w, s.pool, room);
+    }
+    else {
+        free_.remove(w);
+    }
+    const resources above = s.state.room_above(priority_band::urgent);
+    if (has_any(above)) {
+        reclaimable_.put(w, s.pool, above);
+    }
+    else {
+        reclaimable_.remove(w);
+    }
+}
+
+template<typename Change>
+void cell::change(worker_id w, Change apply)
+{
+    worker& target = slots_[w].state;
+    claimed_ -= target.claimed();
+    apply(target);
+    claimed_ += target.claimed();
+    index(w);
+}
+
+bool cell::start(worker_id w, held_task task)
+{
+    bool taken = false;
+    change(w, [&](worker& target) { taken = target.start(std::move(task)); });
+    return taken;
+}
+
+bool cell::end(worker_id w, std::string_view task)
+{
+    bool held = false;
+    change(w, [&](worker& target) { held = target.end(task); });
+    return held;
+}
+
+bool cell::vacate(worker_id w, std::string_view task)
+{
+    bool held = false;
+    change(w, [&](worker& target) { held = target.vacate(task); });
+    return held;
+}
+
+bool cell::hold(worker_id w, const resources& size)
+{
+    bool held = false;
+    change(w, [&](worker& target) { held = target.hold(size); });
+    return held;
+}
+
+void cell::hold_ahead(worker_id w, const resources& size)
+{
+    change(w, [&size](worker& target) { target.hold_ahead(size); });
+}
+
+void cell::release(worker_id w, const resources& size)
+{
+    change(w, [&size](worker& target) { target.release(size); });
+}
+
+void cell::set_state(worker_id w, worker_state state)
+{
+    change(w, [state](worker& target) { target.set_state(state); });
+}
+
+report_result cell::report(worker_id w, const std::vector<task_usage>& listed, time_point asked,
+                           micros grace)
+{
+    report_result result;
+    change(w, [&](worker& target) { result = target.report(listed, asked, grace); });
+    return result;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/placement.cc
@@ -0,0 +1,410 @@
+// Strategies over the index, and the plain ones that they are measured against.
+
+#include "sesamesill/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "sesamesill/names.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr std::uint32_t max_examined = 128;
+constexpr std::size_t max_buckets = 8;
+constexpr std::uint32_t per_bucket = 4;
+constexpr std::uint32_t samples = 16;
+constexpr std::uint32_t random_tries = 1024;
+constexpr double recent_start_cost = 1.0 / 16;
+
+constexpr name_table<strategy, 10> strategy_names{{{strategy::best_fit, "best_fit"},
+                                                   {strategy::alignment, "alignment"},
+                                                   {strategy::balance, "balance"},
+                                                   {strategy::spread, "spread"},
+                                                   {strategy::sampling, "sampling"},
+                                                   {strategy::scan, "scan"},
+                                                   {strategy::cpu_scan, "cpu_scan"},
+                                                   {strategy::first_fit, "first_fit"},
+                                                   {strategy::least_loaded, "least_loaded"},
+                                                   {strategy::random, "random"}}};
+
+double share(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+resource_shares shares_of(const resources& part, const resources& whole)
+{
+    return {share(part.cpu_millis, whole.cpu_millis), share(part.memory_mb, whole.memory_mb),
+            share(part.accelerators, whole.accelerators)};
+}
+
+double least_left(const resources& room, const resources& need, const packing_scale& scale)
+{
+    const resource_shares left = shares_of(room - need, scale.size);
+    return left.cpu * scale.weight.cpu + left.memory * scale.weight.memory + left.accelerators;
+}
+
+double even_left(const resources& room, const resources& need, const packing_scale& scale)
+{
+    const resource_shares left = shares_of(room - need, scale.size);
+    return least_left(room, need, scale) + std::abs(left.cpu - left.memory);
+}
+
+double unlike(const resources& room, const resources& need, const packing_scale& scale)
+{
+    const resource_shares r = shares_of(room, scale.size);
+    const resource_shares n = shares_of(need, scale.size);
+    return 1.0 - (r.cpu * n.cpu + r.memory * n.memory + r.accelerators * n.accelerators) +
+           r.accelerators - n.accelerators;
+}
+
+double cpu_left(const resources& room, const resources& need, const packing_scale& scale)
+{
+    return share(room.cpu_millis - need.cpu_millis, scale.size.cpu_millis);
+}
+
+double most_left(const resources& room, const resources& need, const packing_scale& scale)
+{
+    return -least_left(room, need, scale);
+}
+
+/// Returns weights that let the scarcer of processors and memory count for more.
+resource_shares weights_of(const cell& where)
+{
+    const resource_shares used = shares_of(where.claimed(), where.total());
+    const double sum = used.cpu + used.memory;
+    return sum > 0 ? resource_shares{used.cpu / sum, used.memory / sum, 1.0}
+                   : resource_shares{0.5, 0.5, 1.0};
+}
+
+} // namespace
+
+std::string_view name_of(strategy s)
+{
+    return name_in(strategy_names, s);
+}
+
+std::int32_t job_spread::count(const counts& of, std::uint32_t id)
+{
+    const auto found = of.find(id);
+    return found == of.end() ? 0 : found->second;
+}
+
+void job_spread::change(const cell& where, worker_id w, std::int32_t by)
+{
+    const auto apply = [by](counts& of, std::uint32_t id) {
+        const auto found = of.emplace(id, 0).first;
+        found->second += by;
+        if (found->second <= 0) {
+            of.erase(found);
+        }
+    };
+    apply(workers, w);
+    apply(racks, where.rack_of(w));
+    apply(data_centers, where.data_center_of(w));
+}
+
+struct placement::table_entry {
+    strategy name;
+    chooser choose;
+    packing_cost cost;
+};
+
+/// The cheapest buckets, cheapest first.
+struct placement::shortlist {
+    struct item {
+        double cost = 0.0;
+        capacity_bucket bucket;
+    };
+    std::array<item, max_buckets> items{};
+    std::size_t size = 0;
+    bool certain = false;
+
+    void add(double cost, const capacity_bucket& bucket)
+    {
+        certain = certain || bucket.certain;
+        if (size == items.size() && cost >= items[size - 1].cost) {
+            return;
+        }
+        std::size_t at = size < items.size() ? size++ : size - 1;
+        for (; at > 0 && items[at - 1].cost > cost; --at) {
+            items[at] = items[at - 1];
+        }
+        items[at] = {cost, bucket};
+    }
+};
+
+const placement::table_entry& placement::entry_of(strategy s)
+{
+    static const std::array<table_entry, 10> table{{
+        {strategy::best_fit, &placement::by_index, least_left},
+        {strategy::alignment, &placement::by_index, unlike},
+        {strategy::balance, &placement::by_index, even_left},
+        {strategy::spread, &placement::by_spread, least_left},
+        {strategy::sampling, &placement::by_sampling, least_left},
+        {strategy::scan, &placement::by_scan, least_left},
+        {strategy::cpu_scan, &placement::by_scan, cpu_left},
+        {strategy::first_fit, &placement::by_first_fit, least_left},
+        {strategy::least_loaded, &placement::by_scan, most_left},
+        {strategy::random, &placement::by_random, least_left},
+    }};
+    return *std::find_if(table.begin(), table.end(),
+                         [s](const table_entry& e) { return e.name == s; });
+}
+
+placement::placement(const cell& where, strategy how, double waiting_weight, std::uint64_t seed)
+    : cell_(where), how_(entry_of(how)), waiting_weight_(waiting_weight), random_(seed)
+{
+}
+
+std::optional<placement_choice> placement::choose(const task_need& need)
+{
+    examined_ = 0;
+    passed_ = {};
+    scale_ = {cell_.largest(), weights_of(cell_)};
+    return (this->*how_.choose)(need);
+}
+
+bool placement::pool_matches(const worker_pool& pool, const task_need& need) const
+{
+    return need.attributes == nullptr || has_attributes(pool.attributes, *need.attributes);
+}
+
+bool placement::suits(worker_id w, const task_need& need)
+{
+    ++examined_;
+    if (!fits(need.size, cell_.at(w).room())) {
+        ++passed_.no_room;
+        return false;
+    }
+    const std::uint32_t rack = cell_.rack_of(w);
+    if (need.max_per_rack > 0 && need.own != nullptr &&
+        job_spread::count(need.own->racks, rack) >= need.max_per_rack) {
+        ++passed_.rack_full;
+        return false;
+    }
+    if (need.near != nullptr && job_spread::count(need.near->racks, rack) == 0) {
+        ++passed_.not_near;
+        return false;
+    }
+    if (need.apart != nullptr && job_spread::count(need.apart->workers, w) > 0) {
+        ++passed_.not_apart;
+        return false;
+    }
+    return true;
+}
+
+double placement::cost(worker_id w, const task_need& need) const
+{
+    const worker& candidate = cell_.at(w);
+    const double packing = how_.cost(candidate.room(), need.size, scale_);
+    const double waiting = recent_start_cost * candidate.recent_starts();
+    return (1.0 - waiting_weight_) * packing + waiting_weight_ * waiting;
+}
+
+void placement::consider(worker_id w, const task_need& need, std::optional<placement_choice>& best)
+{
+    if (!suits(w, need)) {
+        return;
+    }
+    const double c = cost(w, need);
+    if (!best || c < best->cost) {
+        best = placement_choice{w, c};
+    }
+}
+
+std::optional<placement_choice> placement::by_index(const task_need& need)
+{
+    shortlist cheapest;
+    const resources quantum = cell_.free().quantum();
+    const std::vector<worker_pool>& pools = cell_.pools();
+    for (pool_id p = 0; p < pools.size(); ++p) {
+        if (!pool_matches(pools[p], need)) {
+            ++passed_.lacking_attributes;
+            continue;
+        }
+        bool found = false;
+        cell_.free().rows(
+            p, need.size,
+            [&](const capacity_bucket& b) {
+                const resources room{b.level.cpu * quantum.cpu_millis,
+                                     b.level.memory * quantum.memory_mb,
+                                     b.level.accelerators * quantum.accelerators};
+                cheapest.add(how_.cost(larger(room, need.size), need.size, scale_), b);
+                found = found || b.certain;
+            },
+            [&found] { return found; });
+    }
+    std::optional<placement_choice> best;
+    for (std::size_t i = 0; i < cheapest.size && !(best && i >= 2); ++i) {
+        const capacity_bucket& bucket = cheapest.items[i].bucket;
+        std::uint32_t left = bucket.certain ? per_bucket : 2 * per_bucket;
+        for (worker_id w = cell_.free().first(bucket); w != capacity_index::none && left > 0;
+             w = cell_.free().next(w), --left) {
+            consider(w, need, best);
+        }
+    }
+    return best ? best : any_by_index(need);
+}
+
+std::optional<placement_choice> placement::any_by_index(const task_need& need)
+{
+    std::optional<placement_choice> best;
+    const std::vector<worker_pool>& pools = cell_.pools();
+    for (pool_id p = 0; p < pools.size() && !best; ++p) {
+        if (!pool_matches(pools[p], need)) {
+            continue;
+        }
+        cell_.free().buckets(p, need.size, [&](const capacity_bucket& b) {
+            for (worker_id w = cell_.free().first(b);
+                 w != capacity_index::none && examined_ < max_examined && !best;
+                 w = cell_.free().next(w)) {
+                consider(w, need, best);
+            }
+            return examined_ < max_examined && !best;
+        });
+    }
+    return best;
+}
+
+std::optional<placement_choice> placement::by_spread(const task_need& need)
+{
+    std::optional<placement_choice> best;
+    const std::vector<worker_pool>& pools = cell_.pools();
+    const std::uint32_t share_of_pool =
+        std::max<std::uint32_t>(2, max_examined / std::max<std::uint32_t>(1, pools.size()));
+    for (pool_id p = 0; p < pools.size(); ++p) {
+        if (!pool_matches(pools[p], need)) {
+            ++passed_.lacking_attributes;
+            continue;
+        }
+        const double in_data_center =
+            need.own ? job_spread::count(need.own->data_centers, pools[p].data_center) : 0;
+        std::uint32_t left = share_of_pool;
+        cell_.free().buckets(p, need.size, [&](const capacity_bucket& b) {
+            for (worker_id w = cell_.free().first(b); w != capacity_index::none && left > 0;
+                 w = cell_.free().next(w), --left) {
+                if (!suits(w, need)) {
+                    continue;
+                }
+                const double in_rack =
+                    need.own ? job_spread::count(need.own->racks, cell_.rack_of(w)) : 0;
+                const double on_worker = need.own ? job_spread::count(need.own->workers, w) : 0;
+                const double c =
+                    1e6 * in_data_center + 1e3 * in_rack + 10 * on_worker + cost(w, need);
+                if (!best || c < best->cost) {
+                    best = placement_choice{w, c};
+                }
+            }
+            return left > 0;
+        });
+    }
+    return best ? best : any_by_index(need);
+}
+
+std::optional<placement_choice> placement::by_sampling(const task_need& need)
+{
+    std::optional<placement_choice> best;
+    for (std::uint32_t i = 0; i < random_tries && cell_.end_id() > 0; ++i) {
+        const worker_id w = static_cast<worker_id>(random_() % cell_.end_id());
+        if (cell_.has(w)) {
+            consider(w, need, best);
+        }
+        if (best && i + 1 >= samples) {
+            break;
+        }
+    }
+    return best;
+}
+
+std::optional<placement_choice> placement::by_scan(const task_need& need)
+{
+    std::optional<placement_choice> best;
+    for (worker_id w = 0; w < cell_.end_id(); ++w) {
+        if (cell_.has(w)) {
+            consider(w, need, best);
+        }
+    }
+    return best;
+}
+
+std::optional<placement_choice> placement::by_first_fit(const task_need& need)
+{
+    for (worker_id w = 0; w < cell_.end_id(); ++w) {
+        if (cell_.has(w) && suits(w, need)) {
+            return placement_choice{w, 0.0};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<placement_choice> placement::by_random(const task_need& need)
+{
+    for (std::uint32_t i = 0; i < random_tries && cell_.end_id() > 0; ++i) {
+        const worker_id w = static_cast<worker_id>(random_() % cell_.end_id());
+        if (cell_.has(w) && suits(w, need)) {
+            return placement_choice{w, 0.0};
+        }
+    }
+    return by_first_fit(need);
+}
+
+std::optional<error> never_fits(const cell& where, const resources& size,
+                                const attribute_map& required)
+{
+    resources nearest;
+    double least = 0.0;
+    bool any = false;
+    for (const worker_pool& pool : where.pools()) {
+        if (pool.sizes.empty() || !has_attributes(pool.attributes, required)) {
+            continue;
+        }
+        for (const std::pair<resources, std::int64_t>& kind : pool.sizes) {
+            if (fits(size, kind.first)) {
+                return std::nullopt;
+            }
+            const resources held{std::min(size.cpu_millis, kind.first.cpu_millis),
+                                 std::min(size.memory_mb, kind.first.memory_mb),
+                                 std::min(size.accelerators, kind.first.accelerators)};
+            const resource_shares cut = shares_of(size - held, larger(size, {1, 1, 1}));
+            const double distance = cut.cpu + cut.memory + cut.accelerators;
+            if (!any || distance < least) {
+                nearest = held;
+                least = distance;
+                any = true;
+            }
+        }
+    }
+    if (!any) {
+        return error{error_code::unfit, step::admission, "",
+                     "no worker has the required attributes"};
+    }
+    return error{error_code::unfit, step::admission, "",
+                 "no worker can hold " + to_string(size) + "; the nearest size that fits is " +
+                     to_string(nearest)};
+}
+
+std::int64_t most_tasks(const cell& where, const resources& size, const attribute_map& required)
+{
+    std::int64_t sum = 0;
+    for (const worker_pool& pool : where.pools()) {
+        if (!has_attributes(pool.attributes, required)) {
+            continue;
+        }
+        for (const std::pair<resources, std::int64_t>& kind : pool.sizes) {
+            std::int64_t each = INT64_MAX;
+            const auto bound = [&each](std::int64_t need, std::int64_t have) {
+                each = need > 0 ? std::min(each, have / need) : each;
+            };
+            bound(size.cpu_millis, kind.first.cpu_millis);
+            bound(size.memory_mb, kind.first.memory_mb);
+            bound(size.accelerators, kind.first.accelerators);
+            sum += each == INT64_MAX ? 0 : each * kind.second;
+        }
+    }
+    return sum;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/worker.cc
@@ -0,0 +1,177 @@
+// Sums of claims, kept up with each start, end and report.
+
+#include "sesamesill/worker.h"
+
+#include <algorithm>
+
+#include "sesamesill/names.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr name_table<worker_state, 4> state_names{{{worker_state::unaccounted, "unaccounted"},
+                                                   {worker_state::live, "live"},
+                                                   {worker_state::leaving, "leaving"},
+                                                   {worker_state::out, "out"}}};
+
+} // namespace
+
+std::string_view name_of(worker_state state)
+{
+    return name_in(state_names, state);
+}
+
+resources larger(const resources& a, const resources& b)
+{
+    return {std::max(a.cpu_millis, b.cpu_millis), std::max(a.memory_mb, b.memory_mb),
+            std::max(a.accelerators, b.accelerators)};
+}
+
+resources worker::room() const
+{
+    return state_ == worker_state::live ? size_ - claimed_ : resources{};
+}
+
+resources worker::room_above(priority_band band) const
+{
+    resources sum = room();
+    if (state_ != worker_state::live) {
+        return sum;
+    }
+    for (const held_task& t : tasks_) {
+        if (t.preemptible && !t.vacating && t.band < band) {
+            sum += t.claim();
+        }
+    }
+    return sum;
+}
+
+const held_task* worker::find(std::string_view task) const
+{
+    const auto found = std::find_if(tasks_.begin(), tasks_.end(),
+                                    [task](const held_task& t) { return t.name == task; });
+    return found == tasks_.end() ? nullptr : &*found;
+}
+
+std::vector<held_task>::iterator worker::position(std::string_view task)
+{
+    return std::find_if(tasks_.begin(), tasks_.end(),
+                        [task](const held_task& t) { return t.name == task; });
+}
+
+bool worker::start(held_task task)
+{
+    if (!fits(task.claim(), room()) || find(task.name) != nullptr) {
+        return false;
+    }
+    claimed_ += task.claim();
+    ++recent_starts_;
+    tasks_.push_back(std::move(task));
+    return true;
+}
+
+bool worker::end(std::string_view task)
+{
+    const auto found = position(task);
+    if (found == tasks_.end()) {
+        return false;
+    }
+    claimed_ -= found->claim();
+    *found = std::move(tasks_.back());
+    tasks_.pop_back();
+    return true;
+}
+
+bool worker::vacate(std::string_view task)
+{
+    const auto found = position(task);
+    if (found == tasks_.end()) {
+        return false;
+    }
+    found->vacating = true;
+    return true;
+}
+
+bool worker::hold(const resources& size)
+{
+    if (!fits(size, room())) {
+        return false;
+    }
+    claimed_ += size;
+    return true;
+}
+
+void worker::hold_ahead(const resources& size)
+{
+    claimed_ += size;
+}
+
+void worker::release(const resources& size)
+{
+    claimed_ -= size;
+}
+
+void worker::take_listed(const task_usage& usage, time_point asked, report_result& result)
+{
+    const auto found = position(usage.name);
+    if (!usage.holds) {
+        result.ended.push_back(usage.name);
+        end(usage.name);
+        return;
+    }
+    if (found == tasks_.end()) {
+        held_task adopted;
+        adopted.name = usage.name;
+        adopted.reserved = usage.reserved;
+        adopted.used = usage.used;
+        adopted.started = asked;
+        adopted.listed = true;
+        claimed_ += adopted.claim();
+        tasks_.push_back(std::move(adopted));
+        result.adopted.push_back(usage.name);
+        return;
+    }
+    claimed_ -= found->claim();
+    found->used = usage.used;
+    found->listed = true;
+    claimed_ += found->claim();
+    if (!fits(found->used, found->reserved)) {
+        result.over.push_back(usage.name);
+    }
+}
+
+void worker::take_unlisted(const std::vector<task_usage>& listed, time_point asked, micros grace,
+                           report_result& result)
+{
+    std::vector<std::string_view> names;
+    names.reserve(listed.size());
+    for (const task_usage& usage : listed) {
+        names.emplace_back(usage.name);
+    }
+    std::sort(names.begin(), names.end());
+    for (const held_task& t : tasks_) {
+        if (t.started + grace < asked && !std::binary_search(names.begin(), names.end(), t.name)) {
+            result.missing.push_back(t.name);
+        }
+    }
+}
+
+report_result worker::report(const std::vector<task_usage>& listed, time_point asked, micros grace)
+{
+    report_result result;
+    for (const task_usage& usage : listed) {
+        take_listed(usage, asked, result);
+    }
+    take_unlisted(listed, asked, grace, result);
+    for (const std::string& name : result.missing) {
+        end(name);
+    }
+    recent_starts_ = static_cast<std::uint32_t>(
+        std::count_if(tasks_.begin(), tasks_.end(), [](const held_task& t) { return !t.listed; }));
+    if (state_ == worker_state::unaccounted) {
+        state_ = worker_state::live;
+    }
+    return result;
+}
+
+} // namespace sesamesill
