--- a/bench/cells.h
+++ b/bench/cells.h
@@ -50,6 +50,21 @@
              {4000, 8192, 0}}};
 }
 
+/// Tasks that want either processors or memory, where evenness matters most.
+inline shape uneven()
+{
+    return {"uneven",
+            {32000, 65536, 0},
+            {{6000, 2048, 0},
+             {1000, 14336, 0},
+             {3000, 1024, 0},
+             {500, 7168, 0},
+             {2000, 4096, 0},
+             {9000, 4096, 0},
+             {2000, 20480, 0},
+             {1000, 2048, 0}}};
+}
+
 /// The two-year cell: sixteen tasks on a worker leave it about nine tenths full.
 inline shape two_year()
 {
--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -211,7 +211,7 @@
         }
     }
     if (wanted("packing")) {
-        for (const shape& s : {bench::tabara(), bench::liit()}) {
+        for (const shape& s : {bench::tabara(), bench::liit(), bench::uneven()}) {
             for (const strategy how :
                  {strategy::best_fit, strategy::balance, strategy::alignment, strategy::sampling,
                   strategy::scan, strategy::cpu_scan, strategy::first_fit, strategy::least_loaded,
--- a/include/sesamesill/placement.h
+++ b/include/sesamesill/placement.h
@@ -3,12 +3,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string_view>
 
-#include <boost/container/flat_map.hpp>
-
 #include "sesamesill/cell.h"
 #include "sesamesill/environment.h"
 #include "sesamesill/error.h"
@@ -32,7 +31,7 @@
 
 /// Where the tasks of one job run, by ids of the cell.
 struct job_spread {
-    using counts = boost::container::flat_map<std::uint32_t, std::int32_t>;
+    using counts = std::map<std::uint32_t, std::int32_t>;
     counts workers;
     counts racks;
     counts data_centers;
--- /dev/null
+++ b/test/cell-test.cc
@@ -0,0 +1,100 @@
+// Tests that the indexes of a cell follow each change of a worker.
+
+#include <random>
+#include <set>
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/cell.h"
+
+using namespace sesamesill;
+
+namespace {
+
+worker_entry entry(int number, const resources& size)
+{
+    worker_entry e;
+    e.name = "w" + std::to_string(number);
+    e.size = size;
+    e.data_center = "dc" + std::to_string(number % 2);
+    e.rack = "r" + std::to_string(number % 6);
+    return e;
+}
+
+/// Returns the workers with room that the index offers.
+std::set<worker_id> offered(const cell& c, const resources& need)
+{
+    std::set<worker_id> found;
+    for (pool_id p = 0; p < c.pools().size(); ++p) {
+        c.free().buckets(p, need, [&](const capacity_bucket& b) {
+            for (worker_id w = c.free().first(b); w != capacity_index::none; w = c.free().next(w)) {
+                const bool has_room = fits(need, c.at(w).room());
+                cr_assert(has_room || !b.certain);
+                if (has_room) {
+                    found.insert(w);
+                }
+            }
+            return true;
+        });
+    }
+    return found;
+}
+
+} // namespace
+
+Test(cell, index_offers_exactly_the_workers_with_room)
+{
+    std::mt19937_64 random(11);
+    cell c;
+    for (int i = 0; i < 40; ++i) {
+        c.set_state(c.put(entry(i, {16000, 32768, i % 3})), worker_state::live);
+    }
+    std::vector<std::pair<worker_id, std::string>> running;
+    for (int step = 0; step < 2000; ++step) {
+        held_task t;
+        t.name = "t" + std::to_string(step);
+        t.reserved = {static_cast<std::int64_t>(1 + random() % 9000),
+                      static_cast<std::int64_t>(1 + random() % 20000),
+                      static_cast<std::int64_t>(random() % 2)};
+        const worker_id w = static_cast<worker_id>(random() % 40);
+        if (c.start(w, t)) {
+            running.emplace_back(w, t.name);
+        }
+        if (!running.empty() && random() % 3 != 0) {
+            c.end(running.back().first, running.back().second);
+            running.pop_back();
+        }
+        std::set<worker_id> expected;
+        for (worker_id id = 0; id < c.end_id(); ++id) {
+            if (fits(t.reserved, c.at(id).room())) {
+                expected.insert(id);
+            }
+        }
+        cr_assert(offered(c, t.reserved) == expected);
+    }
+}
+
+Test(cell, larger_worker_widens_the_levels)
+{
+    cell c;
+    c.set_state(c.put(entry(0, {16000, 32768, 0})), worker_state::live);
+    c.set_state(c.put(entry(1, {512000, 4000000, 16})), worker_state::live);
+    cr_assert_eq(offered(c, {1, 1, 0}).size(), 2U);
+    cr_assert_eq(offered(c, {300000, 1, 9}).size(), 1U);
+}
+
+Test(cell, removed_worker_leaves_nothing_behind)
+{
+    cell c;
+    const worker_id w = c.put(entry(0, {16000, 32768, 0}));
+    c.set_state(w, worker_state::live);
+    held_task t;
+    t.name = "a";
+    t.reserved = {1000, 1024, 0};
+    c.start(w, t);
+    c.remove(w);
+    cr_assert(c.claimed() == resources{});
+    cr_assert(c.total() == resources{});
+    cr_assert(offered(c, {1, 1, 0}).empty());
+    cr_assert_not(c.find("w0").has_value());
+}
--- /dev/null
+++ b/test/placement-test.cc
@@ -0,0 +1,188 @@
+// Tests of places chosen: constraints, spread, bounded work and packing beside the plain
+// strategies.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/placement.h"
+
+using namespace sesamesill;
+
+namespace {
+
+constexpr std::uint32_t most_examined = 128;
+
+void fill(cell& c, std::uint32_t workers)
+{
+    for (std::uint32_t i = 0; i < workers; ++i) {
+        worker_entry e;
+        e.name = "w" + std::to_string(i);
+        e.size = {16000, 32768, i % 4 == 0 ? 2 : 0};
+        e.rack = "r" + std::to_string(i / 6);
+        e.data_center = "dc" + std::to_string(i / 6 % 4);
+        e.attributes["disk"] = i % 2 == 0 ? "ssd" : "none";
+        c.set_state(c.put(e), worker_state::live);
+    }
+}
+
+bool start(cell& c, worker_id w, const std::string& name, const resources& size)
+{
+    held_task t;
+    t.name = name;
+    t.reserved = size;
+    return c.start(w, t);
+}
+
+/// Returns how many tasks of a seeded mix were started before the first refusal.
+int packed(strategy how, std::uint64_t seed)
+{
+    cell c;
+    fill(c, 48);
+    placement p(c, how, 0.0, seed);
+    std::mt19937_64 random(seed);
+    for (int i = 0;; ++i) {
+        const std::int64_t scale = std::int64_t{1} << random() % 4;
+        task_need need;
+        need.size = {500 * scale, static_cast<std::int64_t>(512 + random() % 1024) * scale, 0};
+        const std::optional<placement_choice> choice = p.choose(need);
+        if (!choice) {
+            return i;
+        }
+        cr_assert(start(c, choice->worker, "t" + std::to_string(i), need.size));
+    }
+}
+
+} // namespace
+
+Test(placement, work_of_a_decision_is_bounded_at_any_size)
+{
+    for (const std::uint32_t workers : {48U, 480U, 4800U}) {
+        cell c;
+        fill(c, workers);
+        for (const strategy how : {strategy::best_fit, strategy::spread}) {
+            placement p(c, how, 0.5, 1);
+            std::mt19937_64 random(3);
+            for (std::uint32_t i = 0; i < workers * 8; ++i) {
+                task_need need;
+                need.size = {static_cast<std::int64_t>(1 + random() % 4000),
+                             static_cast<std::int64_t>(1 + random() % 8192), 0};
+                const std::optional<placement_choice> choice = p.choose(need);
+                cr_assert_leq(p.examined(), most_examined);
+                if (choice) {
+                    start(c, choice->worker, std::string(name_of(how)) + std::to_string(i),
+                          need.size);
+                }
+            }
+        }
+    }
+}
+
+Test(placement, index_finds_the_last_worker_with_room)
+{
+    cell c;
+    fill(c, 48);
+    for (worker_id w = 0; w < 47; ++w) {
+        start(c, w, "full", {15999, 32767, 0});
+    }
+    placement p(c, strategy::best_fit, 0.0, 1);
+    task_need need;
+    need.size = {16000, 32768, 0};
+    const std::optional<placement_choice> choice = p.choose(need);
+    cr_assert(choice && choice->worker == 47);
+}
+
+Test(placement, plain_tasks_keep_off_accelerators)
+{
+    cell c;
+    fill(c, 48);
+    placement p(c, strategy::best_fit, 0.0, 1);
+    for (int i = 0; i < 36; ++i) {
+        task_need need;
+        need.size = {16000, 32768, 0};
+        const std::optional<placement_choice> choice = p.choose(need);
+        cr_assert(choice && c.at(choice->worker).size().accelerators == 0);
+        start(c, choice->worker, "t", need.size);
+    }
+}
+
+Test(placement, attributes_are_required)
+{
+    cell c;
+    fill(c, 48);
+    const attribute_map wanted{{"disk", "ssd"}};
+    const attribute_map absent{{"disk", "tape"}};
+    placement p(c, strategy::best_fit, 0.0, 1);
+    task_need need;
+    need.size = {1000, 1024, 0};
+    need.attributes = &wanted;
+    cr_assert_eq(p.choose(need)->worker % 2, 0U);
+    need.attributes = &absent;
+    cr_assert_not(p.choose(need).has_value());
+    cr_assert_eq(p.passed().lacking_attributes, c.pools().size());
+}
+
+Test(placement, services_spread_over_data_centers_and_racks)
+{
+    cell c;
+    fill(c, 48);
+    placement p(c, strategy::spread, 0.0, 1);
+    job_spread own;
+    task_need need;
+    need.size = {1000, 1024, 0};
+    need.own = &own;
+    need.max_per_rack = 1;
+    for (int i = 0; i < 8; ++i) {
+        const std::optional<placement_choice> choice = p.choose(need);
+        cr_assert(choice.has_value());
+        start(c, choice->worker, "s" + std::to_string(i), need.size);
+        own.add(c, choice->worker);
+    }
+    cr_assert_eq(own.racks.size(), 8U);
+    for (const job_spread::counts::value_type& dc : own.data_centers) {
+        cr_assert_eq(dc.second, 2);
+    }
+    cr_assert_not(p.choose(need).has_value());
+    cr_assert_gt(p.passed().rack_full, 0U);
+}
+
+Test(placement, affinity_and_anti_affinity_hold)
+{
+    cell c;
+    fill(c, 48);
+    job_spread other;
+    other.add(c, 13);
+    placement p(c, strategy::best_fit, 0.0, 1);
+    task_need need;
+    need.size = {1000, 1024, 0};
+    need.near = &other;
+    need.apart = &other;
+    const std::optional<placement_choice> choice = p.choose(need);
+    cr_assert(choice && choice->worker != 13);
+    cr_assert_eq(c.rack_of(choice->worker), c.rack_of(13));
+}
+
+Test(placement, packs_within_five_percent_of_the_scan)
+{
+    int indexed = 0;
+    int scanned = 0;
+    int random = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        indexed += packed(strategy::best_fit, seed);
+        scanned += packed(strategy::scan, seed);
+        random += packed(strategy::random, seed);
+    }
+    cr_assert_geq(indexed * 100, scanned * 95);
+    cr_assert_geq(indexed, random);
+}
+
+Test(placement, never_fitting_sizes_name_the_nearest)
+{
+    cell c;
+    fill(c, 48);
+    cr_assert_not(never_fits(c, {16000, 32768, 2}, {}).has_value());
+    const std::optional<error> why = never_fits(c, {20000, 1024, 1}, {});
+    cr_assert(why && why->code == error_code::unfit);
+    cr_assert(why->reason.find("16 cores, 1024 MB, 1 accelerators") != std::string::npos);
+    cr_assert(never_fits(c, {1, 1, 0}, {{"disk", "tape"}}).has_value());
+    cr_assert_eq(most_tasks(c, {8000, 1024, 0}, {}), 96);
+    cr_assert_eq(most_tasks(c, {1000, 1024, 1}, {}), 24);
+}
--- /dev/null
+++ b/test/worker-test.cc
@@ -0,0 +1,99 @@
+// Tests that a worker is never given more than it holds, by declaration or by report.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/worker.h"
+
+using namespace sesamesill;
+
+namespace {
+
+constexpr micros grace = std::chrono::seconds(3);
+
+time_point at(int seconds)
+{
+    return time_point(std::chrono::seconds(seconds));
+}
+
+held_task task(const std::string& name, const resources& size, int started = 0)
+{
+    held_task t;
+    t.name = name;
+    t.reserved = size;
+    t.started = at(started);
+    return t;
+}
+
+worker live_worker()
+{
+    worker w("w1", {4000, 8192, 1});
+    w.report({}, at(0), grace);
+    return w;
+}
+
+} // namespace
+
+Test(worker, has_no_room_until_accounted_for)
+{
+    worker w("w1", {4000, 8192, 0});
+    cr_assert_not(w.start(task("a", {1, 1, 0})));
+    w.report({{"old", {3000, 1024, 0}, {}, true}}, at(1), grace);
+    cr_assert(w.room() == (resources{1000, 7168, 0}));
+}
+
+Test(worker, refuses_what_exceeds_any_dimension_and_repeats)
+{
+    worker w = live_worker();
+    cr_assert(w.start(task("a", {3000, 1024, 1})));
+    cr_assert_not(w.start(task("a", {1, 1, 0})));
+    cr_assert_not(w.start(task("b", {1001, 1, 0})));
+    cr_assert_not(w.start(task("b", {1, 1, 1})));
+    cr_assert(w.start(task("b", {1000, 7168, 0})));
+}
+
+Test(worker, reported_use_above_the_declaration_takes_room)
+{
+    worker w = live_worker();
+    w.start(task("a", {1000, 1024, 0}));
+    const report_result r = w.report({{"a", {1000, 1024, 0}, {2500, 512, 0}, true}}, at(1), grace);
+    cr_assert(r.over == std::vector<std::string>{"a"});
+    cr_assert(w.room() == (resources{1500, 7168, 1}));
+    cr_assert_not(w.start(task("b", {2000, 1, 0})));
+}
+
+Test(worker, start_after_the_report_was_asked_is_not_forgotten)
+{
+    worker w = live_worker();
+    w.start(task("a", {1000, 1024, 0}, 10));
+    report_result r = w.report({}, at(9), grace);
+    cr_assert(r.missing.empty());
+    r = w.report({}, at(12), grace);
+    cr_assert(r.missing.empty());
+    cr_assert(w.claimed() == (resources{1000, 1024, 0}));
+    r = w.report({}, at(14), grace);
+    cr_assert(r.missing == std::vector<std::string>{"a"});
+    cr_assert(w.claimed() == resources{});
+}
+
+Test(worker, vacating_task_keeps_its_claim_until_it_ended)
+{
+    worker w = live_worker();
+    held_task t = task("a", {4000, 8192, 0});
+    t.preemptible = true;
+    w.start(t);
+    cr_assert(w.room_above(priority_band::urgent) == (resources{4000, 8192, 1}));
+    w.vacate("a");
+    w.hold_ahead({1000, 1024, 0});
+    cr_assert_not(w.start(task("b", {1, 1, 0})));
+    w.report({{"a", {}, {}, false}}, at(1), grace);
+    cr_assert(w.room() == (resources{3000, 7168, 1}));
+}
+
+Test(worker, leaving_and_out_get_nothing)
+{
+    worker w = live_worker();
+    for (const worker_state s : {worker_state::leaving, worker_state::out}) {
+        w.set_state(s);
+        cr_assert_not(w.start(task("a", {1, 1, 0})));
+    }
+}
