--- a/include/sesamesill/capacity_index.h
+++ b/include/sesamesill/capacity_index.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -34,6 +35,7 @@
 public:
     static constexpr std::int32_t levels = 64;
     static constexpr std::int32_t accelerator_levels = 16;
+    static constexpr std::size_t bucket_count = std::size_t{levels} * levels;
     static constexpr worker_id none = UINT32_MAX;
 
     /// Doubles the quanta until `size` lies within the levels; returns whether they changed, after
@@ -62,9 +64,9 @@
 
 private:
     struct layer {
-        std::uint64_t rows = 0;                         ///< rows with a worker
-        std::array<std::uint64_t, levels> columns{};    ///< of each row, columns with a worker
-        std::array<worker_id, levels * levels> heads{}; ///< first worker of each bucket
+        std::uint64_t rows = 0;                      ///< rows with a worker
+        std::array<std::uint64_t, levels> columns{}; ///< of each row, columns with a worker
+        std::array<worker_id, bucket_count> heads{}; ///< first worker of each bucket
     };
 
     struct pool_layers {
--- /dev/null
+++ b/test/fairness-test.cc
@@ -0,0 +1,38 @@
+// Tests of shares, weights and quotas.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/fairness.h"
+
+using namespace sesamesill;
+
+Test(fairness, share_is_dominant_and_weighted)
+{
+    fairness f;
+    f.set_capacity({10000, 10000, 0});
+    const tenant_id a = f.put({"a", 1.0, {10000, 10000, 0}, 0.0});
+    const tenant_id b = f.put({"b", 2.0, {10000, 10000, 0}, 0.0});
+    f.charge(a, {1000, 4000, 0});
+    f.charge(b, {4000, 1000, 0});
+    cr_assert_float_eq(f.share(a), 0.4, 1e-9);
+    cr_assert_float_eq(f.share(b), 0.2, 1e-9);
+}
+
+Test(fairness, quota_is_a_hard_cap)
+{
+    fairness f;
+    const tenant_id a = f.put({"a", 1.0, {2000, 4096, 0}, 0.0});
+    cr_assert(f.charge(a, {1500, 1024, 0}));
+    cr_assert_not(f.charge(a, {501, 1, 0}));
+    f.refund(a, {1500, 1024, 0});
+    cr_assert(f.charge(a, {2000, 4096, 0}));
+    const std::optional<error> why = never_within_quota(f, a, {3000, 1024, 0});
+    cr_assert(why && why->code == error_code::unfit);
+    cr_assert(why->reason.find("2 cores, 1024 MB") != std::string::npos);
+}
+
+Test(fairness, jain_index_is_one_for_equals)
+{
+    cr_assert_float_eq(jain_index({2.0, 2.0, 2.0}), 1.0, 1e-9);
+    cr_assert_float_eq(jain_index({1.0, 0.0}), 0.5, 1e-9);
+}
