Judge workers and jobs apart by the ends of tasks

Cause: a worker that fails all it starts looks idle and draws more work. Change: evidence against a worker is weighed by whether the job succeeded elsewhere; out, probed after a doubling wait, brought back one, two, four tasks at a time; at most a share of the workers is out.

--- a/include/sesamesill/cell.h
+++ b/include/sesamesill/cell.h
@@ -70,6 +70,7 @@
     void hold_ahead(worker_id w, const resources& size);
     void release(worker_id w, const resources& size);
     void set_state(worker_id w, worker_state state);
+    void set_start_limit(worker_id w, std::int32_t most);
     report_result report(worker_id w, const std::vector<task_usage>& listed, time_point asked,
                          micros grace);
 
--- a/include/sesamesill/worker.h
+++ b/include/sesamesill/worker.h
@@ -33,6 +33,7 @@
     priority_band band = priority_band::normal;
     bool preemptible = false;
     bool listed = false;   ///< the worker has listed it at least once
+    bool limited = false;  ///< counts towards the worker's start limit
     bool vacating = false; ///< told to stop; still counted until the worker says that it ended
 
     /// Returns what it counts for: never less than declared, never less than reported.
@@ -77,6 +78,8 @@
 
     void set_state(worker_state state) { state_ = state; }
     void set_size(const resources& size) { size_ = size; }
+    /// Gives no room while as many tasks as `most` that were started from now on are held.
+    void set_start_limit(std::int32_t most);
     /// Returns whether the task was taken; refuses what does not fit and what it holds already.
     bool start(held_task task);
     /// Returns whether the task was held.
@@ -104,6 +107,8 @@
     std::vector<held_task> tasks_;
     worker_state state_ = worker_state::unaccounted;
     std::uint32_t recent_starts_ = 0;
+    std::int32_t start_limit_ = INT32_MAX;
+    std::int32_t limited_ = 0; ///< tasks held that count towards the limit
 };
 
 } // namespace sesamesill
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -196,6 +196,11 @@
     change(w, [state](worker& target) { target.set_state(state); });
 }
 
+void cell::set_start_limit(worker_id w, std::int32_t most)
+{
+    change(w, [most](worker& target) { target.set_start_limit(most); });
+}
+
 report_result cell::report(worker_id w, const std::vector<task_usage>& listed, time_point asked,
                            micros grace)
 {
--- /dev/null
+++ b/src/health.cc
@@ -0,0 +1,179 @@
+// Evidence against workers is weighed by what is known of the job that failed.
+
+#include "sesamesill/health.h"
+
+#include <algorithm>
+
+#include "sesamesill/names.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr double evidence_for_out = 2.0;
+constexpr double weight_of_proven_job = 1.0;
+constexpr double weight_of_new_job = 0.5;
+constexpr std::size_t workers_to_blame_job = 3;
+constexpr std::int32_t suspect_limit = 2;
+constexpr std::int32_t returned_at = 16;
+constexpr std::size_t max_jobs = 100000;
+constexpr micros job_memory = std::chrono::minutes(10);
+
+constexpr name_table<standing, 4> standing_names{{{standing::trusted, "trusted"},
+                                                  {standing::suspect, "suspect"},
+                                                  {standing::out, "out"},
+                                                  {standing::returning, "returning"}}};
+
+} // namespace
+
+std::string_view name_of(standing s)
+{
+    return name_in(standing_names, s);
+}
+
+void health::add(worker_id w)
+{
+    if (w >= workers_.size()) {
+        workers_.resize(static_cast<std::size_t>(w) + 1);
+    }
+    if (!workers_[w].present) {
+        workers_[w] = worker_record{};
+        workers_[w].present = true;
+        ++present_;
+    }
+}
+
+void health::remove(worker_id w)
+{
+    if (w < workers_.size() && workers_[w].present) {
+        out_ -= workers_[w].now == standing::out ? 1 : 0;
+        workers_[w] = worker_record{};
+        --present_;
+    }
+}
+
+std::int32_t health::limit(worker_id w) const
+{
+    const worker_record& r = workers_[w];
+    switch (r.now) {
+    case standing::trusted:
+        return unlimited;
+    case standing::suspect:
+        return suspect_limit;
+    case standing::returning:
+        return r.allowed;
+    case standing::out:
+        break;
+    }
+    return 0;
+}
+
+bool health::fails_everywhere(std::uint64_t job) const
+{
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && found->second.successes == 0 &&
+           found->second.failed_on.size() >= workers_to_blame_job;
+}
+
+double health::weight_of(const job_record& job) const
+{
+    if (job.successes > 0) {
+        return weight_of_proven_job;
+    }
+    return job.failed_on.size() < workers_to_blame_job ? weight_of_new_job : 0.0;
+}
+
+bool health::ended(worker_id w, std::uint64_t job, bool has_failed, time_point now)
+{
+    forget_old_jobs(now);
+    job_record& j = jobs_[job];
+    j.last = now;
+    if (!has_failed) {
+        ++j.successes;
+        return succeeded(workers_[w]);
+    }
+    const bool known = std::find(j.failed_on.begin(), j.failed_on.end(), w) != j.failed_on.end();
+    if (!known && j.failed_on.size() < workers_to_blame_job) {
+        j.failed_on.push_back(w);
+    }
+    return failed(workers_[w], weight_of(j), now);
+}
+
+bool health::succeeded(worker_record& w)
+{
+    const standing before = w.now;
+    const std::int32_t allowed = w.allowed;
+    w.evidence /= 2;
+    if (w.now == standing::returning) {
+        w.allowed *= 2;
+        if (w.allowed >= returned_at) {
+            w.now = standing::trusted;
+            w.backoff = micros{0};
+        }
+    }
+    else if (w.now == standing::suspect && w.evidence < weight_of_new_job) {
+        w.now = standing::trusted;
+    }
+    return w.now != before || w.allowed != allowed;
+}
+
+bool health::failed(worker_record& w, double weight, time_point now)
+{
+    if (weight <= 0.0 || w.now == standing::out) {
+        return false;
+    }
+    w.evidence += weight;
+    if (w.now == standing::returning || w.evidence >= evidence_for_out) {
+        return take_out(w, now);
+    }
+    const bool changed = w.now != standing::suspect;
+    w.now = standing::suspect;
+    return changed;
+}
+
+bool health::take_out(worker_record& w, time_point now)
+{
+    const double most = limits_.max_out_ratio * static_cast<double>(present_);
+    if (static_cast<double>(out_ + 1) > most) {
+        const bool changed = w.now != standing::returning || w.allowed != 1;
+        w.now = standing::returning;
+        w.allowed = 1;
+        return changed;
+    }
+    w.backoff = std::min(limits_.max_backoff,
+                         w.backoff > micros{0} ? w.backoff * 2 : limits_.first_backoff);
+    w.probe_at = now + w.backoff;
+    w.now = standing::out;
+    ++out_;
+    return true;
+}
+
+std::vector<worker_id> health::due(time_point now)
+{
+    std::vector<worker_id> result;
+    for (worker_id w = 0; out_ > 0 && w < workers_.size(); ++w) {
+        worker_record& r = workers_[w];
+        if (r.now == standing::out && r.probe_at <= now) {
+            r.now = standing::returning;
+            r.allowed = 1;
+            r.evidence = 0.0;
+            --out_;
+            result.push_back(w);
+        }
+    }
+    return result;
+}
+
+void health::forget_old_jobs(time_point now)
+{
+    if (jobs_.size() < max_jobs) {
+        return;
+    }
+    for (auto it = jobs_.begin(); it != jobs_.end();) {
+        it = it->second.last + job_memory < now ? jobs_.erase(it) : std::next(it);
+    }
+    if (jobs_.size() >= max_jobs) {
+        jobs_.clear();
+    }
+}
+
+} // namespace sesamesill
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -29,13 +29,14 @@
 
 resources worker::room() const
 {
-    return state_ == worker_state::live ? size_ - claimed_ : resources{};
+    const bool open = state_ == worker_state::live && limited_ < start_limit_;
+    return open ? size_ - claimed_ : resources{};
 }
 
 resources worker::room_above(priority_band band) const
 {
     resources sum = room();
-    if (state_ != worker_state::live) {
+    if (state_ != worker_state::live || limited_ >= start_limit_) {
         return sum;
     }
     for (const held_task& t : tasks_) {
@@ -66,6 +67,8 @@
     }
     claimed_ += task.claim();
     ++recent_starts_;
+    task.limited = start_limit_ != INT32_MAX;
+    limited_ += task.limited ? 1 : 0;
     tasks_.push_back(std::move(task));
     return true;
 }
@@ -77,11 +80,17 @@
         return false;
     }
     claimed_ -= found->claim();
+    limited_ -= found->limited ? 1 : 0;
     *found = std::move(tasks_.back());
     tasks_.pop_back();
     return true;
 }
 
+void worker::set_start_limit(std::int32_t most)
+{
+    start_limit_ = most;
+}
+
 bool worker::vacate(std::string_view task)
 {
     const auto found = position(task);
--- /dev/null
+++ b/test/health-test.cc
@@ -0,0 +1,85 @@
+// Tests that workers and jobs are judged apart.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/health.h"
+
+using namespace sesamesill;
+
+namespace {
+
+time_point at(int seconds)
+{
+    return time_point(std::chrono::seconds(seconds));
+}
+
+health judge(worker_id workers)
+{
+    health h(health_limits{});
+    for (worker_id w = 0; w < workers; ++w) {
+        h.add(w);
+    }
+    return h;
+}
+
+} // namespace
+
+Test(health, worker_that_fails_what_succeeds_elsewhere_goes_out)
+{
+    health h = judge(10);
+    h.ended(1, 7, false, at(0));
+    h.ended(0, 7, true, at(1));
+    cr_assert(h.standing_of(0) == standing::suspect);
+    h.ended(0, 7, true, at(1));
+    cr_assert(h.standing_of(0) == standing::out);
+    cr_assert_eq(h.limit(0), 0);
+}
+
+Test(health, job_that_fails_everywhere_takes_no_worker_out)
+{
+    health h = judge(10);
+    for (int round = 0; round < 20; ++round) {
+        for (worker_id w = 0; w < 10; ++w) {
+            h.ended(w, 99, true, at(round));
+        }
+    }
+    cr_assert(h.fails_everywhere(99));
+    cr_assert_eq(h.out(), 0U);
+    h.ended(4, 99, false, at(30));
+    cr_assert_not(h.fails_everywhere(99));
+}
+
+Test(health, worker_is_probed_and_brought_back_slowly)
+{
+    health h = judge(10);
+    h.ended(1, 7, false, at(0));
+    h.ended(0, 7, true, at(0));
+    h.ended(0, 7, true, at(0));
+    cr_assert(h.due(at(9)).empty());
+    cr_assert_eq(h.due(at(10)).size(), 1U);
+    cr_assert_eq(h.limit(0), 1);
+    h.ended(0, 7, true, at(11));
+    cr_assert(h.standing_of(0) == standing::out);
+    cr_assert(h.due(at(30)).empty(), "the wait doubles");
+    cr_assert_eq(h.due(at(31)).size(), 1U);
+    for (const std::int32_t limit : {2, 4, 8}) {
+        h.ended(0, 7, false, at(32));
+        cr_assert_eq(h.limit(0), limit);
+    }
+    h.ended(0, 7, false, at(33));
+    cr_assert(h.standing_of(0) == standing::trusted);
+}
+
+Test(health, no_more_than_the_cap_goes_out)
+{
+    health h = judge(10);
+    for (worker_id w = 0; w < 10; ++w) {
+        for (std::uint64_t job = 0; job < 8; ++job) {
+            h.ended(w, 100 * w + job, true, at(0));
+        }
+    }
+    cr_assert_eq(h.out(), 2U);
+    for (worker_id w = 0; w < 10; ++w) {
+        cr_assert_leq(h.limit(w), 1);
+    }
+}
