--- a/include/sesamesill/cell.h
+++ b/include/sesamesill/cell.h
@@ -48,6 +48,10 @@
     bool has(worker_id w) const { return w < slots_.size() && slots_[w].present; }
     std::uint32_t rack_of(worker_id w) const { return slots_[w].rack; }
     std::uint32_t data_center_of(worker_id w) const { return slots_[w].data_center; }
+    const attribute_map& attributes_of(worker_id w) const
+    {
+        return pools_[slots_[w].pool].attributes;
+    }
     const std::string& rack_name(std::uint32_t rack) const { return racks_.names[rack]; }
     const std::string& data_center_name(std::uint32_t dc) const { return data_centers_.names[dc]; }
     std::size_t data_centers() const { return data_centers_.names.size(); }
@@ -66,6 +70,7 @@
     bool start(worker_id w, held_task task);
     bool end(worker_id w, std::string_view task);
     bool vacate(worker_id w, std::string_view task);
+    void count_remedy(worker_id w, std::string_view task) { slots_[w].state.count_remedy(task); }
     bool hold(worker_id w, const resources& size);
     void hold_ahead(worker_id w, const resources& size);
     void release(worker_id w, const resources& size);
--- a/include/sesamesill/worker.h
+++ b/include/sesamesill/worker.h
@@ -29,8 +29,8 @@
     resources reserved;
     resources used; ///< by the last report, zero before it
     time_point started;
-    std::uint32_t job = 0;
     priority_band band = priority_band::normal;
+    std::uint8_t remedies = 0; ///< steps taken because it uses more than it reserved
     bool preemptible = false;
     bool listed = false;   ///< the worker has listed it at least once
     bool limited = false;  ///< counts towards the worker's start limit
@@ -86,6 +86,7 @@
     bool end(std::string_view task);
     /// Marks a task that was told to leave; its claim stays until the worker says that it ended.
     bool vacate(std::string_view task);
+    void count_remedy(std::string_view task);
     /// Keeps room for a task that is to start here later; returns whether there was room.
     bool hold(const resources& size);
     /// Keeps room that vacating tasks will free: the room may fall below zero until they end.
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -101,6 +101,14 @@
     return true;
 }
 
+void worker::count_remedy(std::string_view task)
+{
+    const auto found = position(task);
+    if (found != tasks_.end() && found->remedies < UINT8_MAX) {
+        ++found->remedies;
+    }
+}
+
 bool worker::hold(const resources& size)
 {
     if (!fits(size, room())) {
