Place, judge and relieve through the decision core in the worker service

Cause: the service scanned its workers, forgot starts that a worker never listed, started on leaving workers' shards by the list alone and left tasks over their size running. Change: places come from the core's index; a start not listed within 3 s counts as lost and its home is told; a silent worker has no room, and its tasks lapse only once no lease sent can still hold; a leaving worker gets nothing; health judged from ends; relief and pre-emption by checkpoint, then stop. may_act is asked at each send. Ruled out: counting a task as lost as soon as one list lacks it, since the list may have been asked for before the start was sent.

--- a/include/sesamesill/placement.h
+++ b/include/sesamesill/placement.h
@@ -86,6 +86,8 @@
     /// `waiting_weight` 0 packs as tightly as it can; 1 avoids workers with starts under way.
     placement(const cell& where, strategy how, double waiting_weight, std::uint64_t seed);
 
+    void set_waiting_weight(double weight) { waiting_weight_ = weight; }
+
     /// Returns the worker for a task, or nothing where none that was examined has room.
     std::optional<placement_choice> choose(const task_need& need);
 
--- a/include/sesamesill/worker.h
+++ b/include/sesamesill/worker.h
@@ -30,6 +30,7 @@
     resources used; ///< by the last report, zero before it
     time_point started;
     priority_band band = priority_band::normal;
+    std::int32_t attempt = 1;
     std::uint8_t remedies = 0; ///< steps taken because it uses more than it reserved
     bool preemptible = false;
     bool listed = false;   ///< the worker has listed it at least once
@@ -46,6 +47,7 @@
     resources reserved;
     resources used;
     bool holds = true; ///< false once it has ended
+    std::int32_t attempt = 1;
 };
 
 /// What a report changed.
--- a/src/node.cc
+++ b/src/node.cc
@@ -104,6 +104,7 @@
     s.journal.start();
     s.cell.start();
     s.documents.start();
+    s.documents.on_change([&s] { s.workers.set_policy(s.documents.current()->placement); });
     s.workers.start();
     s.jobs.start();
     log_event(log_level::info, "started", {{"listen", to_string(s.settings.listen)}});
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -131,6 +131,9 @@
 void worker::take_listed(const task_usage& usage, time_point asked, report_result& result)
 {
     const auto found = position(usage.name);
+    if (found != tasks_.end() && usage.attempt < found->attempt) {
+        return;
+    }
     if (!usage.holds) {
         result.ended.push_back(usage.name);
         end(usage.name);
@@ -142,6 +145,7 @@
         adopted.reserved = usage.reserved;
         adopted.used = usage.used;
         adopted.started = asked;
+        adopted.attempt = usage.attempt;
         adopted.listed = true;
         claimed_ += adopted.claim();
         tasks_.push_back(std::move(adopted));
--- a/src/worker_service.cc
+++ b/src/worker_service.cc
@@ -1,73 +1,206 @@
-// Counts what each worker holds: by the starts that were sent and by the worker's own list.
+// Follows the VM list and the workers' own lists; ends of tasks go to their homes.
 
 #include "worker_service.h"
 
+#include <set>
+
+#include <xxhash.h>
+
 #include "sesamesill/log.h"
 #include "sesamesill/rpc.h"
 
 namespace sesamesill {
+namespace {
+
+constexpr micros start_grace = std::chrono::seconds(3);
+constexpr int silent_after_syncs = 3;
+constexpr millis lapse_margin{2000};
+constexpr std::uint64_t placement_seed = 1;
+
+worker_entry entry_of(const vm& v)
+{
+    return {v.name, v.size, v.data_center, v.rack, v.attributes};
+}
 
-worker_service::worker_service(event_loop& loop, http_client& client, cell_service& cell,
+bool holds(task_state state)
+{
+    return state == task_state::running || state == task_state::throttled;
+}
+
+std::vector<task_usage> usages_of(const worker_report& report)
+{
+    std::vector<task_usage> result;
+    result.reserve(report.tasks.size());
+    for (const task_report& t : report.tasks) {
+        result.push_back({t.task, t.reserved, t.used, holds(t.state), t.attempt});
+    }
+    return result;
+}
+
+} // namespace
+
+worker_service::worker_service(event_loop& loop, http_client& client, cell_service& members,
                                const node_settings& settings)
-    : loop_(loop), client_(client), cell_(cell), settings_(settings)
+    : loop_(loop), client_(client), members_(members), settings_(settings),
+      packing_(owned_, strategy::balance, placement_policy{}.waiting_weight, placement_seed),
+      spreading_(owned_, strategy::spread, placement_policy{}.waiting_weight, placement_seed),
+      gangs_(owned_, packing_), health_(health_limits{})
 {
-    cell_.on_change([this] { update_workers(); });
+    members_.on_change([this] { update_workers(); });
 }
 
 void worker_service::start()
 {
-    loop_.every(settings_.sync_interval, [this] { sync_all(); });
+    loop_.every(settings_.sync_interval, [this] { tick(); });
+}
+
+void worker_service::set_policy(const placement_policy& policy)
+{
+    packing_.set_waiting_weight(policy.waiting_weight);
+    spreading_.set_waiting_weight(policy.waiting_weight);
+    gangs_.set_reservation(policy.reservation);
+    health_.set_max_out_ratio(policy.max_out_ratio);
+}
+
+bool worker_service::enabled(std::string_view mechanism) const
+{
+    return !is_disabled(settings_, mechanism);
 }
 
 void worker_service::update_workers()
 {
-    std::map<std::string, worker_state> kept;
-    for (const vm& v : cell_.vms()) {
-        if (v.role != vm_role::worker || !cell_.may_act(shard_of(v))) {
-            continue;
+    std::set<std::string> listed;
+    for (const vm& v : members_.vms()) {
+        if (v.role == vm_role::worker) {
+            listed.insert(v.name);
+            all_.put(entry_of(v));
+            if (members_.may_act(shard_of(v))) {
+                update_worker(v);
+            }
+        }
+    }
+    for (worker_id w = 0; w < all_.end_id(); ++w) {
+        if (all_.has(w) && listed.count(all_.at(w).name()) == 0) {
+            all_.remove(w);
+        }
+    }
+    std::vector<std::string> gone;
+    for (std::pair<const std::string, worker_link>& entry : links_) {
+        worker_link& link = entry.second;
+        link.listed = listed.count(entry.first) > 0;
+        const bool idle = owned_.at(link.id).tasks().empty() && link.finished.empty();
+        if (!members_.may_act(shard_of(link.target)) || (!link.listed && idle)) {
+            gone.push_back(entry.first);
         }
-        const auto before = workers_.find(v.name);
-        worker_state& w = kept[v.name];
-        if (before != workers_.end()) {
-            w = std::move(before->second);
+        else {
+            update_state(link);
         }
-        w.target = v;
     }
-    workers_.swap(kept);
+    for (const std::string& name : gone) {
+        drop_worker(name);
+    }
 }
 
-void worker_service::sync_all()
+void worker_service::update_worker(const vm& v)
 {
-    for (std::pair<const std::string, worker_state>& entry : workers_) {
-        sync(entry.second);
+    worker_link& link = links_[v.name];
+    link.target = v;
+    link.id = owned_.put(entry_of(v));
+    health_.add(link.id);
+}
+
+void worker_service::drop_worker(const std::string& name)
+{
+    const worker_link& link = links_.at(name);
+    for (const held_task& t : owned_.at(link.id).tasks()) {
+        places_.erase(t.name);
+        const auto spread = spreads_.find(job_of_task(t.name));
+        if (spread != spreads_.end()) {
+            spread->second.remove(owned_, link.id);
+        }
     }
+    gangs_.remove_worker(link.id);
+    health_.remove(link.id);
+    owned_.remove(link.id);
+    links_.erase(name);
 }
 
-void worker_service::sync(worker_state& w)
+void worker_service::update_state(worker_link& link)
+{
+    const time_point now = boot_clock::now();
+    worker_state state = worker_state::live;
+    if (!link.accounted || now - link.heard > settings_.sync_interval * silent_after_syncs) {
+        state = worker_state::unaccounted;
+    }
+    else if (!link.listed || link.target.state == vm_state::leaving) {
+        state = worker_state::leaving;
+    }
+    else if (health_.limit(link.id) == 0) {
+        state = worker_state::out;
+    }
+    if (owned_.at(link.id).state() != state) {
+        log_event(log_level::info, "worker_state",
+                  {{"worker", link.target.name}, {"state", std::string(name_of(state))}});
+        owned_.set_state(link.id, state);
+    }
+    owned_.set_start_limit(link.id, health_.limit(link.id));
+}
+
+void worker_service::tick()
+{
+    const time_point now = boot_clock::now();
+    health_.due(now);
+    for (std::pair<const std::string, worker_link>& entry : links_) {
+        worker_link& link = entry.second;
+        update_state(link);
+        if (link.accounted && now - link.renewed > settings_.task_lease + lapse_margin) {
+            lapse_all(link);
+        }
+        sync(link);
+    }
+    gangs_.advance(now);
+}
+
+Json::Value worker_service::sync_body(worker_link& link, time_point now) const
 {
     Json::Value body;
     body["lease_ms"] = static_cast<Json::Int64>(settings_.task_lease.count());
     body["renew"] = Json::Value(Json::arrayValue);
     body["forget"] = Json::Value(Json::arrayValue);
-    for (const std::pair<const std::string, held_task>& entry : w.tasks) {
-        if (entry.second.acknowledged) {
+    for (const std::pair<const std::string, finished_task>& entry : link.finished) {
+        if (entry.second.acknowledged && entry.second.listed) {
             body["forget"].append(entry.first);
         }
-        else if (!entry.second.ended) {
-            body["renew"].append(entry.first);
+    }
+    // A worker that answers no more is left to end its tasks by itself.
+    if (!link.accounted || now - link.heard < settings_.task_lease / 2) {
+        for (const held_task& t : owned_.at(link.id).tasks()) {
+            body["renew"].append(t.name);
         }
+        link.renewed = now;
     }
+    return body;
+}
+
+void worker_service::sync(worker_link& link)
+{
+    if (link.syncing) {
+        return;
+    }
+    link.syncing = true;
+    const time_point asked = boot_clock::now();
     http_call call;
     call.method = "POST";
     call.path = "/sync";
-    call.body = to_text(body);
-    const std::string name = w.target.name;
-    client_.send(w.target.address, std::move(call),
-                 [this, name](const std::optional<http_reply>& reply, const error& failure) {
-                     const auto found = workers_.find(name);
-                     if (found == workers_.end()) {
+    call.body = to_text(sync_body(link, asked));
+    const std::string name = link.target.name;
+    client_.send(link.target.address, std::move(call),
+                 [this, name, asked](const std::optional<http_reply>& reply, const error& failure) {
+                     const auto found = links_.find(name);
+                     if (found == links_.end()) {
                          return;
                      }
+                     found->second.syncing = false;
                      error why = failure;
                      std::optional<worker_report> report;
                      if (reply && reply->status == 200) {
@@ -79,103 +212,148 @@
                          log_error("worker_sync_failed", why);
                          return;
                      }
-                     take_report(found->second, *report);
+                     take_report(found->second, *report, asked);
                  });
 }
 
-void worker_service::take_report(worker_state& w, const worker_report& report)
+void worker_service::take_report(worker_link& link, const worker_report& report, time_point asked)
 {
-    w.accounted = true;
-    std::set<std::string> listed;
-    for (const task_report& t : report.tasks) {
-        listed.insert(t.task);
-        const bool fresh = w.tasks.count(t.task) == 0;
-        held_task& held = w.tasks[t.task];
-        if (fresh) {
-            held.size = t.reserved;
-            w.held += held.size;
+    if (link.accounted && asked < link.taken) {
+        return;
+    }
+    link.taken = asked;
+    link.heard = boot_clock::now();
+    link.accounted = true;
+    const report_result changes = owned_.report(link.id, usages_of(report), asked, start_grace);
+    for (const std::string& task : changes.adopted) {
+        const auto known = link.finished.find(task);
+        if (known != link.finished.end()) {
+            send_change(link, task, "stop");
         }
-        if (is_ended(t.state) && !held.ended) {
-            held.ended = true;
-            w.held -= held.size;
+        else {
+            places_[task] = link.target.name;
         }
-        if (held.ended && !held.acknowledged && ended_) {
-            const std::string worker = w.target.name;
-            const std::string task = t.task;
-            ended_(t, [this, worker, task] {
-                const auto found = workers_.find(worker);
-                if (found != workers_.end() && found->second.tasks.count(task) > 0) {
-                    found->second.tasks[task].acknowledged = true;
-                }
-            });
+    }
+    for (const task_report& t : report.tasks) {
+        if (!holds(t.state)) {
+            take_end(link, t);
         }
     }
-    for (auto it = w.tasks.begin(); it != w.tasks.end();) {
-        const bool forgotten = it->second.acknowledged && listed.count(it->first) == 0;
-        it = forgotten ? w.tasks.erase(it) : std::next(it);
+    for (const std::string& task : changes.missing) {
+        task_report lost;
+        lost.task = task;
+        lost.state = task_state::lapsed;
+        lost.result = "the worker does not list it";
+        finish(link, lost, false);
+    }
+    forget_ends(link, report);
+    tell_ends(link);
+    update_state(link);
+    relieve(link);
+    try_pending(link);
+}
+
+void worker_service::take_end(worker_link& link, const task_report& report)
+{
+    if (owned_.at(link.id).find(report.task) != nullptr || link.finished.count(report.task) > 0) {
+        return;
     }
+    judge(link, report);
+    finish(link, report, true);
 }
 
-std::optional<std::string> worker_service::place(const task_spec& task, error& why)
+void worker_service::judge(worker_link& link, const task_report& report)
 {
-    worker_state* best = nullptr;
-    std::int64_t best_left = 0;
-    for (std::pair<const std::string, worker_state>& entry : workers_) {
-        worker_state& w = entry.second;
-        const resources room = w.target.size - w.held;
-        const std::int64_t left = room.cpu_millis - task.size.cpu_millis;
-        if (w.accounted && w.target.state == vm_state::live && fits(task.size, room) &&
-            (best == nullptr || left < best_left)) {
-            best = &w;
-            best_left = left;
+    if (report.state != task_state::done && report.state != task_state::failed) {
+        return;
+    }
+    const std::string job = job_of_task(report.task);
+    if (enabled("health")) {
+        health_.ended(link.id, XXH3_64bits(job.data(), job.size()),
+                      report.state == task_state::failed, boot_clock::now());
+    }
+}
+
+void worker_service::finish(worker_link& link, task_report report, bool listed)
+{
+    places_.erase(report.task);
+    const auto spread = spreads_.find(job_of_task(report.task));
+    if (spread != spreads_.end()) {
+        spread->second.remove(owned_, link.id);
+        if (spread->second.workers.empty()) {
+            spreads_.erase(spread);
         }
     }
-    if (best == nullptr) {
-        why = {error_code::overload, step::placement, cell_.self(), "no worker has room"};
-        return std::nullopt;
+    const std::string task = report.task;
+    link.finished[task] = {std::move(report), listed, false};
+}
+
+void worker_service::tell_ends(worker_link& link)
+{
+    if (!ended_) {
+        return;
     }
-    best->tasks[task.task] = {task.size, false, false};
-    best->held += task.size;
-    Json::Value body;
-    body["task"] = task.task;
-    body["attempt"] = task.attempt;
-    body["epoch"] = 0;
-    body["cpu_millis"] = static_cast<Json::Int64>(task.size.cpu_millis);
-    body["memory_mb"] = static_cast<Json::Int64>(task.size.memory_mb);
-    body["accelerators"] = static_cast<Json::Int64>(task.size.accelerators);
-    body["lease_ms"] = static_cast<Json::Int64>(settings_.task_lease.count());
-    body["payload"] = task.payload;
-    http_call call;
-    call.method = "POST";
-    call.path = "/tasks";
-    call.body = to_text(body);
-    const std::string name = best->target.name;
-    client_.send(
-        best->target.address, std::move(call),
-        [name](const std::optional<http_reply>& reply, const error& why_not) {
-            if (!reply) {
-                log_error("start_unanswered", {why_not.code, step::dispatch, name, why_not.reason});
+    std::vector<task_report> untold;
+    for (const std::pair<const std::string, finished_task>& entry : link.finished) {
+        if (!entry.second.acknowledged) {
+            untold.push_back(entry.second.report);
+        }
+    }
+    const std::string name = link.target.name;
+    for (const task_report& t : untold) {
+        const std::string task = t.task;
+        const std::int32_t attempt = t.attempt;
+        ended_(t, [this, name, task, attempt] {
+            const auto found = links_.find(name);
+            if (found == links_.end()) {
+                return;
+            }
+            const auto ended = found->second.finished.find(task);
+            if (ended != found->second.finished.end() && ended->second.report.attempt == attempt) {
+                ended->second.acknowledged = true;
             }
         });
-    return name;
+    }
+}
+
+void worker_service::forget_ends(worker_link& link, const worker_report& report)
+{
+    std::set<std::string> listed;
+    for (const task_report& t : report.tasks) {
+        listed.insert(t.task);
+    }
+    for (auto it = link.finished.begin(); it != link.finished.end();) {
+        it->second.listed = listed.count(it->first) > 0;
+        const bool over = it->second.acknowledged && !it->second.listed;
+        it = over ? link.finished.erase(it) : std::next(it);
+    }
 }
 
-resources worker_service::used() const
+void worker_service::lapse_all(worker_link& link)
 {
-    resources sum;
-    for (const std::pair<const std::string, worker_state>& entry : workers_) {
-        sum += entry.second.held;
+    const std::vector<held_task> tasks = owned_.at(link.id).tasks();
+    for (const held_task& t : tasks) {
+        owned_.end(link.id, t.name);
+        task_report lost;
+        lost.task = t.name;
+        lost.attempt = t.attempt;
+        lost.state = task_state::lapsed;
+        lost.result = "the worker did not answer until its lease was over";
+        finish(link, lost, false);
     }
-    return sum;
+    tell_ends(link);
 }
 
-resources worker_service::size() const
+void worker_service::relieve(worker_link& link)
 {
-    resources sum;
-    for (const std::pair<const std::string, worker_state>& entry : workers_) {
-        sum += entry.second.target.size;
+    for (const relief& step : choose_relief(owned_.at(link.id))) {
+        log_event(log_level::warning, "task_over_its_size",
+                  {{"task", step.task},
+                   {"worker", link.target.name},
+                   {"action", std::string(name_of(step.action))}});
+        owned_.count_remedy(link.id, step.task);
+        send_change(link, step.task, std::string(name_of(step.action)));
     }
-    return sum;
 }
 
 } // namespace sesamesill
--- /dev/null
+++ b/src/worker_starts.cc
@@ -0,0 +1,262 @@
+// The part of the worker service that chooses places and sends starts.
+
+#include "sesamesill/log.h"
+#include "sesamesill/rpc.h"
+#include "worker_service.h"
+
+namespace sesamesill {
+namespace {
+
+/// A task that was asked to make way is stopped after this, so that urgent work starts within 2 s.
+constexpr micros checkpoint_limit = std::chrono::milliseconds(800);
+constexpr micros pending_limit = std::chrono::seconds(10);
+
+} // namespace
+
+task_need worker_service::need_of(const task_spec& task) const
+{
+    task_need need;
+    need.size = task.size;
+    need.attributes = &task.attributes;
+    need.max_per_rack = task.max_per_rack;
+    const auto own = spreads_.find(job_of_task(task.task));
+    need.own = own != spreads_.end() ? &own->second : nullptr;
+    return need;
+}
+
+std::optional<worker_id> worker_service::choose(const task_spec& task, error& why)
+{
+    task_need need = need_of(task);
+    if (!enabled("overfill_guard")) {
+        need.size = {};
+    }
+    placement& how = task.kind == work_kind::service ? spreading_ : packing_;
+    const std::optional<placement_choice> choice = how.choose(need);
+    if (!choice) {
+        why = {error_code::overload, step::placement, members_.self(), "no worker has room"};
+        return std::nullopt;
+    }
+    if (!members_.may_act(shard_of(link_of(choice->worker).target))) {
+        why = {error_code::not_owner, step::placement, members_.self(),
+               "the authority over the shard is over"};
+        return std::nullopt;
+    }
+    return choice->worker;
+}
+
+std::optional<std::string> worker_service::place_of(const task_spec& task) const
+{
+    const auto known = places_.find(task.task);
+    return known != places_.end() ? std::optional<std::string>(known->second) : std::nullopt;
+}
+
+bool worker_service::begin(worker_id w, const task_spec& task)
+{
+    held_task held;
+    held.name = task.task;
+    held.reserved = enabled("overfill_guard") ? task.size : resources{};
+    held.started = boot_clock::now();
+    held.attempt = task.attempt;
+    held.band = task.band;
+    held.preemptible = task.preemptible;
+    if (!owned_.start(w, std::move(held))) {
+        return false;
+    }
+    worker_link& link = link_of(w);
+    link.finished.erase(task.task);
+    link.renewed = std::max(link.renewed, boot_clock::now());
+    places_[task.task] = link.target.name;
+    if (task.kind == work_kind::service) {
+        spreads_[job_of_task(task.task)].add(owned_, w);
+    }
+    return true;
+}
+
+std::optional<std::string> worker_service::place(const task_spec& task, error& why)
+{
+    std::optional<std::string> known = place_of(task);
+    if (known) {
+        return known;
+    }
+    const std::optional<worker_id> w = choose(task, why);
+    if (!w) {
+        return task.may_preempt ? preempt(task, why) : std::nullopt;
+    }
+    if (!begin(*w, task)) {
+        why = {error_code::internal, step::placement, owned_.at(*w).name(), "the worker is full"};
+        return std::nullopt;
+    }
+    send_start(link_of(*w), task);
+    return owned_.at(*w).name();
+}
+
+std::optional<std::vector<std::string>>
+worker_service::place_all(const std::vector<task_spec>& tasks, error& why)
+{
+    std::vector<std::string> names;
+    if (tasks.empty()) {
+        return names;
+    }
+    const task_spec& first = tasks.front();
+    if (place_of(first)) {
+        for (const task_spec& task : tasks) {
+            names.push_back(place_of(task).value_or(""));
+        }
+        return names;
+    }
+    const std::optional<std::vector<worker_id>> places = gangs_.request(
+        {job_of_task(first.task), tasks.size(), first.size, first.attributes}, boot_clock::now());
+    why = {error_code::overload, step::placement, members_.self(),
+           "there is no room for all tasks at once"};
+    if (!places) {
+        return std::nullopt;
+    }
+    for (const worker_id w : *places) {
+        if (!members_.may_act(shard_of(link_of(w).target))) {
+            why.code = error_code::not_owner;
+            return std::nullopt;
+        }
+    }
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (!begin((*places)[i], tasks[i])) {
+            for (std::size_t j = 0; j < i; ++j) {
+                owned_.end((*places)[j], tasks[j].task);
+                places_.erase(tasks[j].task);
+            }
+            return std::nullopt;
+        }
+        names.push_back(owned_.at((*places)[i]).name());
+    }
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        send_start(link_of((*places)[i]), tasks[i]);
+    }
+    return names;
+}
+
+std::optional<std::string> worker_service::preempt(const task_spec& task, error& why)
+{
+    const std::optional<eviction> victims =
+        choose_victims(owned_, task.size, task.band, task.attributes);
+    if (!victims || !members_.may_act(shard_of(link_of(victims->worker).target))) {
+        why = {error_code::overload, step::placement, members_.self(),
+               "no worker has room and nothing that may be stopped would make enough"};
+        return std::nullopt;
+    }
+    worker_link& link = link_of(victims->worker);
+    for (const std::string& victim : victims->tasks) {
+        owned_.vacate(link.id, victim);
+        send_change(link, victim, "checkpoint");
+    }
+    owned_.hold_ahead(link.id, task.size);
+    link.pending[task.task] = {task, victims->tasks, boot_clock::now(), false};
+    places_[task.task] = link.target.name;
+    return link.target.name;
+}
+
+void worker_service::try_pending(worker_link& link)
+{
+    const time_point now = boot_clock::now();
+    for (auto it = link.pending.begin(); it != link.pending.end();) {
+        pending_start& p = it->second;
+        owned_.release(link.id, p.spec.size);
+        if (members_.may_act(shard_of(link.target)) && begin(link.id, p.spec)) {
+            send_start(link, p.spec);
+            it = link.pending.erase(it);
+            continue;
+        }
+        if (now - p.since > pending_limit) {
+            task_report lost;
+            lost.task = p.spec.task;
+            lost.attempt = p.spec.attempt;
+            lost.state = task_state::lapsed;
+            lost.result = "no room was made in time; it never started";
+            finish(link, lost, false);
+            it = link.pending.erase(it);
+            continue;
+        }
+        owned_.hold_ahead(link.id, p.spec.size);
+        if (!p.stopped && now - p.since > checkpoint_limit) {
+            p.stopped = true;
+            for (const std::string& victim : p.victims) {
+                send_change(link, victim, "stop");
+            }
+        }
+        ++it;
+    }
+}
+
+void worker_service::send_start(worker_link& link, const task_spec& task)
+{
+    Json::Value body;
+    body["task"] = task.task;
+    body["attempt"] = task.attempt;
+    body["epoch"] = 0;
+    body["cpu_millis"] = static_cast<Json::Int64>(task.size.cpu_millis);
+    body["memory_mb"] = static_cast<Json::Int64>(task.size.memory_mb);
+    body["accelerators"] = static_cast<Json::Int64>(task.size.accelerators);
+    body["lease_ms"] = static_cast<Json::Int64>(settings_.task_lease.count());
+    body["payload"] = task.payload;
+    http_call call;
+    call.method = "POST";
+    call.path = "/tasks";
+    call.body = to_text(body);
+    const std::string name = link.target.name;
+    client_.send(
+        link.target.address, std::move(call),
+        [this, name](const std::optional<http_reply>& reply, const error& why_not) {
+            if (!reply) {
+                log_error("start_unanswered", {why_not.code, step::dispatch, name, why_not.reason});
+                return;
+            }
+            const Json::Value answer = json_from(reply->body).value_or(Json::Value());
+            const auto found = links_.find(name);
+            if (found != links_.end() && answer.isObject() && answer["state"] == "failed") {
+                sync(found->second);
+            }
+        });
+}
+
+void worker_service::send_change(worker_link& link, const std::string& task,
+                                 const std::string& change)
+{
+    Json::Value body;
+    body["task"] = task;
+    const held_task* held = owned_.at(link.id).find(task);
+    body["attempt"] = held != nullptr ? held->attempt : 1;
+    http_call call;
+    call.method = "POST";
+    call.path = "/tasks/" + change;
+    call.body = to_text(body);
+    const std::string name = link.target.name;
+    client_.send(link.target.address, std::move(call),
+                 [this, name, change](const std::optional<http_reply>& reply, const error& why) {
+                     if (!reply) {
+                         log_error("task_" + change + "_unanswered", why);
+                         return;
+                     }
+                     const auto found = links_.find(name);
+                     if (found != links_.end() && change != "throttle") {
+                         sync(found->second);
+                     }
+                 });
+}
+
+std::optional<error> worker_service::never_fits(const task_spec& task, std::int64_t count) const
+{
+    if (all_.size() == 0) {
+        return std::nullopt;
+    }
+    std::optional<error> why = sesamesill::never_fits(all_, task.size, task.attributes);
+    if (why || task.kind != work_kind::gang) {
+        return why;
+    }
+    const std::int64_t most = most_tasks(all_, task.size, task.attributes);
+    if (count <= most) {
+        return std::nullopt;
+    }
+    return error{error_code::unfit, step::admission, "",
+                 "all at once, the cell holds at most " + std::to_string(most) + " tasks of " +
+                     to_string(task.size)};
+}
+
+} // namespace sesamesill
--- a/test/health-test.cc
+++ b/test/health-test.cc
@@ -75,7 +75,7 @@
     health h = judge(10);
     for (worker_id w = 0; w < 10; ++w) {
         for (std::uint64_t job = 0; job < 8; ++job) {
-            h.ended(w, 100 * w + job, true, at(0));
+            h.ended(w, std::uint64_t{100} * w + job, true, at(0));
         }
     }
     cr_assert_eq(h.out(), 2U);
--- a/test/worker-test.cc
+++ b/test/worker-test.cc
@@ -75,6 +75,17 @@
     cr_assert(w.claimed() == resources{});
 }
 
+Test(worker, listing_of_an_earlier_attempt_does_not_end_the_present_one)
+{
+    worker w = live_worker();
+    held_task t = task("a", {1000, 1024, 0}, 10);
+    t.attempt = 2;
+    w.start(t);
+    const report_result r = w.report({{"a", {}, {}, false, 1}}, at(10), grace);
+    cr_assert(r.ended.empty());
+    cr_assert(w.claimed() == (resources{1000, 1024, 0}));
+}
+
 Test(worker, vacating_task_keeps_its_claim_until_it_ended)
 {
     worker w = live_worker();
