--- /dev/null
+++ b/src/explain.cc
@@ -0,0 +1,237 @@
+// Explanations in words and JSON, made from the same state that decides.
+
+#include "sesamesill/explain.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <sstream>
+
+#include "sesamesill/names.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr name_table<obstacle, 11> obstacle_names{
+    {{obstacle::unaccounted, "not accounted for"},
+     {obstacle::leaving, "leaving"},
+     {obstacle::out, "taken out as unhealthy"},
+     {obstacle::attributes, "without the required attributes"},
+     {obstacle::too_small, "too small even when empty"},
+     {obstacle::processors, "too few free processors"},
+     {obstacle::memory, "too little free memory"},
+     {obstacle::accelerators, "too few free accelerators"},
+     {obstacle::rack_full, "in racks with as many tasks of the job as allowed"},
+     {obstacle::not_near, "away from the job it must be near"},
+     {obstacle::not_apart, "with tasks of the job it must be apart from"}}};
+
+std::optional<obstacle> obstacle_of_state(worker_state state)
+{
+    switch (state) {
+    case worker_state::unaccounted:
+        return obstacle::unaccounted;
+    case worker_state::leaving:
+        return obstacle::leaving;
+    case worker_state::out:
+        return obstacle::out;
+    case worker_state::live:
+        break;
+    }
+    return std::nullopt;
+}
+
+std::optional<obstacle> obstacle_of_room(const worker& w, const resources& size)
+{
+    if (!fits(size, w.size())) {
+        return obstacle::too_small;
+    }
+    const resources room = w.room();
+    if (size.cpu_millis > room.cpu_millis) {
+        return obstacle::processors;
+    }
+    if (size.memory_mb > room.memory_mb) {
+        return obstacle::memory;
+    }
+    return size.accelerators > room.accelerators ? std::optional<obstacle>(obstacle::accelerators)
+                                                 : std::nullopt;
+}
+
+std::optional<obstacle> obstacle_on(const cell& where, worker_id w, const task_need& need)
+{
+    const worker& candidate = where.at(w);
+    const std::optional<obstacle> by_state = obstacle_of_state(candidate.state());
+    if (by_state) {
+        return by_state;
+    }
+    if (need.attributes != nullptr && !has_attributes(where.attributes_of(w), *need.attributes)) {
+        return obstacle::attributes;
+    }
+    const std::optional<obstacle> by_room = obstacle_of_room(candidate, need.size);
+    if (by_room) {
+        return by_room;
+    }
+    const std::uint32_t rack = where.rack_of(w);
+    if (need.max_per_rack > 0 && need.own != nullptr &&
+        job_spread::count(need.own->racks, rack) >= need.max_per_rack) {
+        return obstacle::rack_full;
+    }
+    if (need.near != nullptr && job_spread::count(need.near->racks, rack) == 0) {
+        return obstacle::not_near;
+    }
+    if (need.apart != nullptr && job_spread::count(need.apart->workers, w) > 0) {
+        return obstacle::not_apart;
+    }
+    return std::nullopt;
+}
+
+std::string waits_for(const work_queue& queue, const fairness& tenants, const waiting_work& work,
+                      const explanation& e)
+{
+    std::ostringstream out;
+    if (!tenants.within_quota(work.tenant, work.size)) {
+        out << "the quota of tenant " << tenants.name(work.tenant) << ": "
+            << to_string(tenants.running(work.tenant)) << " run, of "
+            << to_string(tenants.quota(work.tenant));
+        return out.str();
+    }
+    std::int64_t ahead = 0;
+    for (const priority_band band : {priority_band::background, priority_band::normal,
+                                     priority_band::high, priority_band::urgent}) {
+        ahead += band > work.band ? queue.waiting(band) : 0;
+    }
+    if (e.with_room == 0) {
+        out << "room: no worker has " << to_string(work.size) << " free";
+    }
+    else {
+        out << "its turn";
+    }
+    out << "; " << ahead << " entries wait in higher bands, " << queue.waiting(work.band)
+        << " in its own; tenant " << tenants.name(work.tenant) << " has a share of "
+        << tenants.share(work.tenant);
+    return out.str();
+}
+
+} // namespace
+
+std::string_view name_of(obstacle o)
+{
+    return name_in(obstacle_names, o);
+}
+
+explanation explain_need(const cell& where, const std::string& task, const task_need& need)
+{
+    std::array<std::int64_t, obstacle_names.size()> counts{};
+    explanation e;
+    e.task = task;
+    for (worker_id w = 0; w < where.end_id(); ++w) {
+        if (!where.has(w)) {
+            continue;
+        }
+        const std::optional<obstacle> found = obstacle_on(where, w, need);
+        if (found) {
+            ++counts[static_cast<std::size_t>(*found)];
+        }
+        else {
+            ++e.with_room;
+        }
+    }
+    for (const named_value<obstacle>& entry : obstacle_names) {
+        const std::int64_t workers = counts[static_cast<std::size_t>(entry.value)];
+        if (workers > 0) {
+            e.elsewhere.push_back({entry.value, workers});
+        }
+    }
+    std::sort(
+        e.elsewhere.begin(), e.elsewhere.end(),
+        [](const obstacle_count& a, const obstacle_count& b) { return a.workers > b.workers; });
+    return e;
+}
+
+explanation explain_placed(const cell& where, const std::string& task, worker_id w,
+                           const task_need& need, strategy how)
+{
+    explanation e = explain_need(where, task, need);
+    const worker& chosen = where.at(w);
+    const held_task* held = chosen.find(task);
+    e.worker = chosen.name();
+    std::ostringstream out;
+    out << (how == strategy::spread ? "fewest tasks of the job in its data centre and rack"
+                                    : "least left over there, and that evenly")
+        << " (" << name_of(how) << "); rack " << where.rack_name(where.rack_of(w));
+    if (held != nullptr) {
+        out << "; it counts for " << to_string(held->claim()) << " of " << to_string(chosen.size());
+    }
+    out << "; " << to_string(chosen.size() - chosen.claimed()) << " are left";
+    e.why_there = out.str();
+    return e;
+}
+
+explanation explain_waiting(const cell& where, const work_queue& queue, const fairness& tenants,
+                            ticket t, const std::string& task, const task_need& need)
+{
+    explanation e = explain_need(where, task, need);
+    const waiting_work* work = queue.find(t);
+    e.waits_for =
+        work != nullptr ? waits_for(queue, tenants, *work, e) : "nothing: it is not queued";
+    return e;
+}
+
+void explain_gang(explanation& e, const gang_book& gangs, const std::string& job)
+{
+    const std::optional<std::size_t> position = gangs.position(job);
+    if (!position) {
+        return;
+    }
+    std::ostringstream out;
+    out << e.waits_for << (e.waits_for.empty() ? "" : "; ");
+    if (gangs.holder() == job) {
+        out << "room for all tasks at once: it holds " << gangs.held() << " places";
+    }
+    else {
+        out << "its turn among the all-at-once jobs: " << *position << " before it";
+    }
+    e.waits_for = out.str();
+}
+
+std::string to_string(const explanation& e)
+{
+    std::ostringstream out;
+    out << e.task << ": ";
+    if (!e.worker.empty()) {
+        out << "on " << e.worker << ": " << e.why_there;
+    }
+    else {
+        out << "waits for " << e.waits_for;
+    }
+    out << ". " << e.with_room << " workers could take it now";
+    for (const obstacle_count& o : e.elsewhere) {
+        out << "; " << o.workers << " " << name_of(o.what);
+    }
+    out << ".";
+    return out.str();
+}
+
+Json::Value to_json(const explanation& e)
+{
+    Json::Value body;
+    body["task"] = e.task;
+    if (!e.worker.empty()) {
+        body["worker"] = e.worker;
+        body["why_there"] = e.why_there;
+    }
+    else {
+        body["waits_for"] = e.waits_for;
+    }
+    body["with_room"] = static_cast<Json::Int64>(e.with_room);
+    body["elsewhere"] = Json::Value(Json::arrayValue);
+    for (const obstacle_count& o : e.elsewhere) {
+        Json::Value entry;
+        entry["obstacle"] = std::string(name_of(o.what));
+        entry["workers"] = static_cast<Json::Int64>(o.workers);
+        body["elsewhere"].append(entry);
+    }
+    body["text"] = to_string(e);
+    return body;
+}
+
+} // namespace sesamesill
