Reserve learnt peaks on workers

Cause: a task that needs more than it declares filled its worker beyond its size before the next report. Change: the reservation on the worker follows the class's learnt peak, up to the roomiest worker that could hold it, so that it never grows beyond what any worker could take.

--- a/include/sesamesill/placement.h
+++ b/include/sesamesill/placement.h
@@ -131,6 +131,9 @@
 std::optional<error> never_fits(const cell& where, const resources& size,
                                 const attribute_map& required);
 
+/// Returns the largest worker that could hold `size` when empty, or `size` where there is none.
+resources roomiest(const cell& where, const resources& size, const attribute_map& required);
+
 /// Returns how many tasks of `size` the whole cell could hold if it were empty.
 std::int64_t most_tasks(const cell& where, const resources& size, const attribute_map& required);
 
--- a/include/sesamesill/worker.h
+++ b/include/sesamesill/worker.h
@@ -28,6 +28,7 @@
     std::string name;
     resources reserved;
     resources used; ///< by the last report, zero before it
+    resources peak; ///< most of what was reported
     time_point started;
     priority_band band = priority_band::normal;
     std::int32_t attempt = 1;
@@ -53,6 +54,7 @@
 /// What a report changed.
 struct report_result {
     std::vector<std::string> ended;   ///< listed as ended
+    std::vector<held_task> left;      ///< those of ended that were held, as they were last
     std::vector<std::string> missing; ///< should be listed and is not
     std::vector<std::string> adopted; ///< listed and unknown here
     std::vector<std::string> over;    ///< report more use than was reserved
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -386,6 +386,25 @@
                      to_string(nearest)};
 }
 
+resources roomiest(const cell& where, const resources& size, const attribute_map& required)
+{
+    resources best = size;
+    double most = 0.0;
+    for (const worker_pool& pool : where.pools()) {
+        if (!has_attributes(pool.attributes, required)) {
+            continue;
+        }
+        for (const std::pair<resources, std::int64_t>& kind : pool.sizes) {
+            const resource_shares s = shares_of(kind.first, where.largest());
+            if (fits(size, kind.first) && s.cpu + s.memory > most) {
+                best = kind.first;
+                most = s.cpu + s.memory;
+            }
+        }
+    }
+    return best;
+}
+
 std::int64_t most_tasks(const cell& where, const resources& size, const attribute_map& required)
 {
     std::int64_t sum = 0;
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -136,7 +136,10 @@
     }
     if (!usage.holds) {
         result.ended.push_back(usage.name);
-        end(usage.name);
+        if (found != tasks_.end()) {
+            result.left.push_back(*found);
+            end(usage.name);
+        }
         return;
     }
     if (found == tasks_.end()) {
@@ -154,6 +157,7 @@
     }
     claimed_ -= found->claim();
     found->used = usage.used;
+    found->peak = larger(found->peak, usage.used);
     found->listed = true;
     claimed_ += found->claim();
     if (!fits(found->used, found->reserved)) {
--- a/src/worker_service.cc
+++ b/src/worker_service.cc
@@ -58,6 +58,7 @@
 {
     packing_.set_waiting_weight(policy.waiting_weight);
     spreading_.set_waiting_weight(policy.waiting_weight);
+    size_margin_ = policy.size_margin;
     gangs_.set_reservation(policy.reservation);
     health_.set_max_out_ratio(policy.max_out_ratio);
 }
@@ -231,9 +232,12 @@
             send_change(link, task, "stop");
         }
         else {
-            places_[task] = link.target.name;
+            places_[task] = {link.target.name, "", {}};
         }
     }
+    for (const held_task& task : changes.left) {
+        learn(task);
+    }
     for (const task_report& t : report.tasks) {
         if (!holds(t.state)) {
             take_end(link, t);
@@ -262,6 +266,14 @@
     finish(link, report, true);
 }
 
+void worker_service::learn(const held_task& task)
+{
+    const auto placed = places_.find(task.name);
+    if (placed != places_.end() && !placed->second.work_class.empty()) {
+        estimates_.add_peak(placed->second.work_class, placed->second.declared, task.peak);
+    }
+}
+
 void worker_service::judge(worker_link& link, const task_report& report)
 {
     if (report.state != task_state::done && report.state != task_state::failed) {
--- a/src/worker_service.h
+++ b/src/worker_service.h
@@ -13,6 +13,8 @@
 #include "cell_service.h"
 #include "sesamesill/cell.h"
 #include "sesamesill/environment.h"
+#include "sesamesill/estimate.h"
+#include "sesamesill/explain.h"
 #include "sesamesill/gang.h"
 #include "sesamesill/health.h"
 #include "sesamesill/http.h"
@@ -43,6 +45,8 @@
                                                       error& why);
     /// Returns the reason where no worker of the whole cell could ever hold the tasks.
     std::optional<error> never_fits(const task_spec& task, std::int64_t count) const;
+    /// Returns why the task runs where it does, or what keeps it off the owned workers.
+    explanation explain(const task_spec& task) const;
     void on_ended(task_ended action) { ended_ = std::move(action); }
 
     resources used() const { return owned_.claimed(); }
@@ -60,11 +64,18 @@
     /// Waits on a worker for the tasks that make way.
     struct pending_start {
         task_spec spec;
+        resources held; ///< kept on the worker meanwhile
         std::vector<std::string> victims;
         time_point since;
         bool stopped = false;
     };
 
+    struct placed_task {
+        std::string worker;
+        std::string work_class;
+        resources declared;
+    };
+
     struct worker_link {
         vm target;
         worker_id id = 0;
@@ -91,11 +102,13 @@
     void finish(worker_link& link, task_report report, bool listed);
     void tell_ends(worker_link& link);
     void forget_ends(worker_link& link, const worker_report& report);
+    void learn(const held_task& task);
     void judge(worker_link& link, const task_report& report);
     void lapse_all(worker_link& link);
     void relieve(worker_link& link);
     void try_pending(worker_link& link);
 
+    resources reservation_of(const task_spec& task) const;
     task_need need_of(const task_spec& task) const;
     std::optional<worker_id> choose(const task_spec& task, error& why);
     bool begin(worker_id w, const task_spec& task);
@@ -116,8 +129,10 @@
     gang_book gangs_;
     health health_;
     std::map<std::string, worker_link> links_;            ///< by the worker's name, those of owned_
-    std::unordered_map<std::string, std::string> places_; ///< the worker of each running task
+    std::unordered_map<std::string, placed_task> places_; ///< running tasks
     std::unordered_map<std::string, job_spread> spreads_; ///< of services, by job
+    estimates estimates_;
+    double size_margin_ = placement_policy{}.size_margin;
     task_ended ended_;
 };
 
--- a/src/worker_starts.cc
+++ b/src/worker_starts.cc
@@ -13,10 +13,16 @@
 
 } // namespace
 
+resources worker_service::reservation_of(const task_spec& task) const
+{
+    return estimates_.reservation(task.work_class, task.size, size_margin_,
+                                  roomiest(owned_, task.size, task.attributes));
+}
+
 task_need worker_service::need_of(const task_spec& task) const
 {
     task_need need;
-    need.size = task.size;
+    need.size = reservation_of(task);
     need.attributes = &task.attributes;
     need.max_per_rack = task.max_per_rack;
     const auto own = spreads_.find(job_of_task(task.task));
@@ -47,14 +53,14 @@
 std::optional<std::string> worker_service::place_of(const task_spec& task) const
 {
     const auto known = places_.find(task.task);
-    return known != places_.end() ? std::optional<std::string>(known->second) : std::nullopt;
+    return known != places_.end() ? std::optional<std::string>(known->second.worker) : std::nullopt;
 }
 
 bool worker_service::begin(worker_id w, const task_spec& task)
 {
     held_task held;
     held.name = task.task;
-    held.reserved = enabled("overfill_guard") ? task.size : resources{};
+    held.reserved = enabled("overfill_guard") ? reservation_of(task) : resources{};
     held.started = boot_clock::now();
     held.attempt = task.attempt;
     held.band = task.band;
@@ -65,7 +71,7 @@
     worker_link& link = link_of(w);
     link.finished.erase(task.task);
     link.renewed = std::max(link.renewed, boot_clock::now());
-    places_[task.task] = link.target.name;
+    places_[task.task] = {link.target.name, task.work_class, task.size};
     if (task.kind == work_kind::service) {
         spreads_[job_of_task(task.task)].add(owned_, w);
     }
@@ -105,7 +111,8 @@
         return names;
     }
     const std::optional<std::vector<worker_id>> places = gangs_.request(
-        {job_of_task(first.task), tasks.size(), first.size, first.attributes}, boot_clock::now());
+        {job_of_task(first.task), tasks.size(), reservation_of(first), first.attributes},
+        boot_clock::now());
     why = {error_code::overload, step::placement, members_.self(),
            "there is no room for all tasks at once"};
     if (!places) {
@@ -136,7 +143,7 @@
 std::optional<std::string> worker_service::preempt(const task_spec& task, error& why)
 {
     const std::optional<eviction> victims =
-        choose_victims(owned_, task.size, task.band, task.attributes);
+        choose_victims(owned_, reservation_of(task), task.band, task.attributes);
     if (!victims || !members_.may_act(shard_of(link_of(victims->worker).target))) {
         why = {error_code::overload, step::placement, members_.self(),
                "no worker has room and nothing that may be stopped would make enough"};
@@ -147,9 +154,10 @@
         owned_.vacate(link.id, victim);
         send_change(link, victim, "checkpoint");
     }
-    owned_.hold_ahead(link.id, task.size);
-    link.pending[task.task] = {task, victims->tasks, boot_clock::now(), false};
-    places_[task.task] = link.target.name;
+    const resources held = reservation_of(task);
+    owned_.hold_ahead(link.id, held);
+    link.pending[task.task] = {task, held, victims->tasks, boot_clock::now(), false};
+    places_[task.task] = {link.target.name, task.work_class, task.size};
     return link.target.name;
 }
 
@@ -158,7 +166,7 @@
     const time_point now = boot_clock::now();
     for (auto it = link.pending.begin(); it != link.pending.end();) {
         pending_start& p = it->second;
-        owned_.release(link.id, p.spec.size);
+        owned_.release(link.id, p.held);
         if (members_.may_act(shard_of(link.target)) && begin(link.id, p.spec)) {
             send_start(link, p.spec);
             it = link.pending.erase(it);
@@ -174,7 +182,7 @@
             it = link.pending.erase(it);
             continue;
         }
-        owned_.hold_ahead(link.id, p.spec.size);
+        owned_.hold_ahead(link.id, p.held);
         if (!p.stopped && now - p.since > checkpoint_limit) {
             p.stopped = true;
             for (const std::string& victim : p.victims) {
@@ -241,6 +249,22 @@
                  });
 }
 
+explanation worker_service::explain(const task_spec& task) const
+{
+    const task_need need = need_of(task);
+    const auto placed = places_.find(task.task);
+    const std::optional<worker_id> w =
+        placed != places_.end() ? owned_.find(placed->second.worker) : std::nullopt;
+    if (w) {
+        return explain_placed(owned_, task.task, *w, need,
+                              task.kind == work_kind::service ? strategy::spread
+                                                              : strategy::balance);
+    }
+    explanation e = explain_need(owned_, task.task, need);
+    explain_gang(e, gangs_, job_of_task(task.task));
+    return e;
+}
+
 std::optional<error> worker_service::never_fits(const task_spec& task, std::int64_t count) const
 {
     if (all_.size() == 0) {
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -186,3 +186,17 @@
     cr_assert_eq(most_tasks(c, {8000, 1024, 0}, {}), 96);
     cr_assert_eq(most_tasks(c, {1000, 1024, 1}, {}), 24);
 }
+
+Test(placement, roomiest_worker_has_the_attributes_and_the_room)
+{
+    cell c;
+    fill(c, 48);
+    worker_entry big;
+    big.name = "big";
+    big.size = {64000, 131072, 0};
+    big.attributes["disk"] = "none";
+    c.put(big);
+    cr_assert(roomiest(c, {1000, 1024, 0}, {}) == big.size);
+    cr_assert_eq(roomiest(c, {1000, 1024, 0}, {{"disk", "ssd"}}).cpu_millis, 16000);
+    cr_assert_eq(roomiest(c, {99000, 1024, 0}, {}).cpu_millis, 99000);
+}
