--- /dev/null
+++ b/bench/decisions.h
@@ -0,0 +1,242 @@
+// A cell, its queue and its tenants in virtual time: arrivals in, starts and ends out.
+// Small on purpose: it moves time forward and lets the decision core do the rest.
+
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cells.h"
+#include "sesamesill/health.h"
+#include "sesamesill/placement.h"
+#include "sesamesill/preemption.h"
+#include "sesamesill/queue.h"
+
+namespace bench {
+
+struct arrival {
+    tenant_id tenant = 0;
+    std::string work_class;
+    priority_band band = priority_band::normal;
+    resources size;
+    micros run_time{0};
+    micros declared_run{0};
+    bool preemptible = false;
+    bool may_preempt = false;
+};
+
+/// What became of the tasks.
+struct tally {
+    std::vector<double> waits_ms; ///< of those started
+    double cpu_seconds = 0.0;
+};
+
+class decisions {
+public:
+    decisions(const shape& s, std::uint32_t workers, strategy how, const placement_policy& policy,
+              bool in_order)
+        : policy_(policy), place_(where_, how, policy.waiting_weight, 3),
+          queue_(tenants_, policy, {400000}), in_order_(in_order)
+    {
+        fill(where_, s, workers, 4, 0);
+        tenants_.set_capacity(where_.total());
+    }
+
+    cell& where() { return where_; }
+    fairness& tenants() { return tenants_; }
+    work_queue& queue() { return queue_; }
+    std::map<std::string, tally>& by_class() { return by_class_; }
+    std::vector<tally>& by_tenant() { return by_tenant_; }
+    std::int64_t preempted() const { return preempted_; }
+    /// Returns the mean use of the fullest dimension since the tallies were cleared.
+    double mean_use() const { return use_sum_ / static_cast<double>(use_count_); }
+
+    void clear_tallies()
+    {
+        by_class_.clear();
+        for (tally& t : by_tenant_) {
+            t = tally{};
+        }
+        preempted_ = 0;
+        use_sum_ = 0.0;
+        use_count_ = 0;
+    }
+
+    tenant_id add_tenant(const std::string& name)
+    {
+        by_tenant_.emplace_back();
+        return tenants_.put({name, 1.0, {INT64_MAX / 4, INT64_MAX / 4, INT64_MAX / 4}, 0.0});
+    }
+
+    void arrive(const arrival& a, time_point now)
+    {
+        const std::uint64_t number = ++numbers_;
+        tasks_[number] = {a, now, 0, 0};
+        if (in_order_) {
+            in_order_line_.push_back(number);
+            return;
+        }
+        push(number, now);
+    }
+
+    /// Ends what is due, then gives out places.
+    void advance(time_point now)
+    {
+        while (!ends_.empty() && ends_.top().first <= now) {
+            end(ends_.top().second);
+            ends_.pop();
+        }
+        if (in_order_) {
+            place_in_order(now);
+        }
+        else {
+            place_by_queue(now);
+        }
+        use_sum_ += dominant_share(where_.claimed(), where_.total());
+        ++use_count_;
+    }
+
+private:
+    struct task {
+        arrival what;
+        time_point arrived;
+        worker_id where = 0;
+        std::int32_t attempt = 0; ///< 0 until started
+    };
+
+    using ending = std::pair<time_point, std::pair<std::uint64_t, std::int32_t>>;
+
+    void push(std::uint64_t number, time_point now)
+    {
+        const task& t = tasks_[number];
+        waiting_work w;
+        w.tenant = t.what.tenant;
+        w.work_class = t.what.work_class;
+        w.band = t.what.band;
+        w.size = t.what.size;
+        w.run_time = t.what.declared_run;
+        w.arrived = now;
+        w.tag = number;
+        error why;
+        queue_.push(w, INT64_MAX, why);
+    }
+
+    void end(const std::pair<std::uint64_t, std::int32_t>& which)
+    {
+        const auto found = tasks_.find(which.first);
+        if (found == tasks_.end() || found->second.attempt != which.second) {
+            return;
+        }
+        const task& t = found->second;
+        where_.end(t.where, std::to_string(which.first));
+        tenants_.refund(t.what.tenant, t.what.size);
+        queue_.share_changed(t.what.tenant);
+        tasks_.erase(found);
+    }
+
+    void start(std::uint64_t number, worker_id w, time_point now)
+    {
+        task& t = tasks_[number];
+        held_task held;
+        held.name = std::to_string(number);
+        held.reserved = t.what.size;
+        held.band = t.what.band;
+        held.preemptible = t.what.preemptible;
+        held.listed = true;
+        where_.start(w, std::move(held));
+        tenants_.adopt(t.what.tenant, t.what.size);
+        t.where = w;
+        ++t.attempt;
+        const double wait = std::chrono::duration<double, std::milli>(now - t.arrived).count();
+        if (t.attempt == 1) {
+            by_class_[t.what.work_class].waits_ms.push_back(wait);
+            by_tenant_[t.what.tenant].waits_ms.push_back(wait);
+        }
+        by_tenant_[t.what.tenant].cpu_seconds += static_cast<double>(t.what.size.cpu_millis) *
+                                                 1e-9 *
+                                                 static_cast<double>(t.what.run_time.count());
+        ends_.push({now + t.what.run_time, {number, t.attempt}});
+    }
+
+    std::optional<worker_id> find_place(const arrival& a, time_point now)
+    {
+        task_need need;
+        need.size = a.size;
+        const std::optional<placement_choice> choice = place_.choose(need);
+        if (choice) {
+            return choice->worker;
+        }
+        const std::optional<eviction> victims =
+            a.may_preempt ? choose_victims(where_, a.size, a.band, {}) : std::nullopt;
+        if (!victims) {
+            return std::nullopt;
+        }
+        for (const std::string& name : victims->tasks) {
+            const std::uint64_t number = std::stoull(name);
+            const arrival back = tasks_[number].what;
+            where_.end(victims->worker, name);
+            tenants_.refund(back.tenant, back.size);
+            queue_.share_changed(back.tenant);
+            ++tasks_[number].attempt;
+            ++preempted_;
+            if (in_order_) {
+                in_order_line_.push_back(number);
+            }
+            else {
+                push(number, now);
+            }
+        }
+        return victims->worker;
+    }
+
+    void place_by_queue(time_point now)
+    {
+        queue_.begin_round(now);
+        for (ticket t = queue_.next(); t != 0; t = queue_.next()) {
+            const std::uint64_t number = queue_.find(t)->tag;
+            const std::optional<worker_id> w = find_place(tasks_[number].what, now);
+            if (!w) {
+                queue_.no_room();
+                continue;
+            }
+            start(number, *w, now);
+            queue_.placed();
+        }
+    }
+
+    void place_in_order(time_point now)
+    {
+        while (!in_order_line_.empty()) {
+            const std::uint64_t number = in_order_line_.front();
+            const std::optional<worker_id> w = find_place(tasks_[number].what, now);
+            if (!w) {
+                return;
+            }
+            in_order_line_.pop_front();
+            start(number, *w, now);
+        }
+    }
+
+    placement_policy policy_;
+    cell where_;
+    placement place_;
+    fairness tenants_;
+    work_queue queue_;
+    bool in_order_; ///< first come, first served, without bands or shares
+    std::deque<std::uint64_t> in_order_line_;
+    std::unordered_map<std::uint64_t, task> tasks_;
+    std::priority_queue<ending, std::vector<ending>, std::greater<>> ends_;
+    std::map<std::string, tally> by_class_;
+    std::vector<tally> by_tenant_;
+    std::uint64_t numbers_ = 0;
+    std::int64_t preempted_ = 0;
+    double use_sum_ = 0.0;
+    std::int64_t use_count_ = 0;
+};
+
+} // namespace bench
--- /dev/null
+++ b/bench/load_cases.h
@@ -0,0 +1,416 @@
+// Waiting, fairness, faults and cancellations, in virtual time where load matters.
+
+#pragma once
+
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <memory>
+
+#include "decisions.h"
+#include "sesamesill/estimate.h"
+
+namespace bench {
+
+constexpr millis step{20};
+constexpr micros warm_up = std::chrono::seconds(120);
+
+inline double quantile(std::vector<double>& values, double q)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const std::size_t at = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
+                     values.end());
+    return values[at];
+}
+
+struct load_class {
+    std::string name;
+    priority_band band;
+    double share; ///< of the arriving processor time
+    std::vector<resources> sizes;
+    micros least_run;
+    micros most_run;
+    bool may_preempt;
+};
+
+/// Holds beside reviews and whole placement runs; the same for the smaller workers, halved.
+inline std::vector<load_class> classes_of(const shape& s)
+{
+    const std::int64_t half = s.size.cpu_millis < 32000 ? 2 : 1;
+    const auto size = [half](std::int64_t cpu, std::int64_t memory) {
+        return resources{cpu / half, memory / half, 0};
+    };
+    return {
+        {"hold", priority_band::urgent, 0.05, {size(500, 512)}, millis(200), millis(1000), true},
+        {"review",
+         priority_band::normal,
+         0.55,
+         {size(1000, 2048), size(2000, 2048), size(2000, 6144), size(4000, 6144)},
+         std::chrono::seconds(5),
+         std::chrono::seconds(30),
+         false},
+        {"cohort",
+         priority_band::normal,
+         0.40,
+         {size(8000, 12288), size(16000, 28672)},
+         std::chrono::seconds(20),
+         std::chrono::seconds(60),
+         false}};
+}
+
+/// Poisson arrivals of one class at a part of the cell's processors.
+class source {
+public:
+    source(load_class c, double load, const resources& total) : class_(std::move(c))
+    {
+        double cpu = 0.0;
+        for (const resources& r : class_.sizes) {
+            cpu += static_cast<double>(r.cpu_millis);
+        }
+        cpu /= static_cast<double>(class_.sizes.size());
+        const double run = static_cast<double>((class_.least_run + class_.most_run).count()) / 2e6;
+        per_second_ = load * class_.share * static_cast<double>(total.cpu_millis) / (cpu * run);
+    }
+
+    void arrive(decisions& into, std::mt19937_64& random, time_point now, std::uint32_t tenants,
+                double flood)
+    {
+        std::poisson_distribution<int> count(per_second_ *
+                                             std::chrono::duration<double>(step).count());
+        for (int i = count(random); i > 0; --i) {
+            arrival a;
+            a.tenant = static_cast<tenant_id>(random() % tenants);
+            into.arrive(make(a, random), now);
+        }
+        std::poisson_distribution<int> extra(per_second_ * flood *
+                                             std::chrono::duration<double>(step).count());
+        for (int i = flood > 0 ? extra(random) : 0; i > 0; --i) {
+            into.arrive(make(arrival{}, random), now);
+        }
+    }
+
+private:
+    arrival make(arrival a, std::mt19937_64& random) const
+    {
+        a.work_class = class_.name;
+        a.band = class_.band;
+        a.size = pick(class_.sizes, random);
+        const std::uint64_t spread =
+            static_cast<std::uint64_t>((class_.most_run - class_.least_run).count());
+        a.run_time = class_.least_run + micros(static_cast<std::int64_t>(random() % spread));
+        const double factor = std::exp(std::uniform_real_distribution<>(-1.609, 1.609)(random));
+        a.declared_run =
+            micros(static_cast<std::int64_t>(static_cast<double>(a.run_time.count()) * factor));
+        a.preemptible = class_.band < priority_band::urgent;
+        a.may_preempt = class_.may_preempt;
+        return a;
+    }
+
+    load_class class_;
+    double per_second_ = 0.0;
+};
+
+struct load_run {
+    shape of;
+    strategy how = strategy::balance;
+    bool in_order = false;
+    double load = 0.9;
+    double flood = 0.0;
+    double waiting_weight = 0.5;
+    std::uint32_t tenants = 3;
+    int seconds = 600;
+    std::uint64_t seed = 1;
+};
+
+inline std::unique_ptr<decisions> simulate(const load_run& r)
+{
+    placement_policy policy;
+    policy.waiting_weight = r.waiting_weight;
+    std::unique_ptr<decisions> run =
+        std::make_unique<decisions>(r.of, 50, r.how, policy, r.in_order);
+    decisions& d = *run;
+    for (std::uint32_t t = 0; t < r.tenants; ++t) {
+        d.add_tenant("t" + std::to_string(t));
+    }
+    std::vector<source> sources;
+    for (const load_class& c : classes_of(r.of)) {
+        sources.emplace_back(c, r.load, d.where().total());
+    }
+    std::mt19937_64 random(r.seed);
+    const time_point end = time_point(std::chrono::seconds(r.seconds));
+    for (time_point now = time_point(); now < end; now += step) {
+        if (now == time_point(warm_up)) {
+            d.clear_tallies();
+        }
+        for (source& s : sources) {
+            s.arrive(d, random, now, r.tenants, r.flood);
+        }
+        d.advance(now);
+    }
+    return run;
+}
+
+inline void measure_waiting(const shape& s, double load, strategy how, bool in_order, int seconds)
+{
+    load_run r;
+    r.of = s;
+    r.how = how;
+    r.in_order = in_order;
+    r.load = load;
+    r.seconds = seconds;
+    const std::unique_ptr<decisions> run = simulate(r);
+    decisions& d = *run;
+    for (std::pair<const std::string, tally>& c : d.by_class()) {
+        std::vector<double>& waits = c.second.waits_ms;
+        std::printf("{\"case\":\"waiting\",\"shape\":\"%s\",\"load\":%.1f,\"baseline\":\"%s\","
+                    "\"order\":\"%s\",\"class\":\"%s\",\"started\":%zu,\"p50_ms\":%.0f,"
+                    "\"p99_ms\":%.0f,\"worst_ms\":%.0f,\"preempted\":%lld,\"use\":%.4f}\n",
+                    s.name.c_str(), load, std::string(name_of(how)).c_str(),
+                    in_order ? "first_come" : "queue", c.first.c_str(), waits.size(),
+                    quantile(waits, 0.5), quantile(waits, 0.99), quantile(waits, 1.0),
+                    static_cast<long long>(d.preempted()), d.mean_use());
+    }
+}
+
+inline void measure_curve(const shape& s, double weight, int seconds)
+{
+    load_run r;
+    r.of = s;
+    r.load = 1.1;
+    r.waiting_weight = weight;
+    r.seconds = seconds;
+    const std::unique_ptr<decisions> run = simulate(r);
+    decisions& d = *run;
+    std::vector<double> waits;
+    for (const char* name : {"review", "cohort"}) {
+        const std::vector<double>& of = d.by_class()[name].waits_ms;
+        waits.insert(waits.end(), of.begin(), of.end());
+    }
+    double sum = 0.0;
+    for (const double w : waits) {
+        sum += w;
+    }
+    std::printf(
+        "{\"case\":\"curve\",\"shape\":\"%s\",\"waiting_weight\":%.1f,\"mean_wait_ms\":%.0f,"
+        "\"p50_ms\":%.0f,\"p99_ms\":%.0f,\"use\":%.4f,\"started\":%zu}\n",
+        s.name.c_str(), weight, waits.empty() ? 0.0 : sum / static_cast<double>(waits.size()),
+        quantile(waits, 0.5), quantile(waits, 0.99), d.mean_use(), waits.size());
+}
+
+inline void measure_fairness(const shape& s, double load, double flood, int seconds)
+{
+    load_run r;
+    r.of = s;
+    r.load = load;
+    r.flood = flood;
+    r.tenants = 10;
+    r.seconds = seconds;
+    const std::unique_ptr<decisions> run = simulate(r);
+    decisions& d = *run;
+    std::vector<double> given;
+    std::vector<double> p99;
+    for (std::size_t t = flood > 0 ? 1 : 0; t < d.by_tenant().size(); ++t) {
+        given.push_back(d.by_tenant()[t].cpu_seconds);
+        p99.push_back(quantile(d.by_tenant()[t].waits_ms, 0.99));
+    }
+    double mean = 0.0;
+    for (const double v : p99) {
+        mean += v / static_cast<double>(p99.size());
+    }
+    std::printf(
+        "{\"case\":\"fairness\",\"shape\":\"%s\",\"load\":%.1f,\"flood\":%.1f,\"tenants\":%zu,"
+        "\"jain\":%.4f,\"worst_p99_ratio\":%.3f,\"mean_p99_ms\":%.0f}\n",
+        s.name.c_str(), load, flood, given.size(), jain_index(given),
+        *std::max_element(p99.begin(), p99.end()) / mean, mean);
+}
+
+/// Every tenth worker fails all it starts, 10 ms after the start; the owner hears of it in a step.
+inline void measure_black_holes(bool judged, int seconds)
+{
+    constexpr std::uint32_t workers = 500;
+    cell where;
+    const shape s = tabara();
+    fill(where, s, workers, 4, 0);
+    placement place(where, strategy::balance, 0.5, 3);
+    health judge(health_limits{});
+    std::mt19937_64 random(5);
+    std::multimap<time_point, std::pair<worker_id, std::string>> ends;
+    for (worker_id w = 0; w < workers; ++w) {
+        judge.add(w);
+    }
+    std::int64_t starts = 0;
+    std::int64_t wasted = 0;
+    std::uint64_t number = 0;
+    const auto update = [&](worker_id w) {
+        where.set_state(w, judge.limit(w) == 0 ? worker_state::out : worker_state::live);
+        where.set_start_limit(w, judge.limit(w));
+    };
+    for (time_point now = time_point(); now < time_point(std::chrono::seconds(seconds));
+         now += step) {
+        for (auto it = ends.begin(); it != ends.end() && it->first <= now; it = ends.erase(it)) {
+            const worker_id w = it->second.first;
+            where.end(w, it->second.second);
+            if (judged && judge.ended(w, std::stoull(it->second.second) / 20, w % 10 == 0, now)) {
+                update(w);
+            }
+        }
+        for (const worker_id w : judge.due(now)) {
+            update(w);
+        }
+        for (int i = 0; i < 14; ++i) {
+            task_need need;
+            need.size = pick(s.mix, random);
+            const std::optional<placement_choice> choice = place.choose(need);
+            if (!choice) {
+                break;
+            }
+            held_task t;
+            t.name = std::to_string(++number);
+            t.reserved = need.size;
+            t.listed = true;
+            where.start(choice->worker, t);
+            const bool fails = choice->worker % 10 == 0;
+            ++starts;
+            wasted += fails ? 1 : 0;
+            const micros run = fails ? micros(10000) : micros(5000000 + random() % 5000000);
+            ends.emplace(now + run, std::make_pair(choice->worker, t.name));
+        }
+    }
+    std::printf("{\"case\":\"black_holes\",\"workers\":%u,\"judged\":%s,\"starts\":%lld,"
+                "\"wasted_starts_ratio\":%.4f,\"out_at_end\":%zu}\n",
+                workers, judged ? "true" : "false", static_cast<long long>(starts),
+                static_cast<double>(wasted) / static_cast<double>(starts), judge.out());
+}
+
+/// True use is the declaration times 0.2 to 5; a report shows it 5 s late.
+inline void measure_declarations(bool learning, int seconds)
+{
+    constexpr micros lag = std::chrono::seconds(5);
+    constexpr std::uint32_t workers = 50;
+    cell where;
+    const shape s = tabara();
+    fill(where, s, workers, 4, 0);
+    placement place(where, strategy::balance, 0.5, 3);
+    estimates learnt;
+    std::mt19937_64 random(9);
+    struct running {
+        worker_id where;
+        task_usage usage;
+        resources declared;
+        time_point started;
+        std::string work_class;
+    };
+    std::multimap<time_point, running> tasks;
+    std::int64_t overfills = 0;
+    std::int64_t starts = 0;
+    std::int64_t number = 0;
+    double beyond = 0.0;
+    double seen = 0.0;
+    for (time_point now = time_point(); now < time_point(std::chrono::seconds(seconds));
+         now += std::chrono::seconds(1)) {
+        for (auto it = tasks.begin(); it != tasks.end() && it->first <= now; it = tasks.erase(it)) {
+            where.end(it->second.where, it->second.usage.name);
+            if (learning) {
+                learnt.add_peak(it->second.work_class, it->second.declared, it->second.usage.used);
+            }
+        }
+        std::vector<std::vector<task_usage>> lists(workers);
+        std::vector<resources> truth(workers);
+        for (const std::pair<const time_point, running>& t : tasks) {
+            task_usage u = t.second.usage;
+            truth[t.second.where] += u.used;
+            u.used = now - t.second.started >= lag ? u.used : resources{};
+            lists[t.second.where].push_back(u);
+        }
+        for (worker_id w = 0; w < workers; ++w) {
+            where.report(w, lists[w], now, std::chrono::seconds(3));
+            seen += 1.0;
+            beyond += fits(truth[w], s.size) ? 0.0 : 1.0;
+        }
+        for (int i = 0; i < 20; ++i) {
+            const int kind = static_cast<int>(random() % 8);
+            const double factor = std::exp(-1.609 + 3.219 * kind / 7.0);
+            resources declared = pick(s.mix, random);
+            declared = {declared.cpu_millis / 2, declared.memory_mb / 2, 0};
+            running r;
+            r.work_class = std::to_string(kind);
+            r.declared = declared;
+            r.started = now;
+            task_need need;
+            need.size = learnt.reservation(r.work_class, declared, 0.1, s.size);
+            const std::optional<placement_choice> choice = place.choose(need);
+            if (!choice) {
+                continue;
+            }
+            r.where = choice->worker;
+            r.usage.name = std::to_string(++number);
+            r.usage.reserved = need.size;
+            r.usage.used = {
+                static_cast<std::int64_t>(static_cast<double>(declared.cpu_millis) * factor),
+                static_cast<std::int64_t>(static_cast<double>(declared.memory_mb) * factor), 0};
+            held_task t;
+            t.name = r.usage.name;
+            t.reserved = need.size;
+            t.started = now;
+            where.start(choice->worker, t);
+            ++starts;
+            overfills += fits(where.at(choice->worker).claimed(), s.size) ? 0 : 1;
+            tasks.emplace(now + micros(10000000 + random() % 50000000), r);
+        }
+    }
+    std::printf("{\"case\":\"declarations\",\"learning\":%s,\"starts\":%lld,\"overfills\":%lld,"
+                "\"worker_seconds_beyond_size_by_true_use\":%.4f}\n",
+                learning ? "true" : "false", static_cast<long long>(starts),
+                static_cast<long long>(overfills), beyond / seen);
+}
+
+inline void measure_cancels()
+{
+    constexpr std::int64_t waiting = 200000;
+    constexpr std::int64_t cancels = 100000;
+    constexpr std::int64_t cancels_per_decision = 9;
+    fairness tenants;
+    tenants.set_capacity({1000000000, 1000000000, 0});
+    for (int t = 0; t < 570; ++t) {
+        tenants.put({"t" + std::to_string(t), 1.0, {INT64_MAX / 4, INT64_MAX / 4, 0}, 0.0});
+    }
+    work_queue queue(tenants, placement_policy{}, {400000});
+    std::mt19937_64 random(2);
+    std::vector<ticket> tickets;
+    error why;
+    for (std::int64_t i = 0; i < waiting; ++i) {
+        waiting_work w;
+        w.tenant = static_cast<tenant_id>(random() % 570);
+        w.work_class = "review";
+        w.size = pick(two_year().mix, random);
+        tickets.push_back(*queue.push(w, INT64_MAX, why));
+    }
+    std::shuffle(tickets.begin(), tickets.end(), random);
+    std::vector<double> times;
+    const auto begin = std::chrono::steady_clock::now();
+    queue.begin_round(time_point());
+    for (std::int64_t i = 0; i < cancels; ++i) {
+        queue.cancel(tickets[static_cast<std::size_t>(i)]);
+        if (i % cancels_per_decision == 0) {
+            const auto start = std::chrono::steady_clock::now();
+            const ticket t = queue.next();
+            const waiting_work w = *queue.find(t);
+            tenants.charge(w.tenant, w.size);
+            queue.placed();
+            times.push_back(
+                std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start)
+                    .count());
+        }
+    }
+    const double seconds =
+        std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    std::printf("{\"case\":\"cancels\",\"queue\":%lld,\"cancels\":%lld,\"seconds\":%.3f,"
+                "\"decisions\":%zu,\"p50_us\":%.2f,\"p99_us\":%.2f,\"worst_us\":%.0f}\n",
+                static_cast<long long>(waiting), static_cast<long long>(cancels), seconds,
+                times.size(), quantile(times, 0.5), quantile(times, 0.99), quantile(times, 1.0));
+}
+
+} // namespace bench
--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -10,11 +10,13 @@
 
 #include <gflags/gflags.h>
 
-#include "cells.h"
+#include "load_cases.h"
 #include "sesamesill/placement.h"
 
-DEFINE_string(cases, "sizes,packing", "which cases to run");
+DEFINE_string(cases, "sizes,packing,waiting,curve,fairness,black_holes,declarations,cancels",
+              "which cases to run");
 DEFINE_int32(decisions, 100000, "decisions measured at each size");
+DEFINE_int32(seconds, 600, "virtual seconds of each case under load");
 DEFINE_int32(seeds, 20, "runs of each packing case");
 
 namespace {
@@ -33,13 +35,7 @@
     return std::chrono::duration<double, std::micro>(steady::now() - begin).count();
 }
 
-double quantile(std::vector<double>& values, double q)
-{
-    const std::size_t at = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
-                     values.end());
-    return values[at];
-}
+using bench::quantile;
 
 struct placed {
     std::string name;
@@ -196,6 +192,43 @@
     return ("," + FLAGS_cases + ",").find("," + name + ",") != std::string::npos;
 }
 
+void measure_load()
+{
+    for (const shape& s : {bench::tabara(), bench::liit()}) {
+        for (const double load : {0.7, 0.9, 1.1}) {
+            if (wanted("waiting")) {
+                bench::measure_waiting(s, load, strategy::balance, false, FLAGS_seconds);
+                for (const strategy how : {strategy::cpu_scan, strategy::first_fit,
+                                           strategy::least_loaded, strategy::random}) {
+                    bench::measure_waiting(s, load, how, true, FLAGS_seconds);
+                }
+            }
+        }
+        for (int tenths = 0; wanted("curve") && tenths <= 10; ++tenths) {
+            bench::measure_curve(s, tenths / 10.0, FLAGS_seconds);
+        }
+        if (wanted("fairness")) {
+            bench::measure_fairness(s, 1.1, 0.0, FLAGS_seconds);
+            bench::measure_fairness(s, 0.9, 0.5, FLAGS_seconds);
+        }
+    }
+}
+
+void measure_faults()
+{
+    for (const bool on : {false, true}) {
+        if (wanted("black_holes")) {
+            bench::measure_black_holes(on, FLAGS_seconds);
+        }
+        if (wanted("declarations")) {
+            bench::measure_declarations(on, FLAGS_seconds);
+        }
+    }
+    if (wanted("cancels")) {
+        bench::measure_cancels();
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -220,5 +253,7 @@
             }
         }
     }
+    measure_load();
+    measure_faults();
     return 0;
 }
