Add sesamesillctl

Cause: operators had only raw HTTP. Change: check, diff, publish (waits until in force, names who lags), promote, rollback, history, status, jobs, explain, cancel, drain, completion; tables or JSON; stable exit statuses; one id for all retries of a change.

--- /dev/null
+++ b/daemon/sesamesillctl.cc
@@ -0,0 +1,500 @@
+// The operators' tool: checks, publishes and promotes documents, shows and drains a cell.
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "sesamesill/control.h"
+#include "sesamesill/environment.h"
+#include "sesamesill/rpc.h"
+
+DEFINE_string(entries, "", "IP:PORT of entries, comma-separated; or SESAMESILL_ENTRIES");
+DEFINE_string(token, "", "operator's token; or SESAMESILL_TOKEN");
+DEFINE_string(environment, "", "environment to change; empty for the one of the entry");
+DEFINE_string(output, "table", "table or json");
+DEFINE_int64(base, -1, "version that the change is derived from; the current one where not given");
+DEFINE_string(id, "", "id of the change; repeat it to retry a change whose end is unknown");
+DEFINE_int32(timeout_s, 30, "limit for one answer and for being in force everywhere");
+DEFINE_bool(wait, true, "wait until the change is in force on all members");
+DEFINE_string(tenant, "", "jobs: of this tenant only");
+DEFINE_string(job_class, "", "jobs: of this class only");
+DEFINE_string(outcome, "", "jobs: with this outcome only");
+
+namespace {
+
+using namespace sesamesill;
+using arguments = std::vector<std::string>;
+
+const char* const usage =
+    "asks and changes a sesamesill cell\n"
+    "\n"
+    "  sesamesillctl check FILE...           check documents, change nothing\n"
+    "  sesamesillctl diff FILE [FILE]        what changes from the first (or from what is in\n"
+    "                                        force) to the last\n"
+    "  sesamesillctl publish FILE            make it the next version, wait until in force\n"
+    "  sesamesillctl promote FROM TO         publish the bytes in force in FROM to TO\n"
+    "  sesamesillctl rollback VERSION        publish the content of an earlier version again\n"
+    "  sesamesillctl history [ENVIRONMENT]   versions, who published them, from what\n"
+    "  sesamesillctl status                  members, versions, load\n"
+    "  sesamesillctl jobs                    jobs, by --tenant, --job_class, --outcome\n"
+    "  sesamesillctl explain JOB             why a job runs where it does, or waits\n"
+    "  sesamesillctl cancel JOB              cancel a job\n"
+    "  sesamesillctl drain MEMBER            planned stop of one member\n"
+    "  sesamesillctl completion              a completion script for bash\n"
+    "\n"
+    "Exit: 0 done, 1 failed, 2 wrong input, 3 another change came first, 4 unknown (repeat with\n"
+    "the same --id), 5 accepted but not yet in force everywhere.";
+
+std::string from_environment(const std::string& flag, const char* name)
+{
+    const char* value = std::getenv(name);
+    return flag.empty() && value != nullptr ? value : flag;
+}
+
+std::optional<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+control_exit fail(const error& why)
+{
+    std::cerr << to_string(why) << '\n';
+    return control_exit::failed;
+}
+
+control_exit exit_for(const http_reply& reply)
+{
+    const Json::Value body = json_from(reply.body).value_or(Json::Value(Json::objectValue));
+    if (reply.status < 300) {
+        return control_exit::ok;
+    }
+    std::cerr << (body.isObject() && body["reason"].isString() ? body["reason"].asString()
+                                                               : reply.body)
+              << '\n';
+    if (reply.status == 400) {
+        return control_exit::invalid;
+    }
+    if (reply.status == 409) {
+        return control_exit::conflict;
+    }
+    const bool unknown = body.isObject() && body["outcome"].asString() == "unknown";
+    return unknown ? control_exit::unknown : control_exit::failed;
+}
+
+void print(const Json::Value& json, const std::vector<std::vector<std::string>>& rows)
+{
+    if (FLAGS_output == "json") {
+        std::cout << to_text(json) << '\n';
+        return;
+    }
+    std::cout << table_text(rows);
+}
+
+std::string new_id()
+{
+    std::random_device random;
+    std::ostringstream id;
+    id << std::hex << random() << random() << random() << random();
+    return id.str();
+}
+
+std::string environment_path(const std::string& name)
+{
+    return name.empty() ? "/v1/document" : "/v1/environments/" + name;
+}
+
+control_exit check(control&, const arguments& files)
+{
+    control_exit result = files.empty() ? control_exit::invalid : control_exit::ok;
+    for (const std::string& path : files) {
+        const std::optional<std::string> text = read_file(path);
+        std::vector<fault> faults;
+        if (text && parse_environment(*text, faults)) {
+            std::cout << path << ": good, digest " << digest_of(*text) << '\n';
+            continue;
+        }
+        result = control_exit::invalid;
+        for (const fault& f : faults) {
+            std::cerr << path << ": " << to_string(f) << '\n';
+        }
+    }
+    return result;
+}
+
+std::optional<Json::Value> document_of(control& c, const std::string& name, error& why)
+{
+    const std::optional<http_reply> reply = c.ask("GET", environment_path(name), "", why);
+    if (!reply) {
+        return std::nullopt;
+    }
+    std::optional<Json::Value> body = json_from(reply->body);
+    if (reply->status != 200 || !body || !(*body)["text"].isString()) {
+        why = {error_code::not_found, step::document, name, reply->body};
+        return std::nullopt;
+    }
+    return body;
+}
+
+void print_changes(const std::vector<environment_change>& changes)
+{
+    Json::Value json(Json::arrayValue);
+    std::vector<std::vector<std::string>> rows{{"SECTION", "KEY", "BEFORE", "AFTER"}};
+    for (const environment_change& change : changes) {
+        rows.push_back({change.section, change.key, change.before, change.after});
+        Json::Value entry;
+        entry["section"] = change.section;
+        entry["key"] = change.key;
+        entry["before"] = change.before;
+        entry["after"] = change.after;
+        json.append(entry);
+    }
+    print(json, rows);
+}
+
+control_exit diff(control& c, const arguments& files)
+{
+    if (files.empty() || files.size() > 2) {
+        std::cerr << "diff takes one or two files\n";
+        return control_exit::invalid;
+    }
+    std::optional<std::string> before;
+    if (files.size() == 2) {
+        before = read_file(files[0]);
+    }
+    else {
+        error why;
+        const std::optional<Json::Value> document = document_of(c, FLAGS_environment, why);
+        if (!document) {
+            return fail(why);
+        }
+        before = (*document)["text"].asString();
+    }
+    const std::optional<std::string> after = read_file(files.back());
+    if (!before || !after) {
+        return control_exit::invalid;
+    }
+    print_changes(diff_environments(*before, *after));
+    return control_exit::ok;
+}
+
+control_exit wait_in_force(control& c, std::uint64_t version)
+{
+    constexpr millis poll_interval{100};
+    const time_point until = boot_clock::now() + c.settings().timeout;
+    std::size_t shown = 0;
+    in_force_count count;
+    while (boot_clock::now() < until) {
+        error why;
+        const std::optional<Json::Value> status = c.status(why);
+        if (status) {
+            count = count_in_force(*status, version);
+            if (count.in_force != shown) {
+                std::cerr << "in force on " << count.in_force << " of " << count.members << '\n';
+                shown = count.in_force;
+            }
+            if (count.in_force == count.members) {
+                return control_exit::ok;
+            }
+        }
+        c.pause(poll_interval);
+    }
+    std::cerr << "still without version " << version << ':';
+    for (const std::string& name : count.lagging) {
+        std::cerr << ' ' << name;
+    }
+    std::cerr << '\n';
+    return control_exit::lagging;
+}
+
+/// Sends a change to one entry after another under the same id until its end is known.
+control_exit change(control& c, const std::string& path, const std::string& body, bool own_cell)
+{
+    const std::string id = FLAGS_id.empty() ? new_id() : FLAGS_id;
+    std::string full = path + (path.find('?') == std::string::npos ? "?" : "&") + "id=" + id;
+    if (FLAGS_base >= 0) {
+        full += "&base=" + std::to_string(FLAGS_base);
+    }
+    error why;
+    const std::optional<http_reply> reply = c.ask("POST", full, body, why);
+    if (!reply) {
+        std::cerr << to_string(why) << "\nunknown; repeat with --id " << id << '\n';
+        return control_exit::unknown;
+    }
+    const Json::Value answer = json_from(reply->body).value_or(Json::Value(Json::objectValue));
+    const control_exit result = exit_for(*reply);
+    if (result == control_exit::conflict && answer["winner"].isObject()) {
+        const Json::Value& winner = answer["winner"];
+        std::cerr << "version " << winner["version"].asUInt64() << " by "
+                  << winner["operator"].asString() << " came first; to get from it to yours:\n";
+        std::cout << to_text(answer["difference"]) << '\n';
+    }
+    for (const Json::Value& f : answer["faults"]) {
+        std::cerr << "line " << f["line"].asInt() << ": [" << f["section"].asString() << "] "
+                  << f["key"].asString() << ": " << f["reason"].asString() << '\n';
+    }
+    if (result != control_exit::ok) {
+        return result;
+    }
+    const std::uint64_t version = answer["version"].asUInt64();
+    std::cerr << "version " << version << ", digest " << answer["digest"].asString() << '\n';
+    return FLAGS_wait && own_cell ? wait_in_force(c, version) : control_exit::ok;
+}
+
+control_exit publish(control& c, const arguments& files)
+{
+    if (files.size() != 1) {
+        std::cerr << "publish takes one file\n";
+        return control_exit::invalid;
+    }
+    const std::optional<std::string> text = read_file(files[0]);
+    if (!text || check(c, files) != control_exit::ok) {
+        return control_exit::invalid;
+    }
+    const std::string path = FLAGS_environment.empty()
+                                 ? "/v1/document"
+                                 : environment_path(FLAGS_environment) + "/publish";
+    return change(c, path, *text, FLAGS_environment.empty());
+}
+
+control_exit promote(control& c, const arguments& names)
+{
+    if (names.size() != 2) {
+        std::cerr << "promote takes FROM and TO\n";
+        return control_exit::invalid;
+    }
+    error why;
+    const std::optional<Json::Value> source = document_of(c, names[0], why);
+    if (!source) {
+        return fail(why);
+    }
+    const std::optional<Json::Value> status = c.status(why);
+    const bool own_cell = status && (*status)["environment"].asString() == names[1];
+    return change(c,
+                  environment_path(names[1]) + "/promote?from=" + names[0] +
+                      "&digest=" + (*source)["digest"].asString(),
+                  "", own_cell);
+}
+
+std::string own_environment(control& c, error& why)
+{
+    if (!FLAGS_environment.empty()) {
+        return FLAGS_environment;
+    }
+    const std::optional<Json::Value> status = c.status(why);
+    return status ? (*status)["environment"].asString() : "";
+}
+
+control_exit rollback(control& c, const arguments& versions)
+{
+    if (versions.size() != 1) {
+        std::cerr << "rollback takes one version\n";
+        return control_exit::invalid;
+    }
+    error why;
+    const std::string name = own_environment(c, why);
+    if (name.empty()) {
+        return fail(why);
+    }
+    return change(c, environment_path(name) + "/rollback?to=" + versions[0], "",
+                  FLAGS_environment.empty());
+}
+
+control_exit history(control& c, const arguments& names)
+{
+    error why;
+    const std::optional<Json::Value> document =
+        document_of(c, names.empty() ? FLAGS_environment : names[0], why);
+    if (!document) {
+        return fail(why);
+    }
+    std::vector<std::vector<std::string>> rows{
+        {"VERSION", "BASE", "ORIGIN", "OPERATOR", "IN FORCE", "DIGEST"}};
+    for (const Json::Value& v : (*document)["history"]) {
+        rows.push_back({v["version"].asString(), v["base"].asString(), v["origin"].asString(),
+                        v["operator"].asString(), v["was_in_force"].asBool() ? "yes" : "-",
+                        v["digest"].asString()});
+    }
+    print((*document)["history"], rows);
+    return control_exit::ok;
+}
+
+control_exit status(control& c, const arguments&)
+{
+    error why;
+    const std::optional<Json::Value> status = c.status(why);
+    if (!status) {
+        return fail(why);
+    }
+    std::vector<std::vector<std::string>> rows{
+        {"MEMBER", "DATA CENTRE", "VERSION", "FOR", "DIGEST", "CALLS", "CORES", "STATE"}};
+    for (const Json::Value& m : (*status)["members"]) {
+        if (m.isMember("error")) {
+            rows.push_back({m["name"].asString(), "", "", "", "", "", "",
+                            "no answer: " + m["error"]["reason"].asString()});
+            continue;
+        }
+        const std::string reason = m["not_ready"].asString();
+        rows.push_back({m["name"].asString(), m["data_center"].asString(),
+                        m["document"]["version"].asString(),
+                        std::to_string(m["document"]["age_ms"].asInt64() / 1000) + " s",
+                        m["document"]["digest"].asString().substr(0, 8),
+                        m["load"]["calls_in_flight"].asString(),
+                        std::to_string(m["load"]["used_cpu_millis"].asInt64() / 1000) + "/" +
+                            std::to_string(m["load"]["size_cpu_millis"].asInt64() / 1000),
+                        reason.empty() ? "ready" : reason});
+    }
+    print(*status, rows);
+    return control_exit::ok;
+}
+
+control_exit jobs(control& c, const arguments&)
+{
+    std::string path = "/v1/jobs?";
+    for (const std::pair<const char*, std::string>& filter :
+         {std::make_pair("tenant", FLAGS_tenant), std::make_pair("class", FLAGS_job_class),
+          std::make_pair("outcome", FLAGS_outcome)}) {
+        path += filter.second.empty() ? "" : std::string(filter.first) + "=" + filter.second + "&";
+    }
+    path.pop_back();
+    error why;
+    const std::optional<http_reply> reply = c.ask("GET", path, "", why);
+    if (!reply) {
+        return fail(why);
+    }
+    const Json::Value body = json_from(reply->body).value_or(Json::Value());
+    std::vector<std::vector<std::string>> rows{
+        {"JOB", "TENANT", "CLASS", "OUTCOME", "TASKS", "RUNNING", "DONE"}};
+    for (const Json::Value& j : body["jobs"]) {
+        rows.push_back({j["job"].asString(), j["tenant"].asString(), j["class"].asString(),
+                        j["outcome"].asString(), j["tasks"].asString(), j["running"].asString(),
+                        j["done"].asString()});
+    }
+    print(body, rows);
+    return exit_for(*reply);
+}
+
+control_exit ask_job(control& c, const arguments& names, const std::string& method,
+                     const std::string& suffix)
+{
+    if (names.size() != 1) {
+        std::cerr << "one job is needed\n";
+        return control_exit::invalid;
+    }
+    error why;
+    const std::optional<http_reply> reply = c.ask(method, "/v1/jobs/" + names[0] + suffix, "", why);
+    if (!reply) {
+        return fail(why);
+    }
+    std::cout << reply->body << '\n';
+    return exit_for(*reply);
+}
+
+control_exit explain(control& c, const arguments& names)
+{
+    return ask_job(c, names, "GET", "/explain");
+}
+
+control_exit cancel(control& c, const arguments& names)
+{
+    return ask_job(c, names, "DELETE", "");
+}
+
+control_exit drain(control& c, const arguments& names)
+{
+    error why;
+    const std::optional<Json::Value> status = c.status(why);
+    if (!status || names.size() != 1) {
+        return status ? control_exit::invalid : fail(why);
+    }
+    for (const Json::Value& m : (*status)["members"]) {
+        const std::optional<endpoint> entry = endpoint_from(m["address"].asString());
+        if (m["name"].asString() == names[0] && entry) {
+            const std::optional<http_reply> reply = c.ask_one(*entry, "POST", "/v1/drain", "", why);
+            return reply ? exit_for(*reply) : fail(why);
+        }
+    }
+    std::cerr << "no member " << names[0] << '\n';
+    return control_exit::invalid;
+}
+
+struct command {
+    std::string_view name;
+    control_exit (*run)(control& c, const arguments& rest);
+    bool needs_entries;
+};
+
+control_exit completion(control& c, const arguments& rest);
+
+constexpr command commands[] = {
+    {"check", check, false},    {"diff", diff, false},        {"publish", publish, true},
+    {"promote", promote, true}, {"rollback", rollback, true}, {"history", history, true},
+    {"status", status, true},   {"jobs", jobs, true},         {"explain", explain, true},
+    {"cancel", cancel, true},   {"drain", drain, true},       {"completion", completion, false},
+};
+
+control_exit completion(control&, const arguments&)
+{
+    std::cout << "complete -o default -W \"";
+    for (const command& known : commands) {
+        std::cout << known.name << ' ';
+    }
+    std::cout << "\" sesamesillctl\n";
+    return control_exit::ok;
+}
+
+std::optional<control_settings> settings_from_flags()
+{
+    control_settings settings;
+    settings.token = from_environment(FLAGS_token, "SESAMESILL_TOKEN");
+    settings.timeout = std::chrono::seconds(FLAGS_timeout_s);
+    std::istringstream list(from_environment(FLAGS_entries, "SESAMESILL_ENTRIES"));
+    std::string entry;
+    while (std::getline(list, entry, ',')) {
+        const std::optional<endpoint> parsed = endpoint_from(entry);
+        if (!parsed) {
+            std::cerr << entry << ": must be an IP number and a port\n";
+            return std::nullopt;
+        }
+        settings.entries.push_back(*parsed);
+    }
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString(SESAMESILL_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const arguments words(argv + 1, argv + argc);
+    const std::optional<control_settings> settings = settings_from_flags();
+    if (words.empty() || !settings || (FLAGS_output != "table" && FLAGS_output != "json")) {
+        std::cerr << usage << '\n';
+        return static_cast<int>(control_exit::invalid);
+    }
+    for (const command& known : commands) {
+        if (known.name != words[0]) {
+            continue;
+        }
+        if (known.needs_entries && settings->entries.empty()) {
+            std::cerr << "--entries or SESAMESILL_ENTRIES is needed\n";
+            return static_cast<int>(control_exit::invalid);
+        }
+        control c(*settings);
+        return static_cast<int>(known.run(c, arguments(words.begin() + 1, words.end())));
+    }
+    std::cerr << words[0] << ": no such command\n" << usage << '\n';
+    return static_cast<int>(control_exit::invalid);
+}
--- /dev/null
+++ b/src/control.cc
@@ -0,0 +1,110 @@
+// A blocking client over the event loop, for a program that does one thing at a time.
+
+#include "sesamesill/control.h"
+
+#include <algorithm>
+
+#include "sesamesill/rpc.h"
+
+namespace sesamesill {
+
+control::control(control_settings settings)
+    : settings_(std::move(settings)), client_(loop_, "sesamesillctl")
+{
+}
+
+std::optional<http_reply> control::ask_one(const endpoint& entry, const std::string& method,
+                                           const std::string& path, const std::string& body,
+                                           error& why)
+{
+    http_call call;
+    call.method = method;
+    call.path = path;
+    call.body = body;
+    call.timeout = settings_.timeout;
+    if (!settings_.token.empty()) {
+        call.headers["Authorization"] = "Bearer " + settings_.token;
+    }
+    std::optional<http_reply> result;
+    client_.send(entry, std::move(call),
+                 [&](std::optional<http_reply> reply, const error& failure) {
+                     result = std::move(reply);
+                     why = failure;
+                     loop_.stop();
+                 });
+    loop_.run();
+    return result;
+}
+
+std::optional<http_reply> control::ask(const std::string& method, const std::string& path,
+                                       const std::string& body, error& why)
+{
+    constexpr int not_ready = 503;
+    std::optional<http_reply> last;
+    why = {error_code::invalid, step::settings, "", "no entries are given"};
+    for (const endpoint& entry : settings_.entries) {
+        std::optional<http_reply> reply = ask_one(entry, method, path, body, why);
+        if (reply && reply->status != not_ready) {
+            return reply;
+        }
+        last = reply ? std::move(reply) : std::move(last);
+    }
+    return last;
+}
+
+std::optional<Json::Value> control::status(error& why)
+{
+    const std::optional<http_reply> reply = ask("GET", "/v1/status", "", why);
+    if (!reply) {
+        return std::nullopt;
+    }
+    std::optional<Json::Value> status = json_from(reply->body);
+    if (!status || !(*status)["members"].isArray()) {
+        why = {error_code::corrupt, step::answer, "", "no status in the answer"};
+        return std::nullopt;
+    }
+    return status;
+}
+
+void control::pause(millis duration)
+{
+    loop_.after(duration, [this] { loop_.stop(); });
+    loop_.run();
+}
+
+in_force_count count_in_force(const Json::Value& status, std::uint64_t version)
+{
+    in_force_count count;
+    for (const Json::Value& m : status["members"]) {
+        ++count.members;
+        if (m["document"].isObject() && m["document"]["version"].asUInt64() >= version) {
+            ++count.in_force;
+        }
+        else {
+            count.lagging.push_back(m["name"].asString());
+        }
+    }
+    return count;
+}
+
+std::string table_text(const std::vector<std::vector<std::string>>& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const std::vector<std::string>& row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            widths[i] = std::max(widths[i], row[i].size());
+        }
+    }
+    std::string text;
+    for (const std::vector<std::string>& row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            const std::size_t padding = i + 1 < row.size() ? widths[i] - row[i].size() + 2 : 0;
+            text += row[i] + std::string(padding, ' ');
+        }
+        text += '\n';
+    }
+    return text;
+}
+
+} // namespace sesamesill
