--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -22,7 +22,9 @@
     endpoint peer_listen;    ///< other members
     endpoint log;
     endpoint vm_list;
-    millis commit_interval{20}; ///< between group commits to the log
+    millis commit_interval{5};       ///< shortest time between two group commits to the log
+    millis snapshot_interval{60000}; ///< well below the time for which the log keeps records
+    millis key_retention{600000};    ///< how long the ending of a request is remembered
     millis heartbeat_interval{500};
     millis lease{2000}; ///< validity of an authority once confirmed
     millis vm_list_interval{1000};
--- a/src/journal_service.cc
+++ b/src/journal_service.cc
@@ -1,5 +1,5 @@
-// Group commit and tailing. A group whose answer was lost is sent again under the same sequence
-// number; readers skip the copy.
+// Group commit and tailing over HTTP. A group whose answer was lost is sent again under the same
+// sequence number; readers skip the copy.
 
 #include "journal_service.h"
 
@@ -11,17 +11,38 @@
 namespace sesamesill {
 namespace {
 
-constexpr std::int64_t record_version = 1;
 constexpr std::size_t max_group_items = 2000;
+constexpr std::size_t max_group_bytes = std::size_t{512} * 1024;
 constexpr millis read_wait{500};
-constexpr millis retry_delay{100};
+constexpr millis shortest_idle_read{20};
+constexpr millis first_backoff{50};
+constexpr millis longest_backoff{500};
+constexpr millis snapshot_check_interval{500};
+
+std::vector<raw_record> records_from(const Json::Value& answer)
+{
+    std::vector<raw_record> result;
+    for (const Json::Value& record : answer["records"]) {
+        if (record.isObject() && record["offset"].isUInt64() && record["data"].isString()) {
+            result.push_back({record["offset"].asUInt64(), record["data"].asString()});
+        }
+    }
+    return result;
+}
+
+bool is_read_answer(const Json::Value& answer)
+{
+    return answer.isObject() && answer["first"].isUInt64() && answer["next"].isUInt64() &&
+           answer["records"].isArray();
+}
 
 } // namespace
 
 journal_service::journal_service(event_loop& loop, http_client& client,
                                  const node_settings& settings, std::string incarnation)
     : loop_(loop), client_(client), settings_(settings),
-      writer_(settings.name + "#" + std::move(incarnation))
+      writer_(settings.name + "#" + std::move(incarnation)),
+      pacer_({append_budget{}.per_second, settings.commit_interval})
 {
     for (const char* name : {"cell", "config"}) {
         streams_[name].name = name;
@@ -33,7 +54,7 @@
     for (std::pair<const std::string, stream_state>& entry : streams_) {
         stream_state& s = entry.second;
         read(s);
-        loop_.every(settings_.commit_interval, [this, &s] { commit(s); });
+        loop_.every(snapshot_check_interval, [this, &s] { write_snapshot(s); });
     }
 }
 
@@ -42,10 +63,13 @@
     handlers_[type].push_back(std::move(handler));
 }
 
-append_ticket journal_service::append(const std::string& stream, Json::Value item, append_done done)
+append_ticket journal_service::append(const std::string& stream, const Json::Value& item,
+                                      append_done done)
 {
     const append_ticket ticket = next_ticket_++;
-    streams_.at(stream).queue.push_back({ticket, std::move(item), std::move(done)});
+    stream_state& s = streams_.at(stream);
+    s.queue.push_back({ticket, to_text(item), std::move(done)});
+    plan_commit(s);
     return ticket;
 }
 
@@ -54,9 +78,9 @@
     for (std::pair<const std::string, stream_state>& entry : streams_) {
         std::deque<waiting_item>& queue = entry.second.queue;
         const auto found =
-            std::find_if(queue.begin(), queue.end(),
-                         [ticket](const waiting_item& item) { return item.ticket == ticket; });
-        if (found != queue.end()) {
+            std::lower_bound(queue.begin(), queue.end(), ticket,
+                             [](const waiting_item& i, append_ticket t) { return i.ticket < t; });
+        if (found != queue.end() && found->ticket == ticket) {
             queue.erase(found);
             return true;
         }
@@ -64,10 +88,33 @@
     return false;
 }
 
+void journal_service::add_snapshot_source(const std::string& stream, snapshot_source source)
+{
+    streams_.at(stream).sources.push_back(std::move(source));
+}
+
+void journal_service::set_members(std::size_t count, bool writes_snapshots)
+{
+    pacer_.share_among(count);
+    writes_snapshots_ = writes_snapshots;
+}
+
 bool journal_service::caught_up() const
 {
     return std::all_of(streams_.begin(), streams_.end(),
-                       [](const auto& entry) { return entry.second.caught_up; });
+                       [](const auto& entry) { return entry.second.reader.caught_up(); });
+}
+
+bool journal_service::complete(const std::string& stream) const
+{
+    const stream_reader& reader = streams_.at(stream).reader;
+    return reader.caught_up() && reader.complete() && !reader.halted();
+}
+
+bool journal_service::halted() const
+{
+    return std::any_of(streams_.begin(), streams_.end(),
+                       [](const auto& entry) { return entry.second.reader.halted(); });
 }
 
 std::size_t journal_service::waiting() const
@@ -82,7 +129,7 @@
 void journal_service::read(stream_state& s)
 {
     http_call call;
-    call.path = "/streams/" + s.name + "/records?from=" + std::to_string(s.next) +
+    call.path = "/streams/" + s.name + "/records?from=" + std::to_string(s.reader.next()) +
                 "&max=1000&wait_ms=" + std::to_string(read_wait.count());
     call.timeout = settings_.log_timeout + read_wait;
     const time_point begun = boot_clock::now();
@@ -90,59 +137,95 @@
                  [this, &s, begun](const std::optional<http_reply>& reply, const error& why) {
                      const std::optional<Json::Value> answer =
                          reply && reply->status == 200 ? json_from(reply->body) : std::nullopt;
-                     if (!answer || !answer->isObject()) {
+                     if (!answer || !is_read_answer(*answer)) {
                          log_error("log_read_failed",
                                    {why.code, step::log_read, to_string(settings_.log),
                                     reply ? reply->body : why.reason});
-                         loop_.after(retry_delay, [this, &s] { read(s); });
+                         read_again(s, true, false, begun);
                          return;
                      }
-                     take_records(s, *answer, begun);
-                     read(s);
+                     const bool idle = take_answer(s, *answer, begun);
+                     read_again(s, false, idle, begun);
                  });
 }
 
-void journal_service::take_records(stream_state& s, const Json::Value& answer, time_point begun)
+void journal_service::read_again(stream_state& s, bool failed, bool idle, time_point begun)
 {
-    for (const Json::Value& record : answer["records"]) {
-        const std::uint64_t offset = record["offset"].asUInt64();
-        if (offset >= s.next) {
-            take_record(s, offset, record["data"].asString());
-            s.next = offset + 1;
-        }
+    if (s.reader.halted()) {
+        return;
+    }
+    s.read_backoff =
+        failed ? std::clamp(s.read_backoff * 2, first_backoff, longest_backoff) : millis(0);
+    const millis passed = std::chrono::duration_cast<millis>(boot_clock::now() - begun);
+    const millis delay = idle && passed < shortest_idle_read ? shortest_idle_read : s.read_backoff;
+    if (delay.count() == 0) {
+        read(s);
+        return;
     }
-    s.next = std::max<std::uint64_t>(s.next, answer["first"].asUInt64());
-    if (s.next >= answer["next"].asUInt64()) {
-        s.caught_up = true;
+    loop_.after(delay, [this, &s] { read(s); });
+}
+
+/// Returns whether the answer held no record.
+bool journal_service::take_answer(stream_state& s, const Json::Value& answer, time_point begun)
+{
+    const std::vector<raw_record> records = records_from(answer);
+    const std::uint64_t end = answer["next"].asUInt64();
+    carry_out(s, s.reader.take(answer["first"].asUInt64(), end, records));
+    if (s.reader.next() >= end && !s.reader.halted()) {
         s.last_read_begun = begun;
     }
+    return records.empty();
 }
 
-void journal_service::take_record(stream_state& s, std::uint64_t offset, const std::string& data)
+void journal_service::carry_out(stream_state& s, const reader_events& events)
 {
-    const std::optional<Json::Value> record = json_from(data);
-    if (!record || !record->isObject() || !(*record)["items"].isArray() ||
-        !(*record)["writer"].isString() || !(*record)["seq"].isUInt64() ||
-        (*record)["v"] != Json::Value(static_cast<Json::Int64>(record_version))) {
-        log_error("record_skipped", {error_code::corrupt, step::log_read, s.name,
-                                     "offset " + std::to_string(offset) + " cannot be read"});
-        return;
+    for (const reader_event& e : events) {
+        switch (e.what) {
+        case reader_event::kind::item:
+            for (const std::function<void(const journal_item&)>& handler : handlers_[e.item.type]) {
+                handler(e.item);
+            }
+            break;
+        case reader_event::kind::record:
+            if (e.writer == writer_) {
+                confirm(s, e.seq, e.offset);
+            }
+            break;
+        case reader_event::kind::fault:
+            log_error(
+                s.reader.halted() ? "stream_halted" : "record_skipped",
+                {error_code::corrupt, step::log_read, s.name,
+                 "offset " + std::to_string(e.offset) + ": " + std::string(name_of(e.fault))});
+            break;
+        case reader_event::kind::trimmed:
+            s.trimmed = boot_clock::now();
+            log_error("records_trimmed", {error_code::not_found, step::log_read, s.name,
+                                          "the log begins at " + std::to_string(e.offset)});
+            break;
+        case reader_event::kind::restored:
+            log_event(log_level::info, "snapshot_restored",
+                      {{"stream", s.name}, {"covers", static_cast<std::int64_t>(e.offset)}});
+            break;
+        }
     }
-    const std::string writer = (*record)["writer"].asString();
-    const std::uint64_t seq = (*record)["seq"].asUInt64();
-    if (seq <= s.seen[writer]) {
+}
+
+void journal_service::plan_commit(stream_state& s)
+{
+    if (s.commit_planned || !s.in_flight.empty() || s.queue.empty()) {
         return;
     }
-    s.seen[writer] = seq;
-    for (const Json::Value& item : (*record)["items"]) {
-        const std::string type = item["type"].asString();
-        for (const std::function<void(const journal_item&)>& handler : handlers_[type]) {
-            handler({type, writer, offset, item});
+    s.commit_planned = true;
+    const millis wait =
+        std::chrono::duration_cast<millis>(pacer_.next() - boot_clock::now()) + millis(1);
+    loop_.after(std::max(wait, millis(1)), [this, &s] {
+        s.commit_planned = false;
+        if (pacer_.next() > boot_clock::now()) {
+            plan_commit(s);
+            return;
         }
-    }
-    if (writer == writer_) {
-        confirm(s, seq, offset);
-    }
+        commit(s);
+    });
 }
 
 void journal_service::commit(stream_state& s)
@@ -150,17 +233,17 @@
     if (!s.in_flight.empty() || s.queue.empty()) {
         return;
     }
-    Json::Value record;
-    record["v"] = static_cast<Json::Int64>(record_version);
-    record["writer"] = writer_;
-    s.in_flight_seq = s.next_seq++;
-    record["seq"] = static_cast<Json::UInt64>(s.in_flight_seq);
-    while (!s.queue.empty() && s.in_flight.size() < max_group_items) {
-        record["items"].append(s.queue.front().value);
+    std::vector<std::string> items;
+    std::size_t bytes = 0;
+    while (!s.queue.empty() && items.size() < max_group_items &&
+           (items.empty() || bytes + s.queue.front().text.size() <= max_group_bytes)) {
+        bytes += s.queue.front().text.size();
+        items.push_back(std::move(s.queue.front().text));
         s.in_flight.push_back(std::move(s.queue.front()));
         s.queue.pop_front();
     }
-    s.in_flight_body = to_text(record);
+    s.in_flight_seq = s.next_seq++;
+    s.in_flight_body = encode(writer_, s.in_flight_seq, items);
     send_group(s);
 }
 
@@ -173,6 +256,7 @@
     call.timeout = settings_.log_timeout;
     const std::uint64_t seq = s.in_flight_seq;
     ++appends_;
+    pacer_.sent(boot_clock::now());
     client_.send(settings_.log, std::move(call),
                  [this, &s, seq](const std::optional<http_reply>& reply, const error& why) {
                      const std::optional<Json::Value> answer =
@@ -184,7 +268,7 @@
                      log_error("log_append_failed",
                                {why.code, step::log_append, to_string(settings_.log),
                                 reply ? reply->body : why.reason});
-                     loop_.after(retry_delay, [this, &s, seq] {
+                     loop_.after(longest_backoff / 4, [this, &s, seq] {
                          if (s.in_flight_seq == seq && !s.in_flight.empty()) {
                              send_group(s);
                          }
@@ -195,10 +279,10 @@
 /// Takes an own record without waiting for the next read where no other stands before it.
 void journal_service::answered(stream_state& s, std::uint64_t seq, std::uint64_t offset)
 {
-    if (s.caught_up && s.next == offset && s.in_flight_seq == seq && !s.in_flight.empty()) {
-        s.next = offset + 1;
-        const std::string body = s.in_flight_body;
-        take_record(s, offset, body);
+    const bool is_next = s.reader.caught_up() && !s.reader.halted() && s.reader.next() == offset;
+    if (is_next && s.in_flight_seq == seq && !s.in_flight.empty()) {
+        const raw_record own{offset, s.in_flight_body};
+        carry_out(s, s.reader.take_next(own));
         return;
     }
     confirm(s, seq, offset);
@@ -216,7 +300,32 @@
             item.done(offset);
         }
     }
-    commit(s);
+    plan_commit(s);
+}
+
+void journal_service::write_snapshot(stream_state& s)
+{
+    const time_point now = boot_clock::now();
+    const bool due = now - s.snapshot_at >= settings_.snapshot_interval;
+    if (!due || !writes_snapshots_ || s.sources.empty() || !complete(s.name)) {
+        return;
+    }
+    s.snapshot_at = now;
+    std::vector<journal_item> items;
+    for (const snapshot_source& source : s.sources) {
+        source(items);
+    }
+    const std::uint64_t covers = s.reader.next();
+    const std::string id = writer_ + ":" + std::to_string(covers);
+    const std::vector<Json::Value> parts = snapshot_parts(id, covers, s.reader.seen(), items);
+    for (const Json::Value& part : parts) {
+        append(s.name, part, nullptr);
+    }
+    log_event(log_level::info, "snapshot_written",
+              {{"stream", s.name},
+               {"covers", static_cast<std::int64_t>(covers)},
+               {"items", static_cast<std::int64_t>(items.size())},
+               {"parts", static_cast<std::int64_t>(parts.size())}});
 }
 
 } // namespace sesamesill
--- a/src/journal_service.h
+++ b/src/journal_service.h
@@ -1,4 +1,5 @@
-// The platform's log as the members use it: tails both streams and commits items in groups.
+// The platform's log as the members use it: tails both streams, commits items in groups, writes
+// snapshots when it is this member's turn.
 
 #pragma once
 
@@ -7,27 +8,22 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include <json/json.h>
 
 #include "sesamesill/http.h"
+#include "sesamesill/journal.h"
 #include "sesamesill/settings.h"
 
 namespace sesamesill {
 
-struct journal_item {
-    std::string type;
-    std::string writer; ///< name and incarnation of the member that wrote it
-    std::uint64_t offset = 0;
-    Json::Value value;
-};
-
 using append_ticket = std::uint64_t;
 /// Gets the offset once the item is known to be in the log.
 using append_done = std::function<void(std::uint64_t offset)>;
+/// Adds the items that together restore a service's state.
+using snapshot_source = std::function<void(std::vector<journal_item>& items)>;
 
 class journal_service {
 public:
@@ -35,17 +31,28 @@
                     std::string incarnation);
 
     void start();
-    /// Runs `handler` for each item of `type`, in log order, each item once.
+    /// Runs `handler` for each item of `type`, in log order, each item once. Items of a snapshot
+    /// come with the writer and offset that they had; a handler may meet an item that it knows.
     void on(const std::string& type, std::function<void(const journal_item&)> handler);
     /// Adds an item to the next group of `stream` ("cell" or "config").
-    append_ticket append(const std::string& stream, Json::Value item, append_done done);
+    append_ticket append(const std::string& stream, const Json::Value& item, append_done done);
     /// Takes an item back; false where it may already be in the log.
     bool cancel(append_ticket ticket);
+    /// A stream without a source gets no snapshot.
+    void add_snapshot_source(const std::string& stream, snapshot_source source);
+    /// Tells how many members share the append budget and whether this one writes snapshots.
+    void set_members(std::size_t count, bool writes_snapshots);
 
     /// Returns whether both streams were read to their end at least once.
     bool caught_up() const;
     /// Returns when the newest read of `cell` that reached the end of the stream was begun.
     time_point last_read_begun() const { return streams_.at("cell").last_read_begun; }
+    /// Returns whether all that was ever written to `stream` is known.
+    bool complete(const std::string& stream) const;
+    /// Returns when records were last found trimmed before they were read.
+    time_point trimmed_at(const std::string& stream) const { return streams_.at(stream).trimmed; }
+    /// Returns whether a record of a newer version stopped a stream: this member must not act.
+    bool halted() const;
     const std::string& writer() const { return writer_; }
     std::uint64_t appends() const { return appends_; }
     std::size_t waiting() const;
@@ -53,30 +60,36 @@
 private:
     struct waiting_item {
         append_ticket ticket = 0;
-        Json::Value value;
+        std::string text;
         append_done done;
     };
 
     struct stream_state {
         std::string name;
-        std::uint64_t next = 0;
-        bool caught_up = false;
+        stream_reader reader;
         time_point last_read_begun;
+        time_point trimmed;
+        millis read_backoff{0};
         std::deque<waiting_item> queue;
         std::vector<waiting_item> in_flight; ///< one group at a time
         std::string in_flight_body;
         std::uint64_t in_flight_seq = 0;
         std::uint64_t next_seq = 1;
-        std::map<std::string, std::uint64_t> seen; ///< highest seq of each writer
+        bool commit_planned = false;
+        std::vector<snapshot_source> sources;
+        time_point snapshot_at;
     };
 
     void read(stream_state& s);
-    void take_records(stream_state& s, const Json::Value& answer, time_point begun);
-    void take_record(stream_state& s, std::uint64_t offset, const std::string& data);
+    void read_again(stream_state& s, bool failed, bool idle, time_point begun);
+    bool take_answer(stream_state& s, const Json::Value& answer, time_point begun);
+    void carry_out(stream_state& s, const reader_events& events);
+    void plan_commit(stream_state& s);
     void commit(stream_state& s);
     void send_group(stream_state& s);
     void answered(stream_state& s, std::uint64_t seq, std::uint64_t offset);
     void confirm(stream_state& s, std::uint64_t seq, std::uint64_t offset);
+    void write_snapshot(stream_state& s);
 
     event_loop& loop_;
     http_client& client_;
@@ -84,6 +97,8 @@
     std::string writer_;
     std::map<std::string, stream_state> streams_;
     std::map<std::string, std::vector<std::function<void(const journal_item&)>>> handlers_;
+    commit_pacer pacer_;
+    bool writes_snapshots_ = false;
     append_ticket next_ticket_ = 1;
     std::uint64_t appends_ = 0;
 };
--- a/src/key_service.cc
+++ b/src/key_service.cc
@@ -11,6 +11,7 @@
 request_limits limits_from(const node_settings& settings)
 {
     request_limits limits;
+    limits.retention = settings.key_retention;
     limits.intent_first = !is_disabled(settings, "intent");
     limits.remember = !is_disabled(settings, "dedup");
     return limits;
@@ -21,7 +22,7 @@
 key_service::key_service(event_loop& loop, cell_service& cell, journal_service& journal,
                          const node_settings& settings)
     : loop_(loop), cell_(cell), journal_(journal), lease_(settings.lease),
-      table_(journal.writer(), limits_from(settings))
+      retention_(settings.key_retention), table_(journal.writer(), limits_from(settings))
 {
     cell_.on_change([this] { note_members(); });
     journal_.on("intent", [this](const journal_item& item) {
@@ -37,9 +38,26 @@
         carry_out(table_.ending_read(item.value["id"].asString(), item.writer, ending,
                                      item.value["body"].asString(), boot_clock::now()));
     });
+    journal_.add_snapshot_source(
+        "cell", [this](std::vector<journal_item>& items) { add_to_snapshot(items); });
     loop_.every(advance_interval, [this] { carry_out(table_.advance(view(), boot_clock::now())); });
 }
 
+void key_service::add_to_snapshot(std::vector<journal_item>& items) const
+{
+    table_.for_each([&items](const std::string& id, const std::string& writer, outcome ending,
+                             const std::string& body) {
+        Json::Value value;
+        value["type"] = ending == outcome::pending ? "intent" : "ending";
+        value["id"] = id;
+        if (ending != outcome::pending) {
+            value["outcome"] = std::string(name_of(ending));
+            value["body"] = body;
+        }
+        items.push_back({value["type"].asString(), writer, 0, std::move(value)});
+    });
+}
+
 void key_service::note_members()
 {
     std::vector<std::string> names;
@@ -49,6 +67,8 @@
     if (names != members_) {
         members_.swap(names);
         members_since_ = boot_clock::now();
+        journal_.set_members(members_.size(),
+                             !members_.empty() && members_.front() == cell_.self());
     }
 }
 
@@ -56,7 +76,10 @@
 {
     // An earlier owner of a key may write intents until its lease ends.
     const bool current = journal_.last_read_begun() > members_since_ + lease_;
-    return {journal_.caught_up(), current};
+    const bool complete =
+        journal_.complete("cell") || (journal_.caught_up() && !journal_.halted() &&
+                                      boot_clock::now() > journal_.trimmed_at("cell") + retention_);
+    return {complete, current};
 }
 
 void key_service::begin(const std::string& id, time_point until, key_done done)
@@ -78,7 +101,7 @@
     item["id"] = action.id;
     item["outcome"] = std::string(name_of(action.ending));
     item["body"] = action.body;
-    journal_.append("cell", std::move(item), nullptr);
+    journal_.append("cell", item, nullptr);
 }
 
 void key_service::carry_out(const request_actions& actions)
@@ -89,7 +112,7 @@
             Json::Value item;
             item["type"] = "intent";
             item["id"] = action.id;
-            tickets_[action.id] = journal_.append("cell", std::move(item), nullptr);
+            tickets_[action.id] = journal_.append("cell", item, nullptr);
             break;
         }
         case request_action::kind::withdraw_intent: {
--- a/src/key_service.h
+++ b/src/key_service.h
@@ -40,6 +40,7 @@
 private:
     request_view view() const;
     void note_members();
+    void add_to_snapshot(std::vector<journal_item>& items) const;
     void carry_out(const request_actions& actions);
     void append_ending(const request_action& action);
 
@@ -47,6 +48,7 @@
     cell_service& cell_;
     journal_service& journal_;
     millis lease_;
+    millis retention_;
     request_table table_;
     std::unordered_map<caller_id, key_done> callers_;
     std::unordered_map<std::string, append_ticket> tickets_; ///< of own intents on their way
--- a/src/node.cc
+++ b/src/node.cc
@@ -53,7 +53,8 @@
 
     bool ready() const
     {
-        return !draining && journal.caught_up() && documents.current() && cell.ready();
+        return !draining && journal.caught_up() && !journal.halted() && documents.current() &&
+               cell.ready();
     }
 
     void serve();
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -25,7 +25,7 @@
     bool required;
 };
 
-const std::array<setting, 18> known_settings{{
+const std::array<setting, 20> known_settings{{
     {"node", "name", &node_settings::name, true},
     {"node", "data_center", &node_settings::data_center, true},
     {"node", "environment", &node_settings::environment, true},
@@ -37,6 +37,8 @@
     {"platform", "log_timeout_ms", &node_settings::log_timeout, false},
     {"platform", "vm_list_interval_ms", &node_settings::vm_list_interval, false},
     {"timing", "commit_interval_ms", &node_settings::commit_interval, false},
+    {"timing", "snapshot_interval_ms", &node_settings::snapshot_interval, false},
+    {"timing", "key_retention_ms", &node_settings::key_retention, false},
     {"timing", "heartbeat_interval_ms", &node_settings::heartbeat_interval, false},
     {"timing", "lease_ms", &node_settings::lease, false},
     {"timing", "sync_interval_ms", &node_settings::sync_interval, false},
