--- a/src/journal_service.cc
+++ b/src/journal_service.cc
@@ -201,6 +201,7 @@
             s.trimmed = boot_clock::now();
             log_error("records_trimmed", {error_code::not_found, step::log_read, s.name,
                                           "the log begins at " + std::to_string(e.offset)});
+            tell_gap(s, e.offset);
             break;
         case reader_event::kind::restored:
             log_event(log_level::info, "snapshot_restored",
@@ -210,6 +211,16 @@
     }
 }
 
+void journal_service::tell_gap(const stream_state& s, std::uint64_t first)
+{
+    journal_item gap{"gap", "", first, Json::Value(Json::objectValue)};
+    gap.value["type"] = "gap";
+    gap.value["stream"] = s.name;
+    for (const std::function<void(const journal_item&)>& handler : handlers_["gap"]) {
+        handler(gap);
+    }
+}
+
 void journal_service::plan_commit(stream_state& s)
 {
     if (s.commit_planned || !s.in_flight.empty() || s.queue.empty()) {
--- a/src/journal_service.h
+++ b/src/journal_service.h
@@ -33,6 +33,7 @@
     void start();
     /// Runs `handler` for each item of `type`, in log order, each item once. Items of a snapshot
     /// come with the writer and offset that they had; a handler may meet an item that it knows.
+    /// An item of type "gap" comes where records of its "stream" were trimmed unread.
     void on(const std::string& type, std::function<void(const journal_item&)> handler);
     /// Adds an item to the next group of `stream` ("cell" or "config").
     append_ticket append(const std::string& stream, const Json::Value& item, append_done done);
@@ -84,6 +85,7 @@
     void read_again(stream_state& s, bool failed, bool idle, time_point begun);
     bool take_answer(stream_state& s, const Json::Value& answer, time_point begun);
     void carry_out(stream_state& s, const reader_events& events);
+    void tell_gap(const stream_state& s, std::uint64_t first);
     void plan_commit(stream_state& s);
     void commit(stream_state& s);
     void send_group(stream_state& s);
