--- a/src/document_service.cc
+++ b/src/document_service.cc
@@ -117,7 +117,7 @@
     w.done = std::move(done);
     Json::Value item = to_json(record);
     item["type"] = "document";
-    w.ticket = journal_.append("config", std::move(item), nullptr);
+    w.ticket = journal_.append("config", item, nullptr);
     waiting_.push_back(std::move(w));
 }
 
