--- a/src/cell_service.cc
+++ b/src/cell_service.cc
@@ -153,7 +153,7 @@
 {
     item["type"] = type;
     ++waiting_;
-    journal_.append(stream, std::move(item), [this](std::uint64_t /*offset*/) { --waiting_; });
+    journal_.append(stream, item, [this](std::uint64_t /*offset*/) { --waiting_; });
 }
 
 void cell_service::act()
--- a/src/node.cc
+++ b/src/node.cc
@@ -104,6 +104,9 @@
     if (!cell.ready()) {
         return "not in a view of the cell";
     }
+    if (journal.halted()) {
+        return "the log holds a record of a newer version";
+    }
     return journal.caught_up() ? "" : "the log was not read to its end yet";
 }
 
