Prove the document's way into force under cuts, outages and trims

Ruled out: in_force() after a restart, which rests on what was seen before the kill. Conclusion: promotion with a whole trial cell is not yet proved.

--- a/src/document_service.cc
+++ b/src/document_service.cc
@@ -61,10 +61,14 @@
 
 void document_service::start()
 {
-    loop_.every(gossip_interval, [this] { ask_peer(); });
+    if (!is_disabled(settings_, "document_gossip")) {
+        loop_.every(gossip_interval, [this] { ask_peer(); });
+    }
     loop_.every(confirm_interval, [this] { confirm_in_force(); });
     loop_.every(waiting_interval, [this] { answer_waiting(); });
-    loop_.every(settings_.document_snapshot_interval, [this] { write_snapshots(); });
+    if (!is_disabled(settings_, "document_snapshot")) {
+        loop_.every(settings_.document_snapshot_interval, [this] { write_snapshots(); });
+    }
 }
 
 void document_service::serve(rpc_server& rpc)
--- a/test/scenario/commands.cc
+++ b/test/scenario/commands.cc
@@ -333,7 +333,8 @@
     http_call call;
     call.method = "POST";
     call.path = arguments[1].asString();
-    call.body = to_text(arguments[2]);
+    call.headers["Authorization"] = "Bearer scenario";
+    call.body = arguments[2].isString() ? arguments[2].asString() : to_text(arguments[2]);
     call.timeout = millis(arguments.size() > 3 ? arguments[3].asInt64() : 8000);
     const std::optional<http_reply> reply = ask(*address_of(arguments[0].asString()), call);
     Json::Value result;
