--- a/include/sesamesill/request.h
+++ b/include/sesamesill/request.h
@@ -54,8 +54,10 @@
     micros retention = std::chrono::minutes(10); ///< how long an ending is remembered
     std::size_t max_callers_per_key = 8;         ///< duplicates that wait for one answer
     std::size_t max_callers = 20000;             ///< waiting callers of all keys
-    bool intent_first = true;                    ///< test only: off lets requests run at once
-    bool remember = true;                        ///< test only: off forgets earlier attempts
+    micros lateness =
+        std::chrono::milliseconds(50); ///< after a deadline its caller may have retried
+    bool intent_first = true;          ///< test only: off lets requests run at once
+    bool remember = true;              ///< test only: off forgets earlier attempts
 };
 
 /// Names one caller that waits for an answer.
@@ -94,8 +96,10 @@
     request_table(std::string self, request_limits limits);
 
     request_actions begin(const request_caller& caller, const request_view& view, time_point now);
-    /// Takes an intent in log order, this member's own ones included.
-    request_actions intent_read(const std::string& id, const std::string& writer, time_point now);
+    /// Takes an intent in log order, this member's own ones included. Without authority over the
+    /// key (`may_run`) it lets nothing run: the next owner counts on that.
+    request_actions intent_read(const std::string& id, const std::string& writer,
+                                const request_view& view, bool may_run, time_point now);
     /// Takes an ending in log order. A `not_run` counts only from the holder.
     request_actions ending_read(const std::string& id, const std::string& writer, outcome ending,
                                 const std::string& body, time_point now);
@@ -146,6 +150,9 @@
     void intend(const std::string& id, record& r, request_actions& out) const;
     void grant(const request_key& key, const std::string& id, record& r, time_point now,
                request_actions& out);
+    void decline(const request_key& key, const std::string& id, bool complete, time_point now,
+                 request_actions& out);
+    bool is_late(const request_caller& caller, time_point now) const;
     void finish(const request_key& key, const std::string& id, record& r, time_point now,
                 request_actions& out);
     void expire(const request_key& key, std::vector<request_caller>& waiting,
--- a/src/key_service.cc
+++ b/src/key_service.cc
@@ -30,7 +30,8 @@
         if (item.writer == journal_.writer()) {
             tickets_.erase(id);
         }
-        carry_out(table_.intent_read(id, item.writer, boot_clock::now()));
+        carry_out(
+            table_.intent_read(id, item.writer, view(), cell_.may_act(id), boot_clock::now()));
     });
     journal_.on("ending", [this](const journal_item& item) {
         const outcome ending =
@@ -72,14 +73,17 @@
     }
 }
 
+bool key_service::current() const
+{
+    return journal_.last_read_begun() > members_since_ + lease_;
+}
+
 request_view key_service::view() const
 {
-    // An earlier owner of a key may write intents until its lease ends.
-    const bool current = journal_.last_read_begun() > members_since_ + lease_;
     const bool complete =
         journal_.complete("cell") || (journal_.caught_up() && !journal_.halted() &&
                                       boot_clock::now() > journal_.trimmed_at("cell") + retention_);
-    return {complete, current};
+    return {complete, current()};
 }
 
 void key_service::begin(const std::string& id, time_point until, key_done done)
--- a/src/key_service.h
+++ b/src/key_service.h
@@ -34,6 +34,9 @@
     /// that it did not start. A later `done` or `failed` replaces `unknown`.
     void end(const std::string& id, outcome ending, const std::string& body);
 
+    /// Returns whether all that earlier owners may have run or accepted has been read: an owner
+    /// stops a lease after the members changed.
+    bool current() const;
     std::size_t size() const { return table_.size(); }
     std::size_t waiting() const { return table_.callers(); }
 
--- a/src/request.cc
+++ b/src/request.cc
@@ -101,6 +101,12 @@
     return static_cast<std::uint32_t>(found - writers_.begin());
 }
 
+/// A member that was paused past a deadline cannot know whether the caller has come again.
+bool request_table::is_late(const request_caller& caller, time_point now) const
+{
+    return now - caller.until > limits_.lateness;
+}
+
 request_actions request_table::begin(const request_caller& caller, const request_view& view,
                                      time_point now)
 {
@@ -159,7 +165,7 @@
 }
 
 request_actions request_table::intent_read(const std::string& id, const std::string& writer,
-                                           time_point now)
+                                           const request_view& view, bool may_run, time_point now)
 {
     request_actions out;
     const std::optional<request_key> key = request_key_from(id);
@@ -176,12 +182,34 @@
     r.holder = index_of(writer);
     r.phase = request_phase::intended;
     r.ending = outcome::pending;
-    if (own) {
+    if (own && may_run && view.complete) {
         grant(*key, id, r, now, out);
     }
+    else if (own) {
+        decline(*key, id, view.complete, now, out);
+    }
     return out;
 }
 
+/// Ends an own intent as not run. As the first in a log that is known whole, it proves that nothing
+/// ran before it.
+void request_table::decline(const request_key& key, const std::string& id, bool complete,
+                            time_point now, request_actions& out)
+{
+    out.push_back(change(request_action::kind::append_ending, id));
+    out.back().ending = outcome::not_run;
+    const auto found = waiting_.find(key);
+    if (found == waiting_.end()) {
+        return;
+    }
+    for (const request_caller& c : found->second) {
+        out.push_back(answer(c, complete && !is_late(c, now) ? verdict::not_run : verdict::unknown,
+                             {error_code::not_owner, step::intent, "", "the key has a new owner"}));
+    }
+    callers_ -= found->second.size();
+    waiting_.erase(found);
+}
+
 void request_table::grant(const request_key& key, const std::string& id, record& r, time_point now,
                           request_actions& out)
 {
@@ -201,8 +229,7 @@
             return;
         }
     }
-    out.push_back(change(request_action::kind::append_ending, id));
-    out.back().ending = outcome::not_run;
+    decline(key, id, true, now, out);
 }
 
 request_actions request_table::ending_read(const std::string& id, const std::string& writer,
@@ -309,10 +336,10 @@
     const record& r = entries_.at(key);
     const bool all_over = first_over == waiting.begin();
     const bool untouched = r.phase == request_phase::accepted && r.holder == nobody;
-    const verdict result =
-        all_over && untouched && view.current ? verdict::not_run : verdict::unknown;
+    const bool none_will_run = all_over && untouched && view.current && view.complete;
     for (auto c = first_over; c != waiting.end(); ++c) {
-        out.push_back(answer(*c, result,
+        const bool certain = none_will_run && !is_late(*c, now);
+        out.push_back(answer(*c, certain ? verdict::not_run : verdict::unknown,
                              {error_code::timeout, step::intent, "",
                               untouched ? "the log did not take the intent before the deadline"
                                         : "an earlier attempt has not ended"}));
--- /dev/null
+++ b/test/recovery-test.cc
@@ -0,0 +1,198 @@
+// Tests of jobs in the table of a home: what it sends, what it learns after a takeover.
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/recovery.h"
+
+using namespace sesamesill;
+
+namespace {
+
+const std::string id = "00000000000000010000000000000002";
+const time_point start{micros(1000000)};
+
+time_point at(std::int64_t ms)
+{
+    return start + millis(ms);
+}
+
+submission work_of(std::int64_t tasks, bool idempotent)
+{
+    submission what;
+    what.tenant = "delta";
+    what.work_class = "review";
+    what.kind = work_kind::batch;
+    what.idempotent = idempotent;
+    what.tasks = tasks;
+    what.deadline = millis(1000);
+    return what;
+}
+
+/// A job that this member accepted itself.
+job& born(job_table& table, std::int64_t tasks, bool idempotent)
+{
+    return *table.accept_read(id, work_of(tasks, idempotent), 3, "e1#1", 5, true, start);
+}
+
+/// A job that another member accepted, and that came to this one.
+job& inherited(job_table& table, std::int64_t tasks, bool idempotent)
+{
+    job& j = *table.accept_read(id, work_of(tasks, idempotent), 3, "e2#1", 5, false, start);
+    table.update_homes([](const std::string&) { return true; });
+    return j;
+}
+
+void send(job_table& table, job& j, std::size_t index, const std::string& worker)
+{
+    table.placed(j.id, index, table.sent(j, index, "e1"), worker);
+}
+
+listed_task end_of(std::size_t index, std::int32_t attempt, task_state state)
+{
+    return {task_name(id, index), attempt, state, "w1", "r"};
+}
+
+} // namespace
+
+Test(recovery, a_non_idempotent_task_waits_for_its_intent)
+{
+    job_table table("e1#1");
+    job& j = born(table, 1, false);
+    job_actions actions;
+    cr_assert_not(table.may_send(j, 0, actions));
+    cr_assert(actions.size() == 1 && actions[0].what == job_action::kind::append_intent);
+    cr_assert_not(table.may_send(j, 0, actions));
+    cr_assert(actions.size() == 1);
+    table.intent_read(id, {0});
+    cr_assert(table.may_send(j, 0, actions));
+}
+
+Test(recovery, a_new_home_places_nothing_before_every_shard_has_answered)
+{
+    job_table table("e1#1");
+    job& j = inherited(table, 3, true);
+    job_actions actions;
+    cr_assert_not(table.may_send(j, 0, actions));
+    cr_assert(table.begin_recovery({"r1", "r2"}, start).size() == 1);
+    table.take_answer({"e1", {"r1"}, {end_of(0, 4, task_state::running)}, {}}, at(1));
+    cr_assert_not(j.settled);
+    const job_actions ends =
+        table.take_answer({"e3", {"r2"}, {end_of(1, 2, task_state::done)}, {}}, at(2));
+    cr_assert(j.settled);
+    cr_assert(j.tasks[0].phase == task_phase::running && j.tasks[0].attempt == 4);
+    cr_assert(j.tasks[1].phase == task_phase::done);
+    cr_assert(ends.size() == 1 && ends[0].what == job_action::kind::append_end);
+    cr_assert(table.may_send(j, 2, actions));
+}
+
+Test(recovery, an_unlisted_task_with_an_intent_is_unknown_until_somebody_can_tell)
+{
+    job_table table("e1#1");
+    job& j = inherited(table, 1, false);
+    table.intent_read(id, {0});
+    table.begin_recovery({"r1"}, start);
+    table.take_answer({"e1", {"r1"}, {}, {}}, at(1));
+    cr_assert(j.ending == outcome::unknown);
+    const end_result late = table.ended(end_of(0, 1, task_state::done), at(9));
+    cr_assert(late.actions.size() == 2);
+    cr_assert(j.ending == outcome::done);
+}
+
+Test(recovery, an_unlisted_task_without_an_intent_never_left)
+{
+    job_table table("e1#1");
+    job& j = inherited(table, 1, false);
+    table.begin_recovery({"r1"}, start);
+    table.take_answer({"e1", {"r1"}, {}, {}}, at(1));
+    cr_assert(j.tasks[0].phase == task_phase::waiting);
+}
+
+Test(recovery, a_lost_answer_is_settled_by_the_member_that_was_asked)
+{
+    job_table table("e1#1");
+    job& j = born(table, 1, false);
+    table.intent_read(id, {0});
+    const std::int32_t attempt = table.sent(j, 0, "e2");
+    table.unanswered(id, 0, attempt, at(500));
+    job_actions actions;
+    cr_assert_not(table.may_send(j, 0, actions));
+    table.begin_recovery({"r1"}, at(600));
+    table.take_answer({"e2", {"r1"}, {}, std::chrono::minutes(5)}, at(700));
+    cr_assert(table.may_send(j, 0, actions));
+}
+
+Test(recovery, a_member_that_was_restarted_cannot_deny_a_start)
+{
+    job_table table("e1#1");
+    job& j = born(table, 1, false);
+    table.intent_read(id, {0});
+    table.unanswered(id, 0, table.sent(j, 0, "e2"), at(500));
+    table.begin_recovery({"r1"}, at(600));
+    table.take_answer({"e2", {"r1"}, {}, millis(150)}, at(700));
+    cr_assert(j.ending == outcome::unknown);
+}
+
+Test(recovery, only_a_failed_attempt_that_is_over_is_tried_again)
+{
+    job_table table("e1#1");
+    job& j = born(table, 1, true);
+    send(table, j, 0, "w1");
+    send(table, j, 0, "w1");
+    cr_assert(table.ended(end_of(0, 1, task_state::failed), at(1)).acknowledge);
+    cr_assert(j.tasks[0].phase == task_phase::running);
+    cr_assert(table.ended(end_of(0, 2, task_state::failed), at(1)).acknowledge);
+    cr_assert(j.tasks[0].phase == task_phase::waiting);
+}
+
+Test(recovery, an_end_is_acknowledged_once_it_is_durable)
+{
+    job_table table("e1#1");
+    job& j = born(table, 1, true);
+    send(table, j, 0, "w1");
+    cr_assert_not(table.ended(end_of(0, 1, task_state::done), at(1)).acknowledge);
+    cr_assert_not(table.ended(end_of(0, 1, task_state::done), at(2)).acknowledge);
+    table.end_read(id, 0, task_phase::done, "r");
+    cr_assert(table.ended(end_of(0, 1, task_state::done), at(3)).acknowledge);
+}
+
+Test(recovery, a_new_home_takes_no_failure_before_it_is_settled)
+{
+    job_table table("e1#1");
+    job& j = inherited(table, 1, true);
+    cr_assert_not(table.ended(end_of(0, 1, task_state::failed), at(1)).acknowledge);
+    cr_assert(j.tasks[0].phase == task_phase::unsettled);
+}
+
+Test(recovery, a_deadline_ends_a_job_only_if_no_start_ever_left)
+{
+    job_table table("e1#1");
+    job& j = born(table, 2, true);
+    send(table, j, 0, "w1");
+    table.update_deadlines(at(2000));
+    cr_assert(j.ending == outcome::pending);
+    job_table other("e1#1");
+    job& untouched = born(other, 2, true);
+    cr_assert(other.update_deadlines(at(2000)).size() == 3);
+    cr_assert(untouched.ending == outcome::not_run);
+}
+
+Test(recovery, a_cancelled_job_starts_nothing_and_stops_what_runs)
+{
+    job_table table("e1#1");
+    job& j = born(table, 2, true);
+    send(table, j, 0, "w1");
+    const job_actions actions = table.cancel_read(id, at(1));
+    cr_assert(actions.size() == 2);
+    cr_assert(actions[0].what == job_action::kind::stop_task);
+    cr_assert(table.placeable().empty());
+    table.ended(end_of(0, 1, task_state::stopped), at(2));
+    cr_assert(j.ending == outcome::failed);
+}
+
+Test(recovery, names_of_tasks_go_both_ways)
+{
+    cr_assert(job_of(task_name(id, 7)) == id);
+    cr_assert(index_of(task_name(id, 7)).value_or(0) == 7);
+    cr_assert_not(index_of(id + "/x").has_value());
+    cr_assert_not(index_of(id + "/").has_value());
+}
--- a/test/request-test.cc
+++ b/test/request-test.cc
@@ -30,7 +30,7 @@
     const request_actions begun = table.begin({id, 7, at(100)}, whole, start);
     cr_assert(begun.size() == 1);
     cr_assert(begun[0].what == request_action::kind::append_intent);
-    const request_actions read = table.intent_read(id, "e1#1", at(5));
+    const request_actions read = table.intent_read(id, "e1#1", whole, true, at(5));
     cr_assert(read.size() == 1);
     cr_assert(read[0].what == request_action::kind::answer);
     cr_assert(read[0].result == verdict::run && read[0].caller == 7);
@@ -40,8 +40,8 @@
 {
     request_table table = table_of();
     table.begin({id, 7, at(100)}, whole, start);
-    cr_assert(table.intent_read(id, "e2#1", at(4)).empty());
-    cr_assert(table.intent_read(id, "e1#1", at(5)).empty());
+    cr_assert(table.intent_read(id, "e2#1", whole, true, at(4)).empty());
+    cr_assert(table.intent_read(id, "e1#1", whole, true, at(5)).empty());
     const request_actions read = table.ending_read(id, "e2#1", outcome::done, "42", at(9));
     cr_assert(read.size() == 1);
     cr_assert(read[0].result == verdict::replay && read[0].body == "42" && read[0].caller == 7);
@@ -51,7 +51,7 @@
 {
     request_table table = table_of();
     table.begin({id, 1, at(100)}, whole, start);
-    table.intent_read(id, "e1#1", at(1));
+    table.intent_read(id, "e1#1", whole, true, at(1));
     for (caller_id c = 2; c < 10; ++c) {
         cr_assert(table.begin({id, c, at(100)}, whole, at(2)).empty());
     }
@@ -73,7 +73,7 @@
     cr_assert(over[0].result == verdict::not_run);
     cr_assert(over[1].what == request_action::kind::withdraw_intent);
     // The intent was in the log after all: it is ended and nobody runs.
-    const request_actions read = table.intent_read(id, "e1#1", at(20));
+    const request_actions read = table.intent_read(id, "e1#1", whole, true, at(20));
     cr_assert(read.size() == 1 && read[0].what == request_action::kind::append_ending);
     cr_assert(read[0].ending == outcome::not_run);
 }
@@ -106,28 +106,38 @@
 {
     request_table table = table_of();
     table.begin({id, 1, at(100)}, whole, start);
-    table.intent_read(id, "e1#1", at(1));
+    table.intent_read(id, "e1#1", whole, true, at(1));
     cr_assert(table.end(id, outcome::not_run, "", at(2))[0].ending == outcome::not_run);
     cr_assert(table.begin({id, 2, at(100)}, whole, at(3)).empty());
     const request_actions again = table.ending_read(id, "e1#1", outcome::not_run, "", at(4));
     cr_assert(again.size() == 1 && again[0].what == request_action::kind::append_intent);
-    cr_assert(table.intent_read(id, "e1#1", at(5))[0].result == verdict::run);
+    cr_assert(table.intent_read(id, "e1#1", whole, true, at(5))[0].result == verdict::run);
 }
 
 Test(request, only_the_holder_can_say_not_run)
 {
     request_table table = table_of();
-    table.intent_read(id, "e2#1", start);
+    table.intent_read(id, "e2#1", whole, true, start);
     table.ending_read(id, "e3#1", outcome::not_run, "", at(1));
     cr_assert(table.begin({id, 1, at(100)}, whole, at(2)).empty());
     cr_assert(table.advance(whole, at(101))[0].result == verdict::unknown);
 }
 
+Test(request, an_intent_read_after_the_authority_ended_lets_nothing_run)
+{
+    request_table table = table_of();
+    table.begin({id, 1, at(100)}, whole, start);
+    const request_actions read = table.intent_read(id, "e1#1", whole, false, at(1));
+    cr_assert(read.size() == 2);
+    cr_assert(read[0].ending == outcome::not_run);
+    cr_assert(read[1].result == verdict::not_run);
+}
+
 Test(request, a_late_answer_replaces_unknown)
 {
     request_table table = table_of();
     table.begin({id, 1, at(100)}, whole, start);
-    table.intent_read(id, "e1#1", at(1));
+    table.intent_read(id, "e1#1", whole, true, at(1));
     table.end(id, outcome::unknown, "", at(2));
     cr_assert(table.begin({id, 2, at(100)}, whole, at(3))[0].result == verdict::unknown);
     cr_assert(table.end(id, outcome::done, "late", at(4)).size() == 1);
