Recover jobs after a change of members, cancel and list them

Starts for others name their home, and owners refuse any but the job's home. An end is acknowledged to the worker only once it is in the log. Non-idempotent tasks have a durable intent and end as unknown where nobody can tell. DELETE and GET with filters; deadlines end a job as not_run only if no start ever left. A submission whose home cannot be reached is tried again until its deadline. Ruled out: answering not_run where the home refuses the connection (an accepted job would be disowned). Conclusion: an accepted job outlives its home.

--- a/src/job_service.h
+++ b/src/job_service.h
@@ -1,18 +1,22 @@
-// Keeps the jobs whose home this member is: accepts them, finds places, tells their ends.
+// Keeps all jobs from the log. Acts on those whose home this member is: accepts them, finds places,
+// tells their ends, recovers them after a change of members.
 
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cell_service.h"
 #include "document_service.h"
+#include "job_items.h"
 #include "journal_service.h"
+#include "key_service.h"
 #include "sesamesill/http.h"
+#include "sesamesill/recovery.h"
 #include "sesamesill/rpc.h"
-#include "sesamesill/submission.h"
 #include "worker_service.h"
 
 namespace sesamesill {
@@ -20,53 +24,80 @@
 class job_service {
 public:
     job_service(event_loop& loop, http_client& client, cell_service& cell, journal_service& journal,
-                document_service& documents, worker_service& workers);
+                document_service& documents, worker_service& workers, key_service& keys,
+                const node_settings& settings);
 
     void start();
     void serve(http_server& callers, http_server& peers, rpc_server& rpc);
+    const std::map<std::string, job>& jobs() const { return table_.jobs(); }
 
 private:
-    enum class task_phase : std::uint8_t { waiting, placing, running, done, failed };
-
-    struct task {
-        task_phase phase = task_phase::waiting;
-        std::int32_t attempt = 0;
-        std::string worker;
-        std::string result;
-    };
-
     struct watcher {
         time_point until;
         http_respond respond;
     };
 
-    struct job {
+    /// A job whose record is on its way to the log.
+    struct pending_accept {
+        append_ticket ticket = 0;
+        time_point until;
+        bool given_up = false; ///< the record may come yet; the job ends as not run then
+        std::vector<http_respond> callers;
+    };
+
+    struct submit_request {
+        http_request request;
         submission what;
+        time_point until;
+        bool forwarded = false;
+    };
+
+    /// Tasks of one job that one member is asked to start.
+    struct place_request {
         std::string id;
-        time_point arrived;
-        outcome ending = outcome::pending;
-        error reason;
-        std::vector<task> tasks;
-        std::vector<watcher> watchers;
+        std::vector<std::size_t> indices;
+        std::vector<std::int32_t> attempts;
+        std::vector<task_spec> specs;
+        bool all = false; ///< all of them or none
     };
 
+    void follow_log();
     void submit(const http_request& request, const http_respond& respond, bool forwarded);
     void show(const http_request& request, const http_respond& respond, bool forwarded);
-    void pass_on(const http_request& request, const http_respond& respond, const member& to);
+    void list(const http_request& request, const http_respond& respond) const;
+    void cancel(const http_request& request, const http_respond& respond, bool forwarded);
+    void find_home(const submit_request& s, const http_respond& respond);
+    void pass_on(const http_request& request, const member& to, http_done done);
+    void show_known(const std::string& id, const http_respond& respond, const error& why) const;
     void accept(const submission& what, const http_respond& respond);
-    void place_waiting();
-    void place(job& j, std::size_t index);
-    void place_remote(job& j, std::size_t index);
-    void set_phase(const std::string& id, std::size_t index, task_phase phase,
-                   const std::string& worker);
-    void task_end(const task_report& report, const std::function<void()>& acknowledge);
-    void apply_end(const std::string& task, bool done, const std::string& result);
-    void finish_if_ended(job& j);
+    void take_accept(const journal_item& item);
     void answer_watchers();
+    void expire_accepts();
+    void give_up(const std::string& id, pending_accept& p);
+
+    void place_waiting();
+    void place(job& j);
+    bool place_here(job& j, place_request& request);
+    void place_remote(const place_request& request);
+    void take_places(const place_request& request, const Json::Value& result);
+    task_spec spec_of(const job& j, std::size_t index) const;
     std::optional<Json::Value> rpc_place(const Json::Value& params, error& why);
+    std::optional<Json::Value> rpc_stop(const Json::Value& params, error& why);
+
+    void note_cell();
+    void recover();
+    void ask(const member& to, const recovery_request& request);
+    std::optional<Json::Value> rpc_tasks_of(const Json::Value& params, error& why);
+    recovery_answer answer_of(const recovery_request& request);
+    void task_end(const task_report& report, const std::function<void()>& acknowledge);
     std::optional<Json::Value> rpc_ended(const Json::Value& params, error& why);
+    bool take_end(const listed_task& report);
+    void stop_cancelled();
+    void stop(const std::string& task, const std::string& worker);
+
+    void carry_out(const job_actions& actions);
+    void add_to_snapshot(std::vector<journal_item>& items) const;
     static Json::Value describe(const job& j);
-    task_spec spec_of(const job& j, std::size_t index) const;
 
     event_loop& loop_;
     http_client& client_;
@@ -74,7 +105,19 @@
     journal_service& journal_;
     document_service& documents_;
     worker_service& workers_;
-    std::map<std::string, job> jobs_;
+    key_service& keys_;
+    const node_settings& settings_;
+    job_table table_;
+    std::map<std::string, pending_accept> accepts_;
+    std::map<std::string, std::vector<watcher>> watchers_;
+    std::map<std::string, time_point> retry_at_;  ///< jobs that found no room
+    std::set<std::string> asking_;                ///< jobs with a request for places on its way
+    std::set<std::string> cancelled_;             ///< jobs whose running tasks are to be stopped
+    std::map<std::string, std::uint64_t> fences_; ///< the newest round of each home
+    std::uint64_t round_ = 0;
+    std::set<std::string> worker_names_;
+    time_point worker_lost_; ///< when a worker last left the VM list
+    time_point started_;
     std::size_t next_peer_ = 0; ///< whom to ask next for a place
 };
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -57,7 +57,8 @@
           documents(l, client, cell, journal, settings), document_calls(documents, settings),
           workers(l, client, cell, settings), keys(l, cell, journal, settings),
           calls(l, client, cell, keys, documents),
-          jobs(l, client, cell, journal, documents, workers), admin(client, cell, settings)
+          jobs(l, client, cell, journal, documents, workers, keys, settings),
+          admin(client, cell, settings)
     {
     }
 
--- a/src/worker_service.cc
+++ b/src/worker_service.cc
@@ -104,7 +104,9 @@
 
 void worker_service::update_worker(const vm& v)
 {
+    const bool fresh = links_.count(v.name) == 0;
     worker_link& link = links_[v.name];
+    link.since = fresh ? boot_clock::now() : link.since;
     link.target = v;
     link.id = owned_.put(entry_of(v));
     health_.add(link.id);
--- a/src/worker_service.h
+++ b/src/worker_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,6 +22,7 @@
 #include "sesamesill/placement.h"
 #include "sesamesill/platform.h"
 #include "sesamesill/preemption.h"
+#include "sesamesill/recovery.h"
 #include "sesamesill/settings.h"
 #include "task_spec.h"
 
@@ -47,6 +49,12 @@
     std::optional<error> never_fits(const task_spec& task, std::int64_t count) const;
     /// Returns why the task runs where it does, or what keeps it off the owned workers.
     explanation explain(const task_spec& task) const;
+    /// Returns what is held, waits for room, or ended unacknowledged here of the jobs named.
+    std::vector<listed_task> tasks_of(const std::set<std::string>& jobs) const;
+    /// Returns the owned shards whose workers have all been heard, or have had no answer for
+    /// `lapse`, so that what they held has ended.
+    std::vector<std::string> accounted_shards(micros lapse) const;
+    void stop(const std::string& task);
     void on_ended(task_ended action) { ended_ = std::move(action); }
 
     resources used() const { return owned_.claimed(); }
@@ -80,6 +88,7 @@
         vm target;
         worker_id id = 0;
         bool listed = true; ///< in the VM list
+        time_point since;   ///< when this member came to own its shard
         bool syncing = false;
         bool accounted = false; ///< its own list was read; before that it has no room
         time_point heard;       ///< when the last answer came
