--- a/src/journal_service.cc
+++ b/src/journal_service.cc
@@ -267,6 +267,8 @@
     call.timeout = settings_.log_timeout;
     const std::uint64_t seq = s.in_flight_seq;
     ++appends_;
+    appended_items_ += s.in_flight.size();
+    appended_bytes_ += s.in_flight_body.size();
     pacer_.sent(boot_clock::now());
     client_.send(settings_.log, std::move(call),
                  [this, &s, seq](const std::optional<http_reply>& reply, const error& why) {
--- a/src/journal_service.h
+++ b/src/journal_service.h
@@ -56,6 +56,8 @@
     bool halted() const;
     const std::string& writer() const { return writer_; }
     std::uint64_t appends() const { return appends_; }
+    std::uint64_t appended_items() const { return appended_items_; }
+    std::uint64_t appended_bytes() const { return appended_bytes_; }
     std::size_t waiting() const;
 
 private:
@@ -103,6 +105,8 @@
     bool writes_snapshots_ = false;
     append_ticket next_ticket_ = 1;
     std::uint64_t appends_ = 0;
+    std::uint64_t appended_items_ = 0;
+    std::uint64_t appended_bytes_ = 0;
 };
 
 } // namespace sesamesill
--- a/src/node.cc
+++ b/src/node.cc
@@ -138,6 +138,10 @@
         static_cast<double>(journal.waiting());
     m.gauge("sesamesill_log_appends_total", "appends sent to the log") =
         static_cast<double>(journal.appends());
+    m.gauge("sesamesill_log_appended_items_total", "items in those appends") =
+        static_cast<double>(journal.appended_items());
+    m.gauge("sesamesill_log_appended_bytes_total", "bytes of those appends") =
+        static_cast<double>(journal.appended_bytes());
     m.gauge("sesamesill_sent_bytes_total",
             "bytes of requests sent to peers, endpoints and platform") =
         static_cast<double>(client.bytes_sent());
--- a/support/check.sh
+++ b/support/check.sh
@@ -6,6 +6,7 @@
 cmake -G Ninja -S . -B build/release -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 cmake --build build/release
 support/lint.sh build/release
+build/release/bench_capacity --check docs/CAPACITY.md
 cmake -G Ninja -S . -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DSESAMESILL_SANITIZE=ON >/dev/null
 cmake --build build/sanitize --target sesamesill_tests
 build/sanitize/sesamesill_tests --jobs 4
