Weigh 32 entries of a tenant at once, and shortness against an eighth of the ageing time

Cause: the weight of waiting against packing moved nothing: eight entries of near age left little to choose from.

--- a/src/queue.cc
+++ b/src/queue.cc
@@ -7,7 +7,7 @@
 namespace sesamesill {
 namespace {
 
-constexpr std::size_t window = 8;            ///< entries of a tenant that are weighed at once
+constexpr std::size_t window = 32;           ///< entries of a tenant that are weighed at once
 constexpr std::uint32_t max_refusals = 256;  ///< in one round
 constexpr std::size_t max_sizes_refused = 8; ///< remembered in one round
 constexpr int ageings_checked = 16;          ///< times a promotion is looked for while one is due
@@ -229,7 +229,7 @@
         return 1e3 + waited;
     }
     const double run = static_cast<double>(e.work.run_time.count()) / ageing;
-    const double waiting = waited + 1.0 / (1.0 + run);
+    const double waiting = waited + 1.0 / (1.0 + 8.0 * run);
     const double size = static_cast<double>(e.work.size.cpu_millis) / 64000 +
                         static_cast<double>(e.work.size.memory_mb) / 131072;
     return policy_.waiting_weight * waiting + (1.0 - policy_.waiting_weight) * size;
