--- a/src/node.cc
+++ b/src/node.cc
@@ -8,6 +8,7 @@
 #include "document_service.h"
 #include "job_service.h"
 #include "journal_service.h"
+#include "key_service.h"
 #include "replies.h"
 #include "sesamesill/log.h"
 #include "sesamesill/rpc.h"
@@ -37,6 +38,7 @@
     document_service documents;
     document_api document_calls;
     worker_service workers;
+    key_service keys;
     call_service calls;
     job_service jobs;
     bool draining = false;
@@ -46,7 +48,8 @@
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings),
           documents(l, client, cell, journal, settings), document_calls(documents, settings),
-          workers(l, client, cell, settings), calls(l, client, cell, journal, documents),
+          workers(l, client, cell, settings), keys(l, cell, journal, settings),
+          calls(l, client, cell, keys, documents),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
@@ -57,6 +60,7 @@
     }
 
     void serve();
+    void serve_faults();
     void check_drained();
 };
 
@@ -77,6 +81,26 @@
     });
 }
 
+/// Test only: {"cut_to":["127.0.0.1:7101"],"delay_ms":0} for the requests of this member.
+void node::state::serve_faults()
+{
+    callers.route("POST", "/test/faults",
+                  [this](const http_request& r, const http_respond& respond) {
+                      const Json::Value body = json_from(r.body).value_or(Json::Value());
+                      if (!body.isObject()) {
+                          respond({400, "{}", {}, "application/json"});
+                          return;
+                      }
+                      http_faults faults;
+                      for (const Json::Value& peer : body["cut_to"]) {
+                          faults.cut.insert(endpoint_from(peer.asString()).value_or(endpoint{}));
+                      }
+                      faults.delay = millis(body["delay_ms"].asInt64());
+                      client.set_faults(std::move(faults));
+                      respond(json_reply(200, body));
+                  });
+}
+
 void node::state::check_drained()
 {
     const bool idle = callers.pending() == 0 && peers.pending() == 0 && journal.waiting() == 0;
@@ -98,6 +122,9 @@
 {
     state& s = *state_;
     s.serve();
+    if (s.settings.faults) {
+        s.serve_faults();
+    }
     if (!s.callers.listen(s.settings.listen, why) || !s.peers.listen(s.settings.peer_listen, why)) {
         return false;
     }
