--- a/test/cell-test.cc
+++ b/test/cell-test.cc
@@ -1,5 +1,6 @@
 // Tests that the indexes of a cell follow each change of a worker.
 
+#include <map>
 #include <random>
 #include <set>
 
@@ -98,3 +99,47 @@
     cr_assert(offered(c, {1, 1, 0}).empty());
     cr_assert_not(c.find("w0").has_value());
 }
+
+Test(cell, wrong_declarations_never_overfill_by_declaration_or_report)
+{
+    constexpr micros grace = std::chrono::seconds(3);
+    constexpr int report_lag = 5;
+    std::mt19937_64 random(17);
+    const resources size{16000, 32768, 0};
+    cell c;
+    for (int i = 0; i < 8; ++i) {
+        c.set_state(c.put(entry(i, size)), worker_state::live);
+    }
+    std::vector<std::map<std::string, std::pair<task_usage, int>>> running(8);
+    int starts = 0;
+    for (int now = 0; now < 2000; ++now) {
+        for (worker_id w = 0; w < 8; ++w) {
+            std::vector<task_usage> list;
+            for (auto it = running[w].begin(); it != running[w].end();) {
+                task_usage u = it->second.first;
+                u.holds = now - it->second.second < 30;
+                u.used = now - it->second.second >= report_lag ? u.used : resources{};
+                list.push_back(u);
+                it = u.holds ? std::next(it) : running[w].erase(it);
+            }
+            c.report(w, list, time_point(std::chrono::seconds(now)), grace);
+        }
+        const worker_id w = static_cast<worker_id>(random() % 8);
+        const std::int64_t declared = static_cast<std::int64_t>(500 + random() % 4000);
+        const double factor = 0.2 + static_cast<double>(random() % 480) / 100;
+        held_task t;
+        t.name = std::to_string(now);
+        t.reserved = {declared, declared, 0};
+        t.started = time_point(std::chrono::seconds(now));
+        resources before = c.at(w).room();
+        if (c.start(w, t)) {
+            ++starts;
+            cr_assert(fits(t.reserved, before));
+            cr_assert(fits(c.at(w).claimed(), size));
+            const std::int64_t used =
+                static_cast<std::int64_t>(static_cast<double>(declared) * factor);
+            running[w][t.name] = {{t.name, t.reserved, {used, used, 0}, true, 1}, now};
+        }
+    }
+    cr_assert_gt(starts, 400);
+}
--- a/test/health-test.cc
+++ b/test/health-test.cc
@@ -1,8 +1,11 @@
 // Tests that workers and jobs are judged apart.
 
+#include <map>
+
 #include <criterion/criterion.h>
 
 #include "sesamesill/health.h"
+#include "sesamesill/placement.h"
 
 using namespace sesamesill;
 
@@ -83,3 +86,53 @@
         cr_assert_leq(h.limit(w), 1);
     }
 }
+
+Test(health, few_starts_are_wasted_on_workers_that_fail_everything)
+{
+    constexpr worker_id workers = 100;
+    constexpr int steps = 15000;
+    constexpr int starts_per_step = 3;
+    cell where;
+    health judge = ::judge(workers);
+    for (worker_id w = 0; w < workers; ++w) {
+        worker_entry e;
+        e.name = "w" + std::to_string(w);
+        e.size = {16000, 32768, 0};
+        where.set_state(where.put(e), worker_state::live);
+    }
+    placement place(where, strategy::balance, 0.5, 1);
+    std::multimap<int, std::pair<worker_id, std::string>> ends;
+    int starts = 0;
+    int wasted = 0;
+    for (int step = 0; step < steps; ++step) {
+        const time_point now = time_point(millis(20) * step);
+        std::vector<worker_id> changed = judge.due(now);
+        for (auto it = ends.begin(); it != ends.end() && it->first <= step; it = ends.erase(it)) {
+            const worker_id w = it->second.first;
+            where.end(w, it->second.second);
+            judge.ended(w, std::stoull(it->second.second) / 20, w % 10 == 0, now);
+            changed.push_back(w);
+        }
+        for (const worker_id w : changed) {
+            where.set_state(w, judge.limit(w) == 0 ? worker_state::out : worker_state::live);
+            where.set_start_limit(w, judge.limit(w));
+        }
+        for (int i = 0; i < starts_per_step; ++i) {
+            task_need need;
+            need.size = {1000 + 500 * (step % 4), 2048, 0};
+            const std::optional<placement_choice> choice = place.choose(need);
+            if (!choice) {
+                continue;
+            }
+            held_task t;
+            t.name = std::to_string(++starts);
+            t.reserved = need.size;
+            where.start(choice->worker, t);
+            const bool fails = choice->worker % 10 == 0;
+            wasted += fails ? 1 : 0;
+            ends.emplace(step + (fails ? 1 : 250 + step % 100),
+                         std::make_pair(choice->worker, t.name));
+        }
+    }
+    cr_assert_leq(wasted * 50, starts, "%d of %d", wasted, starts);
+}
