--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -227,7 +227,7 @@
             return std::nullopt;
         }
         const std::optional<std::vector<worker_id>> places =
-            reservations_.request({std::to_string(number), 1, t.what.size, {}}, now);
+            reservations_.request({std::to_string(number), 1, t.what.size, {}, true}, now);
         return places ? std::optional<worker_id>(places->front()) : std::nullopt;
     }
 
--- a/include/sesamesill/gang.h
+++ b/include/sesamesill/gang.h
@@ -19,6 +19,7 @@
     std::size_t tasks = 0;
     resources size;
     attribute_map attributes;
+    bool may_wait = true; ///< takes a turn to hold room where there is none now
 };
 
 /// Invariant: only one job holds room here, so two of them never wait for each other.
--- a/include/sesamesill/platform.h
+++ b/include/sesamesill/platform.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <json/json.h>
@@ -50,6 +51,7 @@
 };
 
 std::string_view name_of(task_state state);
+std::optional<task_state> task_state_from(std::string_view name);
 /// Returns whether a task in `state` holds nothing any more.
 bool is_ended(task_state state);
 
--- a/include/sesamesill/worker.h
+++ b/include/sesamesill/worker.h
@@ -55,7 +55,7 @@
 struct report_result {
     std::vector<std::string> ended;   ///< listed as ended
     std::vector<held_task> left;      ///< those of ended that were held, as they were last
-    std::vector<std::string> missing; ///< should be listed and is not
+    std::vector<held_task> missing;   ///< should be listed and are not; held no more
     std::vector<std::string> adopted; ///< listed and unknown here
     std::vector<std::string> over;    ///< report more use than was reserved
 };
--- a/src/gang.cc
+++ b/src/gang.cc
@@ -16,7 +16,7 @@
 {
     const auto known = std::find_if(line_.begin(), line_.end(),
                                     [&gang](const candidate& c) { return c.gang.job == gang.job; });
-    if (known != line_.end()) {
+    if (known != line_.end() && gang.may_wait) {
         known->asked = now;
     }
     const bool holds = holder_ == gang.job;
@@ -44,7 +44,7 @@
         forget(gang.job);
         return found;
     }
-    if (known == line_.end()) {
+    if (known == line_.end() && gang.may_wait) {
         line_.push_back({gang, now});
     }
     return std::nullopt;
--- a/src/platform.cc
+++ b/src/platform.cc
@@ -101,6 +101,11 @@
     return name_in(task_state_names, state);
 }
 
+std::optional<task_state> task_state_from(std::string_view name)
+{
+    return value_in(task_state_names, name);
+}
+
 bool is_ended(task_state state)
 {
     return state == task_state::done || state == task_state::failed ||
--- a/src/worker.cc
+++ b/src/worker.cc
@@ -176,7 +176,7 @@
     std::sort(names.begin(), names.end());
     for (const held_task& t : tasks_) {
         if (t.started + grace < asked && !std::binary_search(names.begin(), names.end(), t.name)) {
-            result.missing.push_back(t.name);
+            result.missing.push_back(t);
         }
     }
 }
@@ -188,8 +188,8 @@
         take_listed(usage, asked, result);
     }
     take_unlisted(listed, asked, grace, result);
-    for (const std::string& name : result.missing) {
-        end(name);
+    for (const held_task& t : result.missing) {
+        end(t.name);
     }
     recent_starts_ = static_cast<std::uint32_t>(
         std::count_if(tasks_.begin(), tasks_.end(), [](const held_task& t) { return !t.listed; }));
--- a/src/worker_service.cc
+++ b/src/worker_service.cc
@@ -47,6 +47,7 @@
       gangs_(owned_, packing_), health_(health_limits{})
 {
     members_.on_change([this] { update_workers(); });
+    members_.on_settle([this] { return unanswered_ == 0; });
 }
 
 void worker_service::start()
@@ -120,6 +121,15 @@
             spread->second.remove(owned_, link.id);
         }
     }
+    for (const std::pair<const std::string, finished_task>& entry : link.finished) {
+        const auto place = places_.find(entry.first);
+        if (place != places_.end() && place->second.worker == name) {
+            places_.erase(place);
+        }
+    }
+    for (const std::pair<const std::string, pending_start>& entry : link.pending) {
+        places_.erase(entry.first);
+    }
     gangs_.remove_worker(link.id);
     health_.remove(link.id);
     owned_.remove(link.id);
@@ -232,7 +242,8 @@
             send_change(link, task, "stop");
         }
         else {
-            places_[task] = {link.target.name, "", {}};
+            places_[task] = {
+                link.target.name, "", {}, owned_.at(link.id).find(task)->attempt, false};
         }
     }
     for (const held_task& task : changes.left) {
@@ -243,9 +254,10 @@
             take_end(link, t);
         }
     }
-    for (const std::string& task : changes.missing) {
+    for (const held_task& task : changes.missing) {
         task_report lost;
-        lost.task = task;
+        lost.task = task.name;
+        lost.attempt = task.attempt;
         lost.state = task_state::lapsed;
         lost.result = "the worker does not list it";
         finish(link, lost, false);
@@ -288,7 +300,10 @@
 
 void worker_service::finish(worker_link& link, task_report report, bool listed)
 {
-    places_.erase(report.task);
+    const auto place = places_.find(report.task);
+    if (place != places_.end() && place->second.worker == link.target.name) {
+        place->second.ended = true;
+    }
     const auto spread = spreads_.find(job_of_task(report.task));
     if (spread != spreads_.end()) {
         spread->second.remove(owned_, link.id);
@@ -336,8 +351,16 @@
     }
     for (auto it = link.finished.begin(); it != link.finished.end();) {
         it->second.listed = listed.count(it->first) > 0;
-        const bool over = it->second.acknowledged && !it->second.listed;
-        it = over ? link.finished.erase(it) : std::next(it);
+        if (!it->second.acknowledged || it->second.listed) {
+            ++it;
+            continue;
+        }
+        const auto place = places_.find(it->first);
+        if (place != places_.end() && place->second.ended &&
+            place->second.worker == link.target.name) {
+            places_.erase(place);
+        }
+        it = link.finished.erase(it);
     }
 }
 
--- a/src/worker_service.h
+++ b/src/worker_service.h
@@ -41,8 +41,9 @@
     /// Returns the same name again for a task that runs already.
     std::optional<std::string> place(const task_spec& task, error& why);
     /// Starts all of a job's tasks or none; returns their workers in the same order.
+    /// With `may_wait`, room is collected here for a bounded time where there is none now.
     std::optional<std::vector<std::string>> place_all(const std::vector<task_spec>& tasks,
-                                                      error& why);
+                                                      bool may_wait, error& why);
     /// Returns the reason where no worker of the whole cell could ever hold the tasks.
     std::optional<error> never_fits(const task_spec& task, std::int64_t count) const;
     /// Returns why the task runs where it does, or what keeps it off the owned workers.
@@ -51,6 +52,7 @@
 
     resources used() const { return owned_.claimed(); }
     resources size() const { return owned_.total(); }
+    resources cell_size() const { return all_.total(); }
     /// The workers of the owned shards.
     const cell& owned() const { return owned_; }
 
@@ -74,6 +76,8 @@
         std::string worker;
         std::string work_class;
         resources declared;
+        std::int32_t attempt = 1;
+        bool ended = false; ///< kept until the worker has forgotten it
     };
 
     struct worker_link {
@@ -113,7 +117,7 @@
     std::optional<worker_id> choose(const task_spec& task, error& why);
     bool begin(worker_id w, const task_spec& task);
     std::optional<std::string> preempt(const task_spec& task, error& why);
-    std::optional<std::string> place_of(const task_spec& task) const;
+    const placed_task* place_of(const task_spec& task) const;
     void send_start(worker_link& link, const task_spec& task);
     void send_change(worker_link& link, const std::string& task, const std::string& change);
     worker_link& link_of(worker_id w) { return links_.at(owned_.at(w).name()); }
@@ -129,9 +133,10 @@
     gang_book gangs_;
     health health_;
     std::map<std::string, worker_link> links_;            ///< by the worker's name, those of owned_
-    std::unordered_map<std::string, placed_task> places_; ///< running tasks
+    std::unordered_map<std::string, placed_task> places_; ///< by task
     std::unordered_map<std::string, job_spread> spreads_; ///< of services, by job
     estimates estimates_;
+    std::size_t unanswered_ = 0; ///< starts that were sent and have no answer yet
     double size_margin_ = placement_policy{}.size_margin;
     task_ended ended_;
 };
--- a/src/worker_starts.cc
+++ b/src/worker_starts.cc
@@ -50,10 +50,13 @@
     return choice->worker;
 }
 
-std::optional<std::string> worker_service::place_of(const task_spec& task) const
+/// Returns where the task runs or ran in the same attempt, or null where it has no place.
+const worker_service::placed_task* worker_service::place_of(const task_spec& task) const
 {
     const auto known = places_.find(task.task);
-    return known != places_.end() ? std::optional<std::string>(known->second.worker) : std::nullopt;
+    const bool over =
+        known != places_.end() && known->second.ended && known->second.attempt < task.attempt;
+    return known != places_.end() && !over ? &known->second : nullptr;
 }
 
 bool worker_service::begin(worker_id w, const task_spec& task)
@@ -71,7 +74,7 @@
     worker_link& link = link_of(w);
     link.finished.erase(task.task);
     link.renewed = std::max(link.renewed, boot_clock::now());
-    places_[task.task] = {link.target.name, task.work_class, task.size};
+    places_[task.task] = {link.target.name, task.work_class, task.size, task.attempt, false};
     if (task.kind == work_kind::service) {
         spreads_[job_of_task(task.task)].add(owned_, w);
     }
@@ -80,9 +83,11 @@
 
 std::optional<std::string> worker_service::place(const task_spec& task, error& why)
 {
-    std::optional<std::string> known = place_of(task);
-    if (known) {
-        return known;
+    const placed_task* known = place_of(task);
+    if (known != nullptr) {
+        why = {error_code::conflict, step::placement, known->worker, "an earlier attempt runs"};
+        return known->attempt == task.attempt ? std::optional<std::string>(known->worker)
+                                              : std::nullopt;
     }
     const std::optional<worker_id> w = choose(task, why);
     if (!w) {
@@ -97,21 +102,22 @@
 }
 
 std::optional<std::vector<std::string>>
-worker_service::place_all(const std::vector<task_spec>& tasks, error& why)
+worker_service::place_all(const std::vector<task_spec>& tasks, bool may_wait, error& why)
 {
     std::vector<std::string> names;
     if (tasks.empty()) {
         return names;
     }
     const task_spec& first = tasks.front();
-    if (place_of(first)) {
+    if (place_of(first) != nullptr) {
         for (const task_spec& task : tasks) {
-            names.push_back(place_of(task).value_or(""));
+            const placed_task* known = place_of(task);
+            names.push_back(known != nullptr ? known->worker : "");
         }
         return names;
     }
     const std::optional<std::vector<worker_id>> places = gangs_.request(
-        {job_of_task(first.task), tasks.size(), reservation_of(first), first.attributes},
+        {job_of_task(first.task), tasks.size(), reservation_of(first), first.attributes, may_wait},
         boot_clock::now());
     why = {error_code::overload, step::placement, members_.self(),
            "there is no room for all tasks at once"};
@@ -157,7 +163,7 @@
     const resources held = reservation_of(task);
     owned_.hold_ahead(link.id, held);
     link.pending[task.task] = {task, held, victims->tasks, boot_clock::now(), false};
-    places_[task.task] = {link.target.name, task.work_class, task.size};
+    places_[task.task] = {link.target.name, task.work_class, task.size, task.attempt, false};
     return link.target.name;
 }
 
@@ -198,7 +204,8 @@
     Json::Value body;
     body["task"] = task.task;
     body["attempt"] = task.attempt;
-    body["epoch"] = 0;
+    body["epoch"] = static_cast<Json::UInt64>(members_.epoch());
+    body["valid_ms"] = static_cast<Json::Int64>(members_.authority_left().count());
     body["cpu_millis"] = static_cast<Json::Int64>(task.size.cpu_millis);
     body["memory_mb"] = static_cast<Json::Int64>(task.size.memory_mb);
     body["accelerators"] = static_cast<Json::Int64>(task.size.accelerators);
@@ -209,9 +216,11 @@
     call.path = "/tasks";
     call.body = to_text(body);
     const std::string name = link.target.name;
+    ++unanswered_;
     client_.send(
         link.target.address, std::move(call),
         [this, name](const std::optional<http_reply>& reply, const error& why_not) {
+            --unanswered_;
             if (!reply) {
                 log_error("start_unanswered", {why_not.code, step::dispatch, name, why_not.reason});
                 return;
--- a/test/gang-test.cc
+++ b/test/gang-test.cc
@@ -44,7 +44,7 @@
 
     std::optional<std::vector<worker_id>> ask(const std::string& job, std::size_t tasks, int now)
     {
-        return book.request({job, tasks, whole_worker, {}}, at(now));
+        return book.request({job, tasks, whole_worker, {}, true}, at(now));
     }
 };
 
@@ -154,3 +154,14 @@
     cr_assert_eq(f.book.waiting(), 0U);
     cr_assert(f.where.claimed() == half_worker);
 }
+
+Test(gang, job_that_waits_at_another_member_takes_no_turn)
+{
+    fixture f(2);
+    f.start(0, "busy", half_worker);
+    cr_assert_not(f.book.request({"a", 2, whole_worker, {}, false}, at(0)).has_value());
+    f.book.advance(at(0));
+    cr_assert_eq(f.book.waiting(), 0U);
+    f.where.end(0, "busy");
+    cr_assert(f.book.request({"a", 2, whole_worker, {}, false}, at(1)).has_value());
+}
--- a/test/worker-test.cc
+++ b/test/worker-test.cc
@@ -71,7 +71,8 @@
     cr_assert(r.missing.empty());
     cr_assert(w.claimed() == (resources{1000, 1024, 0}));
     r = w.report({}, at(14), grace);
-    cr_assert(r.missing == std::vector<std::string>{"a"});
+    cr_assert_eq(r.missing.size(), 1U);
+    cr_assert(r.missing[0].name == "a");
     cr_assert(w.claimed() == resources{});
 }
 
