--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -13,11 +13,17 @@
 
 constexpr millis place_interval{20};
 constexpr millis watch_interval{20};
+constexpr millis rpc_timeout{500};
 constexpr std::int64_t max_wait_ms = 20000;
-constexpr int unfit_status = 422;
+constexpr std::size_t max_places_per_round = 500;
 
 const std::string jobs_path = "/v1/jobs/";
 
+std::string job_of(const std::string& task)
+{
+    return task.substr(0, task.find('/'));
+}
+
 } // namespace
 
 job_service::job_service(event_loop& loop, http_client& client, cell_service& cell,
@@ -29,13 +35,6 @@
     workers_.on_ended([this](const task_report& report, const std::function<void()>& acknowledge) {
         task_end(report, acknowledge);
     });
-    documents_.on_change([this] { queue_.set_document(*documents_.current()); });
-    cell_.on_change([this] { update_cell(); });
-    cell_.share(
-        "running", [this] { return queue_.running(); },
-        [this](const std::string& peer, const Json::Value& value) {
-            queue_.take_running(peer, value);
-        });
 }
 
 void job_service::start()
@@ -58,8 +57,6 @@
                       });
     }
     rpc.add("place", [this](const Json::Value& p, error& why) { return rpc_place(p, why); });
-    rpc.add("place_all",
-            [this](const Json::Value& p, error& why) { return rpc_place_all(p, why); });
     rpc.add("ended", [this](const Json::Value& p, error& why) { return rpc_ended(p, why); });
 }
 
@@ -125,13 +122,6 @@
         respond(json_reply(200, describe(known->second)));
         return;
     }
-    const std::optional<error> refused = refusal(what);
-    if (refused) {
-        http_reply reply = ending_reply(outcome::not_run, *refused);
-        reply.status = refused->code == error_code::unfit ? unfit_status : reply.status;
-        respond(reply);
-        return;
-    }
     job j;
     j.what = what;
     j.id = id;
@@ -143,7 +133,6 @@
     journal_.append("cell", item, [this, j, respond](std::uint64_t) mutable {
         j.tasks.resize(static_cast<std::size_t>(j.what.tasks));
         const job& kept = jobs_.emplace(j.id, std::move(j)).first->second;
-        queue_.add(kept.id, kept.what, kept.what.tasks, kept.arrived);
         respond(json_reply(202, describe(kept)));
     });
 }
@@ -210,4 +199,167 @@
     }
 }
 
+void job_service::place_waiting()
+{
+    std::size_t placed = 0;
+    for (std::pair<const std::string, job>& entry : jobs_) {
+        job& j = entry.second;
+        for (std::size_t i = 0; i < j.tasks.size() && placed < max_places_per_round; ++i) {
+            if (j.ending == outcome::pending && j.tasks[i].phase == task_phase::waiting) {
+                place(j, i);
+                ++placed;
+            }
+        }
+    }
+}
+
+task_spec job_service::spec_of(const job& j, std::size_t index) const
+{
+    task_spec spec;
+    spec.task = j.id + "/" + std::to_string(index);
+    spec.attempt = j.tasks[index].attempt;
+    spec.size = j.what.size;
+    spec.payload = j.what.payload.isObject() ? j.what.payload : Json::Value(Json::objectValue);
+    spec.payload["idempotent"] = j.what.idempotent;
+    spec.payload["kind"] = std::string(name_of(j.what.kind));
+    spec.payload["job_tasks"] = static_cast<Json::Int64>(j.tasks.size());
+    return spec;
+}
+
+void job_service::place(job& j, std::size_t index)
+{
+    task& t = j.tasks[index];
+    ++t.attempt;
+    error why;
+    const std::optional<std::string> worker = workers_.place(spec_of(j, index), why);
+    if (worker) {
+        t.phase = task_phase::running;
+        t.worker = *worker;
+        return;
+    }
+    place_remote(j, index);
+}
+
+void job_service::place_remote(job& j, std::size_t index)
+{
+    const std::vector<member>& members = cell_.members();
+    const member& to = members[next_peer_++ % members.size()];
+    if (to.name == cell_.self()) {
+        --j.tasks[index].attempt;
+        return;
+    }
+    j.tasks[index].phase = task_phase::placing;
+    const task_spec spec = spec_of(j, index);
+    Json::Value params;
+    params["task"] = spec.task;
+    params["attempt"] = spec.attempt;
+    params["cpu_millis"] = static_cast<Json::Int64>(spec.size.cpu_millis);
+    params["memory_mb"] = static_cast<Json::Int64>(spec.size.memory_mb);
+    params["accelerators"] = static_cast<Json::Int64>(spec.size.accelerators);
+    params["payload"] = spec.payload;
+    const std::string id = j.id;
+    call_rpc(client_, to.peer_address, "place", params, rpc_timeout,
+             [this, id, index](const std::optional<Json::Value>& result, const error& why) {
+                 if (result) {
+                     set_phase(id, index, task_phase::running, (*result)["worker"].asString());
+                     return;
+                 }
+                 if (why.code != error_code::timeout) {
+                     set_phase(id, index, task_phase::waiting, "");
+                 }
+             });
+}
+
+void job_service::set_phase(const std::string& id, std::size_t index, task_phase phase,
+                            const std::string& worker)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || found->second.tasks[index].phase != task_phase::placing) {
+        return;
+    }
+    found->second.tasks[index].phase = phase;
+    found->second.tasks[index].worker = worker;
+}
+
+std::optional<Json::Value> job_service::rpc_place(const Json::Value& params, error& why)
+{
+    task_spec spec;
+    spec.task = params["task"].asString();
+    spec.attempt = params["attempt"].asInt();
+    spec.size = {params["cpu_millis"].asInt64(), params["memory_mb"].asInt64(),
+                 params["accelerators"].asInt64()};
+    spec.payload = params["payload"];
+    const std::optional<std::string> worker = workers_.place(spec, why);
+    if (!worker) {
+        return std::nullopt;
+    }
+    Json::Value result;
+    result["worker"] = *worker;
+    return result;
+}
+
+void job_service::task_end(const task_report& report, const std::function<void()>& acknowledge)
+{
+    const std::optional<member> home = cell_.owner_of(job_of(report.task));
+    if (!home) {
+        return;
+    }
+    const bool done = report.state == task_state::done;
+    if (home->name == cell_.self()) {
+        apply_end(report.task, done, report.result);
+        acknowledge();
+        return;
+    }
+    Json::Value params;
+    params["task"] = report.task;
+    params["done"] = done;
+    params["result"] = report.result;
+    call_rpc(client_, home->peer_address, "ended", params, rpc_timeout,
+             [acknowledge](const std::optional<Json::Value>& result, const error&) {
+                 if (result) {
+                     acknowledge();
+                 }
+             });
+}
+
+std::optional<Json::Value> job_service::rpc_ended(const Json::Value& params, error& /*why*/)
+{
+    apply_end(params["task"].asString(), params["done"].asBool(), params["result"].asString());
+    return Json::Value(true);
+}
+
+void job_service::apply_end(const std::string& task_name, bool done, const std::string& result)
+{
+    const auto found = jobs_.find(job_of(task_name));
+    if (found == jobs_.end()) {
+        return;
+    }
+    job& j = found->second;
+    const std::size_t index = std::strtoull(
+        task_name.c_str() + std::min(task_name.size(), task_name.find('/') + 1), nullptr, 10);
+    if (index >= j.tasks.size()) {
+        return;
+    }
+    j.tasks[index].phase = done ? task_phase::done : task_phase::failed;
+    j.tasks[index].result = result;
+    finish_if_ended(j);
+}
+
+void job_service::finish_if_ended(job& j)
+{
+    bool failed = false;
+    for (const task& t : j.tasks) {
+        if (t.phase != task_phase::done && t.phase != task_phase::failed) {
+            return;
+        }
+        failed = failed || t.phase == task_phase::failed;
+    }
+    j.ending = failed ? outcome::failed : outcome::done;
+    Json::Value item;
+    item["type"] = "job_ending";
+    item["id"] = j.id;
+    item["outcome"] = std::string(name_of(j.ending));
+    journal_.append("cell", item, nullptr);
+}
+
 } // namespace sesamesill
--- a/src/job_service.h
+++ b/src/job_service.h
@@ -9,7 +9,6 @@
 
 #include "cell_service.h"
 #include "document_service.h"
-#include "home_queue.h"
 #include "journal_service.h"
 #include "sesamesill/http.h"
 #include "sesamesill/rpc.h"
@@ -34,7 +33,6 @@
         std::int32_t attempt = 0;
         std::string worker;
         std::string result;
-        bool uncertain = false; ///< may have run, and must not run again
     };
 
     struct watcher {
@@ -50,40 +48,22 @@
         error reason;
         std::vector<task> tasks;
         std::vector<watcher> watchers;
-        std::size_t next_task = 0; ///< none before it waits
-        time_point asked;          ///< all-at-once jobs: when room was last asked for
-    };
-
-    /// A size that a peer had no room for.
-    struct refused_size {
-        resources size;
-        time_point until;
     };
 
     void submit(const http_request& request, const http_respond& respond, bool forwarded);
     void show(const http_request& request, const http_respond& respond, bool forwarded);
     void pass_on(const http_request& request, const http_respond& respond, const member& to);
     void accept(const submission& what, const http_respond& respond);
-    std::optional<error> refusal(const submission& what) const;
-    void update_cell();
     void place_waiting();
-    home_queue::verdict offer(job& j, bool first_refusal);
-    home_queue::verdict offer_all(job& j);
-    bool place_here(job& j, std::size_t index, bool keep_room);
-    void place_remote(const std::string& id, std::size_t index, const member& to);
-    void place_all_remote(const std::string& id, const std::vector<std::size_t>& indices,
-                          const member& to, bool may_wait);
-    void take_place(const std::string& id, std::size_t index, const std::string& worker);
-    void lose_place(const std::string& id, std::size_t index);
-    const member* peer_for(const resources& size);
-    bool waits_here(const job& j, const std::string& member_name) const;
+    void place(job& j, std::size_t index);
+    void place_remote(job& j, std::size_t index);
+    void set_phase(const std::string& id, std::size_t index, task_phase phase,
+                   const std::string& worker);
     void task_end(const task_report& report, const std::function<void()>& acknowledge);
-    void apply_end(const task_report& report);
-    void wait_again(job& j, std::size_t index);
+    void apply_end(const std::string& task, bool done, const std::string& result);
     void finish_if_ended(job& j);
     void answer_watchers();
     std::optional<Json::Value> rpc_place(const Json::Value& params, error& why);
-    std::optional<Json::Value> rpc_place_all(const Json::Value& params, error& why);
     std::optional<Json::Value> rpc_ended(const Json::Value& params, error& why);
     static Json::Value describe(const job& j);
     task_spec spec_of(const job& j, std::size_t index) const;
@@ -95,9 +75,7 @@
     document_service& documents_;
     worker_service& workers_;
     std::map<std::string, job> jobs_;
-    home_queue queue_;
-    std::map<std::string, refused_size> refused_; ///< by peer
-    std::size_t next_peer_ = 0;                   ///< whom to ask next for a place
+    std::size_t next_peer_ = 0; ///< whom to ask next for a place
 };
 
 } // namespace sesamesill
--- a/src/worker_service.h
+++ b/src/worker_service.h
@@ -43,7 +43,7 @@
     /// Starts all of a job's tasks or none; returns their workers in the same order.
     /// With `may_wait`, room is collected here for a bounded time where there is none now.
     std::optional<std::vector<std::string>> place_all(const std::vector<task_spec>& tasks,
-                                                      bool may_wait, error& why);
+                                                      error& why, bool may_wait = true);
     /// Returns the reason where no worker of the whole cell could ever hold the tasks.
     std::optional<error> never_fits(const task_spec& task, std::int64_t count) const;
     /// Returns why the task runs where it does, or what keeps it off the owned workers.
@@ -114,6 +114,7 @@
 
     resources reservation_of(const task_spec& task) const;
     task_need need_of(const task_spec& task) const;
+    std::optional<worker_id> failed_on(const task_spec& task) const;
     std::optional<worker_id> choose(const task_spec& task, error& why);
     bool begin(worker_id w, const task_spec& task);
     std::optional<std::string> preempt(const task_spec& task, error& why);
--- a/src/worker_starts.cc
+++ b/src/worker_starts.cc
@@ -30,12 +30,27 @@
     return need;
 }
 
+/// Returns the worker on which an earlier attempt failed just now.
+std::optional<worker_id> worker_service::failed_on(const task_spec& task) const
+{
+    const auto known = places_.find(task.task);
+    const bool earlier =
+        known != places_.end() && known->second.ended && known->second.attempt < task.attempt;
+    return earlier && enabled("health") ? owned_.find(known->second.worker) : std::nullopt;
+}
+
 std::optional<worker_id> worker_service::choose(const task_spec& task, error& why)
 {
     task_need need = need_of(task);
     if (!enabled("overfill_guard")) {
         need.size = {};
     }
+    job_spread avoided;
+    const std::optional<worker_id> failed = failed_on(task);
+    if (failed) {
+        avoided.add(owned_, *failed);
+        need.apart = &avoided;
+    }
     placement& how = task.kind == work_kind::service ? spreading_ : packing_;
     const std::optional<placement_choice> choice = how.choose(need);
     if (!choice) {
@@ -102,7 +117,7 @@
 }
 
 std::optional<std::vector<std::string>>
-worker_service::place_all(const std::vector<task_spec>& tasks, bool may_wait, error& why)
+worker_service::place_all(const std::vector<task_spec>& tasks, error& why, bool may_wait)
 {
     std::vector<std::string> names;
     if (tasks.empty()) {
