--- a/bench/cells.h
+++ b/bench/cells.h
@@ -13,6 +13,7 @@
 using namespace sesamesill;
 
 constexpr std::uint32_t workers_per_rack = 6;
+constexpr resources no_quota{INT64_MAX / 4, INT64_MAX / 4, INT64_MAX / 4};
 
 struct shape {
     std::string name;
--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -75,7 +75,7 @@
     tenant_id add_tenant(const std::string& name)
     {
         by_tenant_.emplace_back();
-        return tenants_.put({name, 1.0, {INT64_MAX / 4, INT64_MAX / 4, INT64_MAX / 4}, 0.0});
+        return tenants_.put({name, 1.0, no_quota, 0.0});
     }
 
     void arrive(const arrival& a, time_point now)
