--- a/src/home_queue.cc
+++ b/src/home_queue.cc
@@ -50,8 +50,8 @@
     if (!tenants_.find(what.tenant) || policy == classes_.end()) {
         return error{error_code::invalid, step::admission, "", "unknown tenant or class"};
     }
-    std::optional<error> above = never_within_quota(
-        tenants_, tenant_of(what), what.size, what.kind == work_kind::gang ? what.tasks : 1);
+    std::optional<error> above = never_within_quota(tenants_, tenant_of(what), what.size,
+                                                    what.kind == work_kind::gang ? what.tasks : 1);
     if (above) {
         return above;
     }
