Spread evidence well enough for 60 members and measure takeover, outage, loss and cost

Cause, seen in the model: at 60 members and no loss one member's oldest evidence of another was 5.2 s, above the time of death of 3.3 s; views changed 53 times in 12 s and cost 195 KB/s a member. Change: times of suspicion grow with log n of the view; the first three in rank probe each suspect themselves, and about eight others do; the byte estimate of an exchange is 700, not 900. Ruled out: longer times for all sizes (takeover at six would pass 5 s).

--- a/include/sesamesill/coordination.h
+++ b/include/sesamesill/coordination.h
@@ -43,7 +43,6 @@
 
     membership peers_;
     ownership owners_;
-    millis lease_;
     std::uint64_t greeted_epoch_ = 0;
 };
 
--- a/include/sesamesill/membership.h
+++ b/include/sesamesill/membership.h
@@ -33,6 +33,9 @@
     return !(a == b);
 }
 
+/// Returns whether `members`, which are in order of their names, contain the process.
+bool contains(const std::vector<member>& members, const member& m);
+
 enum class liveness : std::uint8_t { unknown, alive, suspect, dead };
 
 std::string_view name_of(liveness state);
@@ -80,8 +83,10 @@
     std::vector<member> joined(const std::vector<member>& current, time_point now) const;
     /// Returns whether the VM list names an entry that was never heard.
     bool awaits_listed() const;
-    /// Scales the times of suspicion for a cell whose evidence takes longer to spread.
-    void scale(double factor) { scale_ = factor; }
+    /// Stretches the times of suspicion for a cell in which evidence takes log n probes to spread.
+    void spread_over(std::size_t members);
+    /// Tells whether this member may propose who is dead: then it probes each suspect itself.
+    void set_judge(bool judges) { judges_ = judges; }
     std::size_t size() const { return peers_.size() + 1; }
     /// Returns the time between two probes at the size of the cell.
     millis probe_period() const { return probe_interval(size(), settings_.bytes_per_second); }
@@ -104,7 +109,7 @@
     bool is_dead(const peer& p, time_point now) const;
     const peer* find(const std::string& name) const;
     const peer* first_contact() const;
-    const peer* urgent_suspect(time_point now) const;
+    const peer* urgent_suspect(time_point now);
     const peer* next_in_ring(time_point now);
     void refill_ring();
 
@@ -112,6 +117,7 @@
     membership_settings settings_;
     std::mt19937_64 random_;
     double scale_ = 1.0;
+    bool judges_ = true;
     std::map<std::string, peer> peers_; ///< by name, without this member
     std::vector<std::string> ring_;     ///< names still to be probed in this pass
     std::vector<std::string> soon_;
@@ -121,6 +127,7 @@
     time_point last_advance_;
     time_point grace_until_; ///< nobody is judged dead before
     time_point next_probe_at_;
+    time_point last_urgent_;
 };
 
 } // namespace sesamesill
--- a/include/sesamesill/ownership.h
+++ b/include/sesamesill/ownership.h
@@ -110,6 +110,8 @@
     /// Returns the mark to append now, or nothing.
     std::optional<view_mark> mark(std::uint64_t as_of, time_point now);
 
+    /// Returns this member's place among those that may propose, as of the last `propose`.
+    std::size_t rank() const { return rank_; }
     const view& current() const { return current_; }
     std::uint64_t epoch() const { return current_.epoch; }
     bool in_view() const { return self_index_.has_value(); }
@@ -206,6 +208,7 @@
     std::uint64_t proposed_base_ = 0;
     time_point marked_at_;
     std::uint64_t changes_ = 0;
+    std::size_t rank_ = 0;
 };
 
 } // namespace sesamesill
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -9,11 +9,13 @@
 
 constexpr std::size_t max_greeted = 8; ///< members told at once of a new view
 
+constexpr std::size_t judges = 3; ///< first in rank to propose
+
 } // namespace
 
 coordinator::coordinator(const member& self, const membership_settings& peers,
                          const ownership_settings& owners, std::uint64_t seed)
-    : peers_(self, peers, seed), owners_(self, owners), lease_(owners.lease)
+    : peers_(self, peers, seed), owners_(self, owners)
 {
 }
 
@@ -74,9 +76,7 @@
     peers_.advance(now);
     owners_.advance(peers_, now);
     if (owners_.epoch() != greeted_epoch_) {
-        const view& current = owners_.current();
-        peers_.scale(static_cast<double>(current.lease.count()) /
-                     static_cast<double>(lease_.count()));
+        peers_.spread_over(owners_.current().members.size());
         greet(actions.probes);
     }
     const std::optional<member> next = peers_.next_probe(now);
@@ -84,6 +84,7 @@
         actions.probes.push_back(*next);
     }
     actions.propose = owners_.propose(peers_, now);
+    peers_.set_judge(owners_.rank() < judges);
     actions.mark = owners_.mark(read_position, now);
     return actions;
 }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -3,6 +3,7 @@
 #include "sesamesill/membership.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "sesamesill/names.h"
 
@@ -10,10 +11,12 @@
 namespace {
 
 // An exchange is a request and its answer with their HTTP and JSON-RPC frames.
-constexpr std::int64_t exchange_bytes = 900;
+constexpr std::int64_t exchange_bytes = 700;
 constexpr std::int64_t exchange_bytes_per_member = 2;
 constexpr std::int64_t exchanges_per_probe = 2; ///< its own, and one that a peer begins
 constexpr millis suspect_probe_interval{300};
+constexpr std::size_t unscaled_members = 6; ///< up to this size the times hold as they are
+constexpr std::size_t suspect_probers = 8;  ///< expected members that probe one suspect at a time
 constexpr std::size_t max_first_contacts = 16; ///< probed at once after a start
 
 constexpr name_table<liveness, 4> liveness_names{{{liveness::unknown, "unknown"},
@@ -26,13 +29,16 @@
     return micros(static_cast<std::int64_t>(static_cast<double>(micros(time).count()) * factor));
 }
 
+} // namespace
+
 bool contains(const std::vector<member>& members, const member& m)
 {
-    return std::find(members.begin(), members.end(), m) != members.end();
+    const auto found =
+        std::lower_bound(members.begin(), members.end(), m,
+                         [](const member& a, const member& b) { return a.name < b.name; });
+    return found != members.end() && *found == m;
 }
 
-} // namespace
-
 std::string_view name_of(liveness state)
 {
     return name_in(liveness_names, state);
@@ -216,6 +222,12 @@
     return stay;
 }
 
+void membership::spread_over(std::size_t members)
+{
+    const double rounds = std::log2(static_cast<double>(std::max<std::size_t>(members, 2)));
+    scale_ = std::max(1.0, rounds / std::log2(static_cast<double>(unscaled_members)));
+}
+
 void membership::probe_soon(const std::string& name)
 {
     if (peers_.count(name) > 0 && std::find(soon_.begin(), soon_.end(), name) == soon_.end()) {
@@ -236,16 +248,25 @@
     return nullptr;
 }
 
-const membership::peer* membership::urgent_suspect(time_point now) const
+const membership::peer* membership::urgent_suspect(time_point now)
 {
+    if (now - last_urgent_ < suspect_probe_interval) {
+        return nullptr;
+    }
+    std::vector<const peer*> suspects;
     for (const std::pair<const std::string, peer>& entry : peers_) {
         const peer& p = entry.second;
         if (p.heard_ever && now - p.last_probe >= suspect_probe_interval &&
             state_of(entry.first, p.info.incarnation, now) == liveness::suspect) {
-            return &p;
+            suspects.push_back(&p);
         }
     }
-    return nullptr;
+    last_urgent_ = now;
+    const bool chosen = judges_ || random_() % std::max(size(), suspect_probers) < suspect_probers;
+    if (suspects.empty() || !chosen) {
+        return nullptr;
+    }
+    return suspects[random_() % suspects.size()];
 }
 
 void membership::refill_ring()
@@ -280,15 +301,14 @@
     if (chosen != nullptr) {
         ++first_contacts_;
     }
-    else if (now < next_probe_at_) {
-        return std::nullopt;
-    }
     else {
+        chosen = urgent_suspect(now);
+    }
+    if (chosen == nullptr && now >= next_probe_at_) {
         while (chosen == nullptr && !soon_.empty()) {
             chosen = find(soon_.back());
             soon_.pop_back();
         }
-        chosen = chosen == nullptr ? urgent_suspect(now) : chosen;
         chosen = chosen == nullptr ? next_in_ring(now) : chosen;
         next_probe_at_ = now + probe_period();
     }
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -25,15 +25,10 @@
     return age_letters[static_cast<std::size_t>(std::min(steps, last))];
 }
 
-bool contains(const std::vector<member>& members, const member& m)
-{
-    return std::find(members.begin(), members.end(), m) != members.end();
-}
-
 /// Returns the lease for a cell in which evidence takes log n probes to spread.
 millis lease_for(std::size_t members, millis shortest, millis probe_period)
 {
-    const double rounds = std::log2(static_cast<double>(members)) + 2;
+    const double rounds = std::log2(static_cast<double>(members)) + 1;
     const millis spread(
         static_cast<std::int64_t>(rounds * static_cast<double>(probe_period.count())));
     return std::max(shortest, spread);
@@ -589,6 +584,7 @@
         return std::nullopt;
     }
     std::vector<member> wanted = wanted_members(peers, now);
+    rank_ = rank_in(wanted);
     if (wanted == current_.members) {
         differs_since_.reset();
         return std::nullopt;
@@ -597,7 +593,7 @@
     const bool waits = proposed_at_ && proposed_base_ == current_.epoch &&
                        now - *proposed_at_ < settings_.propose_timeout;
     if (waits || !may_propose(wanted, peers, now) ||
-        now - *differs_since_ < settings_.rank_delay * rank_in(wanted)) {
+        now - *differs_since_ < settings_.rank_delay * rank_) {
         return std::nullopt;
     }
     proposed_at_ = now;
--- a/test/ownership_model.h
+++ b/test/ownership_model.h
@@ -20,20 +20,39 @@
 using virtual_time = std::int64_t; ///< microseconds since the model began
 
 constexpr virtual_time ms = 1000;
-constexpr virtual_time sample_period = 20 * ms;
 
 struct options {
     std::size_t members = 6;
     membership_settings peers;
     ownership_settings owners;
+    virtual_time sample_period = 20 * ms;
     virtual_time tick = 40 * ms;
     virtual_time read_wait = 125 * ms; ///< longest wait of a log read
     virtual_time list_lag = 1500 * ms;
     virtual_time length = 5000 * ms;
     double rate_error = 0.04; ///< clocks run at 1 plus or minus this
     bool faults = true;
+    bool late_messages = true; ///< one in a hundred comes up to 600 ms late
+    /// Returns the bytes of a message on the wire, its frame included.
+    std::function<std::uint64_t(const heartbeat&)> message_bytes = [](const heartbeat& h) {
+        return 450 + h.ages.size();
+    };
 };
 
+/// The settings of the daemon, without faults.
+inline options calm(std::size_t members)
+{
+    options o;
+    o.members = members;
+    o.tick = 20 * ms;
+    o.read_wait = 500 * ms;
+    o.list_lag = 5000 * ms;
+    o.rate_error = 0.0001;
+    o.faults = false;
+    o.late_messages = false;
+    return o;
+}
+
 /// Settings with all times divided by about four, so that a short run holds many faults.
 inline options compressed()
 {
@@ -100,7 +119,7 @@
         if (o.faults) {
             at(between(500 * ms, 1500 * ms), [this] { fault(); });
         }
-        at(sample_period, [this] { sample(); });
+        at(options_.sample_period, [this] { sample(); });
     }
 
     void run_until(virtual_time end)
@@ -148,6 +167,28 @@
         return nullptr;
     }
 
+    /// Returns those of `shards` that `p` may act on now.
+    std::vector<std::string> acted_on(const process& p, const std::vector<std::string>& shards)
+    {
+        std::vector<std::string> held;
+        std::copy_if(shards.begin(), shards.end(), std::back_inserter(held),
+                     [this, &p](const std::string& shard) {
+                         return p.core->owners().may_act(shard, p.clock(now_));
+                     });
+        return held;
+    }
+
+    /// Returns the time until each of `shards` is acted on by somebody, at most `limit`.
+    virtual_time time_until_served(const std::vector<std::string>& shards, virtual_time limit)
+    {
+        const virtual_time begin = now_;
+        const auto served = [this](const std::string& shard) { return actor(shard) != nullptr; };
+        while (!std::all_of(shards.begin(), shards.end(), served) && now_ - begin < limit) {
+            run_until(now_ + ms);
+        }
+        return now_ - begin;
+    }
+
     /// Ends the process at once; its name leaves the VM list only with `vm_lost`.
     void kill(process& p, bool vm_lost)
     {
@@ -319,7 +360,7 @@
         if (cuts_.count({from, to}) > 0 || chance(loss_)) {
             return;
         }
-        const virtual_time late = chance(0.01) ? between(0, 600 * ms) : 0;
+        const virtual_time late = options_.late_messages && chance(0.01) ? between(0, 600 * ms) : 0;
         at(between(1 * ms, 3 * ms) + late,
            [this, to, action = std::move(action)] { deliver(to, action); });
     }
@@ -352,7 +393,7 @@
 
     void count_bytes(std::size_t a, std::size_t b, const heartbeat& h)
     {
-        const std::uint64_t bytes = 450 + h.ages.size();
+        const std::uint64_t bytes = options_.message_bytes(h);
         processes_[a]->bytes += bytes;
         processes_[b]->bytes += bytes;
     }
@@ -568,7 +609,7 @@
     void sample()
     {
         check();
-        at(sample_period, [this] { sample(); });
+        at(options_.sample_period, [this] { sample(); });
     }
 
     void check()
