--- a/include/sesamesill/ownership.h
+++ b/include/sesamesill/ownership.h
@@ -112,6 +112,9 @@
 
     /// Returns this member's place among those that may propose, as of the last `propose`.
     std::size_t rank() const { return rank_; }
+    /// Returns the mark for a snapshot of all records below `as_of`.
+    view_mark snapshot(std::uint64_t as_of) const;
+
     const view& current() const { return current_; }
     std::uint64_t epoch() const { return current_.epoch; }
     bool in_view() const { return self_index_.has_value(); }
--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -32,9 +32,10 @@
     millis commit_interval{5};       ///< shortest time between two group commits to the log
     millis snapshot_interval{60000}; ///< well below the time for which the log keeps records
     millis key_retention{600000};    ///< how long the ending of a request is remembered
-    millis heartbeat_interval{500};
-    millis lease{1500}; ///< validity of an authority once confirmed
+    millis heartbeat_interval{0};    ///< 0: as often as the budget of bytes allows
+    millis lease{1500};              ///< validity of an authority once confirmed
     millis vm_list_interval{1000};
+    millis vm_list_lag{60000}; ///< longest delay of the VM list
     millis sync_interval{500}; ///< between reports asked of a worker
     millis task_lease{10000};
     millis log_timeout{2000};
--- a/src/cell_service.cc
+++ b/src/cell_service.cc
@@ -39,13 +39,24 @@
     return s;
 }
 
+membership_settings membership_settings_from(const node_settings& settings)
+{
+    membership_settings s;
+    s.suspect_after = settings.lease * 2 / 3;
+    s.dead_after = settings.lease * 4 / 3;
+    s.probe_period = settings.heartbeat_interval;
+    s.list_lag = settings.vm_list_lag;
+    return s;
+}
+
 } // namespace
 
 cell_service::cell_service(event_loop& loop, http_client& client, const node_settings& settings,
                            journal_service& journal)
     : loop_(loop), client_(client), settings_(settings), journal_(journal),
       self_(self_from(settings, journal)),
-      core_(self_, membership_settings{}, ownership_settings_from(settings), self_.incarnation)
+      core_(self_, membership_settings_from(settings), ownership_settings_from(settings),
+            self_.incarnation)
 {
 }
 
@@ -113,6 +124,18 @@
     for (const char* type : {"view", "view_mark", "release"}) {
         journal_.on(type, [this](const journal_item& item) { take_item(item); });
     }
+    journal_.on("gap", [this](const journal_item& gap) {
+        if (gap.value["stream"].asString() == stream) {
+            core_.owners().history_missing(gap.offset, boot_clock::now());
+        }
+    });
+    journal_.add_snapshot_source(stream, [this](std::vector<journal_item>& items) {
+        if (epoch() != 0) {
+            Json::Value mark = to_json(core_.owners().snapshot(read_position_));
+            mark["type"] = "view_mark";
+            items.push_back({"view_mark", journal_.writer(), read_position_, mark});
+        }
+    });
 }
 
 void cell_service::take_item(const journal_item& item)
--- a/src/journal_service.cc
+++ b/src/journal_service.cc
@@ -13,7 +13,8 @@
 
 constexpr std::size_t max_group_items = 2000;
 constexpr std::size_t max_group_bytes = std::size_t{512} * 1024;
-constexpr millis read_wait{500};
+constexpr millis longest_read_wait{500};
+constexpr int reads_per_lease = 4; ///< a read renews the authority of this member
 constexpr millis shortest_idle_read{20};
 constexpr millis first_backoff{50};
 constexpr millis longest_backoff{500};
@@ -128,6 +129,7 @@
 
 void journal_service::read(stream_state& s)
 {
+    const millis read_wait = std::min(longest_read_wait, settings_.lease / reads_per_lease);
     http_call call;
     call.path = "/streams/" + s.name + "/records?from=" + std::to_string(s.reader.next()) +
                 "&max=1000&wait_ms=" + std::to_string(read_wait.count());
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -51,6 +51,12 @@
     return millis(exchanges_per_probe * bytes * 1000 / bytes_per_second);
 }
 
+millis membership::probe_period() const
+{
+    return settings_.probe_period > millis(0) ? settings_.probe_period
+                                              : probe_interval(size(), settings_.bytes_per_second);
+}
+
 membership::membership(member self, const membership_settings& settings, std::uint64_t seed)
     : self_(std::move(self)), settings_(settings), random_(seed)
 {
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -623,6 +623,11 @@
         return std::nullopt;
     }
     marked_at_ = now;
+    return snapshot(as_of);
+}
+
+view_mark ownership::snapshot(std::uint64_t as_of) const
+{
     view_mark m;
     m.as_of = as_of;
     m.closed = earlier_.empty() ? current_.epoch : earlier_.front().v.epoch;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -23,7 +23,7 @@
     bool required;
 };
 
-const std::array<setting, 20> known_settings{{
+const std::array<setting, 21> known_settings{{
     {"node", "name", &node_settings::name, true},
     {"node", "data_center", &node_settings::data_center, true},
     {"node", "environment", &node_settings::environment, true},
@@ -36,6 +36,7 @@
     {"platform", "document_snapshot_interval_ms", &node_settings::document_snapshot_interval,
      false},
     {"platform", "vm_list_interval_ms", &node_settings::vm_list_interval, false},
+    {"platform", "vm_list_lag_ms", &node_settings::vm_list_lag, false},
     {"timing", "commit_interval_ms", &node_settings::commit_interval, false},
     {"timing", "snapshot_interval_ms", &node_settings::snapshot_interval, false},
     {"timing", "key_retention_ms", &node_settings::key_retention, false},
