--- a/include/sesamesill/membership.h
+++ b/include/sesamesill/membership.h
@@ -49,7 +49,7 @@
     millis pause_limit{500};   ///< a longer gap between advances is a pause of this process
     millis list_lag{60000};    ///< longest delay of the VM list, for an entry that it never showed
     millis forget_after{120000};
-    millis probe_period{0}; ///< between two probes; 0 for what the budget allows
+    millis probe_period{0};               ///< between two probes; 0 for what the budget allows
     std::int64_t bytes_per_second = 4500; ///< for heartbeats, both ways, sent and received
 };
 
--- a/test/ownership-test.cc
+++ b/test/ownership-test.cc
@@ -329,3 +329,75 @@
     v.lease = millis(0);
     cr_assert_not(is_valid(v, reason));
 }
+
+namespace {
+
+using model::ms;
+
+const std::vector<std::string> sample_shards{"dc0/r0", "dc1/r1", "dc2/r2", "dc3/r3",
+                                             "dc0/r4", "dc1/r5", "dc2/r6", "dc3/r7"};
+
+/// Returns the longest time without an owner over `runs` losses of one member of six.
+model::virtual_time longest_gap(int runs, bool planned)
+{
+    model::virtual_time longest = 0;
+    for (int run = 0; run < runs; ++run) {
+        model::cell cell(model::calm(6), static_cast<std::uint64_t>(run + 1));
+        cell.run_until((4000 + 137 * run) * ms);
+        model::process& lost = *cell.processes()[static_cast<std::size_t>(run) % 6];
+        const std::vector<std::string> held = cell.acted_on(lost, sample_shards);
+        if (planned) {
+            cell.release(lost);
+        }
+        else {
+            cell.kill(lost, false);
+        }
+        longest = std::max(longest, cell.time_until_served(held, 20000 * ms));
+    }
+    return longest;
+}
+
+} // namespace
+
+Test(ownership_times, a_killed_members_shards_are_served_within_5_s)
+{
+    cr_assert_leq(longest_gap(18, false), 5000 * ms);
+}
+
+Test(ownership_times, a_planned_handover_takes_500_ms_at_most)
+{
+    cr_assert_leq(longest_gap(18, true), 500 * ms);
+}
+
+Test(ownership_times, six_that_start_at_once_need_a_second_and_one_view)
+{
+    model::cell cell(model::calm(6), 1);
+    cr_assert_leq(cell.time_until_served(sample_shards, 20000 * ms), 1000 * ms);
+    cr_assert_eq(cell.views(), 1);
+}
+
+Test(ownership_times, a_log_outage_with_loss_stops_nobody)
+{
+    model::cell cell(model::calm(6), 1);
+    cell.run_until(5000 * ms);
+    cell.set_log_down(true);
+    cell.set_loss(0.05);
+    for (int i = 0; i < 600; ++i) {
+        cell.run_until(cell.now() + 100 * ms);
+        for (const std::string& shard : sample_shards) {
+            cr_assert(cell.actor(shard) != nullptr, "%s at %lld ms", shard.c_str(),
+                      static_cast<long long>(cell.now() / ms));
+        }
+    }
+}
+
+Test(ownership_times, freezes_of_a_second_change_no_view)
+{
+    model::cell cell(model::calm(6), 1);
+    cell.run_until(5000 * ms);
+    for (std::size_t i = 0; i < 12; ++i) {
+        cell.freeze(*cell.processes()[i % 6], 1000 * ms);
+        cell.run_until(cell.now() + 4000 * ms);
+    }
+    cr_assert_eq(cell.views(), 1);
+}
