Check the heartbeat budget with encoded messages

Change: the test encodes real messages against the same 6,000 bytes; an unset interval counts as the budget's 320 ms.

--- a/src/settings.cc
+++ b/src/settings.cc
@@ -162,7 +162,9 @@
 /// Combinations that cannot work.
 void check_timing(const node_settings& s, std::vector<fault>& faults)
 {
-    if (s.heartbeat_interval * 2 > s.lease) {
+    constexpr millis budget_interval{320}; // what the byte budget allows in a cell of six
+    const bool is_set = s.heartbeat_interval > millis(0);
+    if ((is_set ? s.heartbeat_interval : budget_interval) * 2 > s.lease) {
         faults.push_back(
             {0, "timing", "heartbeat_interval_ms", "must be at most half of lease_ms", ""});
     }
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -4,6 +4,9 @@
 
 #include <criterion/criterion.h>
 
+#include "cell_messages.h"
+#include "sesamesill/rpc.h"
+
 using namespace sesamesill;
 
 namespace {
@@ -123,6 +126,23 @@
     cr_assert(m.dropped("e2", millis(2000), start + membership_settings{}.list_lag));
 }
 
+namespace {
+
+/// Returns the bytes of one message in a cell of `size`, with its HTTP and JSON-RPC frame.
+std::int64_t message_bytes(int size)
+{
+    constexpr std::int64_t frame_bytes = 175;
+    heartbeat h;
+    h.from = {
+        "entry-vm-1", 1796366178032000000, {"10.100.100.100", 7100}, {"10.100.100.100", 7101}};
+    h.epoch = h.settled = h.closed = 123456789;
+    h.ages = std::string(static_cast<std::size_t>(size), 'A');
+    h.log_age = millis(1234);
+    return static_cast<std::int64_t>(to_text(to_json(h, "production")).size()) + frame_bytes;
+}
+
+} // namespace
+
 Test(membership, probes_keep_to_the_budget_at_every_size)
 {
     for (const int size : {3, 6, 12, 24, 60, 300}) {
@@ -138,8 +158,8 @@
             }
             probes += m.next_probe(start + t) ? 1 : 0;
         }
-        // An exchange of 900 bytes and 2 a member, its own and one that a peer begins.
-        const std::int64_t bytes = probes * 2 * (900 + 2 * size) / 60;
+        // Request and answer, of its own probes and of as many that peers begin.
+        const std::int64_t bytes = probes * 4 * message_bytes(size) / 60;
         cr_assert_lt(bytes, 6000, "%lld bytes a second at %d", static_cast<long long>(bytes), size);
         cr_assert_gt(probes, 60);
     }
