--- a/include/sesamesill/ejection.h
+++ b/include/sesamesill/ejection.h
@@ -32,6 +32,8 @@
     bool on_failure(const std::string& name, time_point now);
     /// Returns whether the endpoint is out and may be probed now.
     bool wants_probe(const std::string& name, time_point now) const;
+    /// Keeps further probes away until this one has ended or is surely lost.
+    void on_probe_sent(const std::string& name, time_point now);
     void on_probe(const std::string& name, bool passed, time_point now);
 
     bool is_out(const std::string& name) const;
@@ -40,6 +42,8 @@
     std::size_t out() const { return out_; }
 
 private:
+    static constexpr millis probe_interval{1000};
+
     struct record {
         std::int32_t failures = 0; ///< in a row
         std::int32_t ejections = 0;
--- a/include/sesamesill/request.h
+++ b/include/sesamesill/request.h
@@ -108,6 +108,8 @@
     /// Answers callers whose time is over and forgets endings after the retention time.
     request_actions advance(const request_view& view, time_point now);
 
+    /// Returns whether it is certain that no attempt of the key has run or may run.
+    bool is_unused(const std::string& id, const request_view& view) const;
     std::size_t size() const { return entries_.size(); }
     std::size_t callers() const { return callers_; }
 
--- a/include/sesamesill/routing.h
+++ b/include/sesamesill/routing.h
@@ -28,9 +28,43 @@
     double weight = 1.0; ///< below 1 while it returns slowly
 };
 
+namespace detail {
+
+constexpr int executor_draws = 4; ///< before all executors are looked at
+
+double expected_time(const executor_view& e);
+std::size_t draw(std::size_t count, std::mt19937_64& random);
+
+} // namespace detail
+
 /// Returns the index of the better of two random executors with free slots, by expected time.
-std::optional<std::size_t> choose_executor(const std::vector<executor_view>& executors,
-                                           std::mt19937_64& random);
+/// `view(i)` returns what is known of executor `i` of `count`.
+template<typename View>
+std::optional<std::size_t> choose_executor(std::size_t count, const View& view,
+                                           std::mt19937_64& random)
+{
+    std::optional<std::size_t> best;
+    double best_time = 0.0;
+    int found = 0;
+    for (int i = 0; count > 0 && i < detail::executor_draws && found < 2; ++i) {
+        const std::size_t at = detail::draw(count, random);
+        const executor_view e = view(at);
+        if (e.free <= 0 || (best && *best == at)) {
+            continue;
+        }
+        ++found;
+        if (!best || detail::expected_time(e) < best_time) {
+            best = at;
+            best_time = detail::expected_time(e);
+        }
+    }
+    const std::size_t first = best || count == 0 ? 0 : detail::draw(count, random);
+    for (std::size_t i = 0; !best && i < count; ++i) {
+        const std::size_t at = (first + i) % count;
+        best = view(at).free > 0 ? std::optional<std::size_t>(at) : std::nullopt;
+    }
+    return best;
+}
 
 /// What a member offers for one service.
 struct service_load {
@@ -63,6 +97,7 @@
     /// Takes the load of one service, heard with an answer.
     void report(const std::string& member, const std::string& service, const service_load& load,
                 time_point now);
+    void set_stale_after(millis time) { stale_after_ = time; }
     void keep_only(const std::vector<std::string>& members);
     void on_passed(const std::string& member, const std::string& service);
     /// The member could not be reached: nothing is passed to it before its next report.
--- /dev/null
+++ b/src/call_admission.cc
@@ -0,0 +1,98 @@
+// The document's limits as this member's share of them.
+
+#include "call_admission.h"
+
+#include <algorithm>
+
+namespace sesamesill {
+
+call_admission::call_admission(const node_settings& settings)
+    : limits_(!is_disabled(settings, "limits")), by_deadline_(!is_disabled(settings, "admission"))
+{
+}
+
+std::size_t call_admission::queue_share(std::int64_t limit, std::size_t members)
+{
+    const std::int64_t parts = std::max<std::int64_t>(1, static_cast<std::int64_t>(members));
+    return static_cast<std::size_t>(std::max<std::int64_t>(1, limit / parts));
+}
+
+void call_admission::configure(const environment& document, std::size_t members)
+{
+    for (const std::pair<const std::string, tenant_policy>& t : document.tenants) {
+        tenants_.set_limit(t.first, t.second.rate);
+    }
+    for (const std::pair<const std::string, class_policy>& c : document.classes) {
+        classes_.set_limit(c.first, c.second.rate);
+    }
+    configure_queues(document, members);
+}
+
+void call_admission::configure_queues(const environment& document, std::size_t members)
+{
+    for (const std::pair<const std::string, class_policy>& c : document.classes) {
+        if (c.second.kind != work_kind::call) {
+            continue;
+        }
+        call_queue& q = queues_[c.second.service];
+        q.set_class(c.first, c.second.priority, queue_share(c.second.queue_limit, members));
+        for (const std::pair<const std::string, tenant_policy>& t : document.tenants) {
+            q.set_tenant(t.first, t.second.weight);
+        }
+    }
+}
+
+void call_admission::set_others(std::size_t members, const peer_table& peers, time_point now)
+{
+    tenants_.set_others(members, peers.tenant_demand(now), now);
+    classes_.set_others(members, peers.class_demand(now), now);
+}
+
+std::optional<micros> call_admission::refuse_for_rate(const std::string& tenant,
+                                                      const std::string& work_class, time_point now)
+{
+    if (!limits_) {
+        return std::nullopt;
+    }
+    const std::optional<micros> wait = tenants_.admit(tenant, now);
+    return wait ? wait : classes_.admit(work_class, now);
+}
+
+micros call_admission::wait_of(const std::string& service, const std::string& tenant,
+                               const std::string& work_class, std::int32_t slots,
+                               const latency_estimate& latency) const
+{
+    const auto found = queues_.find(service);
+    const double ahead = found == queues_.end() ? 0.0 : found->second.ahead_of(work_class, tenant);
+    return expected_wait(ahead, slots, latency.mean());
+}
+
+std::optional<micros>
+call_admission::refuse_for_deadline(micros wait, const latency_estimate& latency, micros left) const
+{
+    return by_deadline_ ? refuse_for_wait(wait, latency.bound(), left) : std::nullopt;
+}
+
+std::size_t call_admission::waiting(const std::string& service) const
+{
+    const auto found = queues_.find(service);
+    return found == queues_.end() ? 0 : found->second.size();
+}
+
+std::vector<std::uint64_t> call_admission::take_expired(time_point now)
+{
+    std::vector<std::uint64_t> all;
+    for (std::pair<const std::string, call_queue>& q : queues_) {
+        const std::vector<std::uint64_t> expired = q.second.take_expired(now);
+        all.insert(all.end(), expired.begin(), expired.end());
+    }
+    return all;
+}
+
+void call_admission::add_demand(load_summary& load, time_point now) const
+{
+    load.tenant_demand = tenants_.demand(now);
+    load.class_demand = classes_.demand(now);
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/call_admission.h
@@ -0,0 +1,57 @@
+// Who may wait, and how long: limits of tenants and classes, and one bounded queue for each
+// service.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sesamesill/call_queue.h"
+#include "sesamesill/environment.h"
+#include "sesamesill/limiter.h"
+#include "sesamesill/routing.h"
+#include "sesamesill/settings.h"
+
+namespace sesamesill {
+
+class call_admission {
+public:
+    explicit call_admission(const node_settings& settings);
+
+    /// Takes the limits of a document, of which this one of `members` holds its share.
+    void configure(const environment& document, std::size_t members);
+    /// Takes the demand at the other members.
+    void set_others(std::size_t members, const peer_table& peers, time_point now);
+    /// Counts an arrival; returns the time until a retry may pass where a limit refuses it.
+    std::optional<micros> refuse_for_rate(const std::string& tenant, const std::string& work_class,
+                                          time_point now);
+    /// Returns the wait that a new call has to expect.
+    micros wait_of(const std::string& service, const std::string& tenant,
+                   const std::string& work_class, std::int32_t slots,
+                   const latency_estimate& latency) const;
+    /// Returns the time until a retry may pass where the deadline would be missed.
+    std::optional<micros> refuse_for_deadline(micros wait, const latency_estimate& latency,
+                                              micros left) const;
+
+    call_queue& queue(const std::string& service) { return queues_[service]; }
+    std::size_t waiting(const std::string& service) const;
+    /// Takes the ids of all calls whose deadline has come.
+    std::vector<std::uint64_t> take_expired(time_point now);
+    void add_demand(load_summary& load, time_point now) const;
+    /// Returns this member's part of a class's queue limit.
+    static std::size_t queue_share(std::int64_t limit, std::size_t members);
+
+private:
+    void configure_queues(const environment& document, std::size_t members);
+
+    bool limits_;
+    bool by_deadline_;
+    rate_limiter tenants_;
+    rate_limiter classes_;
+    std::map<std::string, call_queue> queues_; ///< by service
+};
+
+} // namespace sesamesill
--- a/src/ejection.cc
+++ b/src/ejection.cc
@@ -62,6 +62,14 @@
     return found != records_.end() && found->second.out && now >= found->second.until;
 }
 
+void ejection::on_probe_sent(const std::string& name, time_point now)
+{
+    const auto found = records_.find(name);
+    if (found != records_.end() && found->second.out) {
+        found->second.until = std::max(found->second.until, now + probe_interval);
+    }
+}
+
 void ejection::on_probe(const std::string& name, bool passed, time_point now)
 {
     const auto found = records_.find(name);
--- /dev/null
+++ b/src/executor_pool.cc
@@ -0,0 +1,324 @@
+// Slots, latency, ejection and leaving of the owned executors, and the calls sent to them.
+
+#include "executor_pool.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "sesamesill/log.h"
+#include "sesamesill/rpc.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr millis probe_tick{50};
+constexpr millis probe_timeout{500};
+constexpr millis connect_timeout{200};
+/// An earlier owner's last call may still be connecting when it loses the shard.
+constexpr millis settle_time = connect_timeout + millis(50);
+constexpr micros unknown_latency{1000};
+
+attempt_result result_of(std::optional<http_reply> reply, const error& why, const std::string& name)
+{
+    attempt_result result;
+    result.executor = name;
+    if (!reply) {
+        result.end =
+            why.code == error_code::unavailable ? attempt_end::never_sent : attempt_end::lost;
+        result.why = {why.code, step::dispatch, name, why.reason};
+        return result;
+    }
+    result.end = reply->headers.count("x-not-started") > 0 ? attempt_end::not_started
+                                                           : attempt_end::answered;
+    if (result.end == attempt_end::not_started) {
+        result.why = {error_code::unavailable, step::dispatch, name,
+                      "the executor did not start it"};
+    }
+    result.reply = std::move(*reply);
+    return result;
+}
+
+} // namespace
+
+executor_pool::executor::executor(vm v, time_point now)
+    : target(std::move(v)), shard(shard_of(target)), slots(target.slots, now, settle_time)
+{
+}
+
+executor_pool::executor_pool(event_loop& loop, http_client& client, cell_service& cell,
+                             const node_settings& settings)
+    : loop_(loop), client_(client), cell_(cell), watch_leaving_(!is_disabled(settings, "leaving")),
+      watch_outliers_(!is_disabled(settings, "ejection")),
+      keep_lost_slots_(!is_disabled(settings, "slots")),
+      random_(XXH3_64bits(settings.name.data(), settings.name.size()))
+{
+    cell_.on_change([this] { update(); });
+    loop_.every(probe_tick, [this] { probe_all(); });
+}
+
+void executor_pool::update()
+{
+    const time_point now = boot_clock::now();
+    std::map<std::string, executor_pointer> kept;
+    by_service_.clear();
+    for (const vm& v : cell_.vms()) {
+        if (v.role != vm_role::executor || !cell_.may_act(shard_of(v))) {
+            continue;
+        }
+        executor_pointer& e = kept[v.name];
+        const auto before = executors_.find(v.name);
+        if (before != executors_.end() && before->second->target.address == v.address) {
+            e = before->second;
+            e->target = v;
+            e->slots.resize(v.slots);
+        }
+        else {
+            e = std::make_shared<executor>(v, now);
+            ejection_.add(v.name);
+        }
+        by_service_[v.service].push_back(e);
+    }
+    executors_.swap(kept);
+    for (const std::pair<const std::string, executor_pointer>& old : kept) {
+        const auto still = executors_.find(old.first);
+        if (still == executors_.end()) {
+            ejection_.remove(old.first);
+            leaving_.remove(old.first);
+        }
+        if (still == executors_.end() || still->second != old.second) {
+            old.second->owned = false;
+            client_.forget(old.second->target.address);
+        }
+    }
+    note_signs(cell_.vms());
+}
+
+void executor_pool::note_signs(const std::vector<vm>& vms)
+{
+    if (!watch_leaving_) {
+        return;
+    }
+    for (const vm& v : vms) {
+        if (executors_.count(v.name) == 0) {
+            continue;
+        }
+        if (v.state == vm_state::live) {
+            leaving_.on_listed_live(v.name);
+        }
+        else if (leaving_.on_sign(v.name, leaving_sign::vm_list, boot_clock::now())) {
+            log_event(log_level::info, "executor_leaving",
+                      {{"executor", v.name}, {"sign", "vm_list"}});
+        }
+    }
+}
+
+std::int32_t executor_pool::room(const executor& e, time_point now) const
+{
+    if (watch_leaving_ && leaving_.is_leaving(e.target.name)) {
+        return 0;
+    }
+    const double weight = watch_outliers_ ? ejection_.weight(e.target.name, now) : 1.0;
+    if (weight <= 0.0) {
+        return 0;
+    }
+    const std::int32_t allowed =
+        std::max(1, static_cast<std::int32_t>(weight * static_cast<double>(e.slots.slots())));
+    const std::int32_t free =
+        keep_lost_slots_ ? e.slots.free(now) : e.slots.slots() - e.slots.busy();
+    return std::min(free, allowed - e.slots.busy());
+}
+
+executor_view executor_pool::view(const executor& e, time_point now) const
+{
+    const micros latency = e.latency.known() ? e.latency.mean() : unknown_latency;
+    return {room(e, now), e.slots.busy(), latency, ejection_.weight(e.target.name, now)};
+}
+
+executor_pool::executor_pointer executor_pool::choose(const std::string& service,
+                                                      const std::string& avoid)
+{
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end()) {
+        return nullptr;
+    }
+    const std::vector<executor_pointer>& all = found->second;
+    const time_point now = boot_clock::now();
+    const auto usable = [&](std::size_t i) { return view(*all[i], now); };
+    const auto others = [&](std::size_t i) {
+        executor_view v = view(*all[i], now);
+        v.free = all[i]->target.name == avoid ? 0 : v.free;
+        return v;
+    };
+    std::optional<std::size_t> at;
+    if (!avoid.empty()) {
+        at = choose_executor(all.size(), others, random_);
+    }
+    if (!at) {
+        at = choose_executor(all.size(), usable, random_);
+    }
+    // The authority may have ended since the list was made.
+    return at && cell_.may_act(all[*at]->shard) ? all[*at] : nullptr;
+}
+
+bool executor_pool::has_free(const std::string& service)
+{
+    return choose(service, "") != nullptr;
+}
+
+bool executor_pool::send(const std::string& service, const std::string& avoid, http_call call,
+                         time_point until, attempt_done done)
+{
+    const executor_pointer e = choose(service, avoid);
+    if (e == nullptr) {
+        return false;
+    }
+    e->slots.on_sent();
+    call.connect_timeout = connect_timeout;
+    const time_point sent = boot_clock::now();
+    client_.send(e->target.address, std::move(call),
+                 [this, e, sent, until, done = std::move(done)](std::optional<http_reply> reply,
+                                                                const error& why) {
+                     finish(e, sent, until, std::move(reply), why, done);
+                 });
+    return true;
+}
+
+void executor_pool::finish(const executor_pointer& e, time_point sent, time_point until,
+                           std::optional<http_reply> reply, const error& why,
+                           const attempt_done& done)
+{
+    const attempt_result result = result_of(std::move(reply), why, e->target.name);
+    account(*e, result, sent, until);
+    if (!e->owned) {
+        client_.forget(e->target.address);
+    }
+    done(result);
+    if (freed_) {
+        freed_(e->target.service);
+    }
+}
+
+void executor_pool::account(executor& e, const attempt_result& result, time_point sent,
+                            time_point until)
+{
+    const time_point now = boot_clock::now();
+    if (result.end == attempt_end::lost) {
+        e.slots.on_lost(until);
+    }
+    else {
+        e.slots.on_ended();
+    }
+    if (result.end == attempt_end::not_started && watch_leaving_ &&
+        leaving_.on_sign(e.target.name, leaving_sign::endpoint, now)) {
+        log_event(log_level::info, "executor_leaving",
+                  {{"executor", e.target.name}, {"sign", "endpoint"}});
+    }
+    if (result.end == attempt_end::answered && result.reply.status < 500) {
+        ejection_.on_success(e.target.name);
+        e.latency.add(now - sent);
+        latency_[e.target.service].add(now - sent);
+    }
+    else if (result.end != attempt_end::not_started && watch_outliers_ &&
+             ejection_.on_failure(e.target.name, now)) {
+        log_event(log_level::warning, "executor_ejected", {{"executor", e.target.name}});
+    }
+}
+
+void executor_pool::probe_all()
+{
+    const time_point now = boot_clock::now();
+    for (const std::pair<const std::string, executor_pointer>& item : executors_) {
+        executor& e = *item.second;
+        if ((keep_lost_slots_ && e.slots.wants_probe(now)) ||
+            ejection_.wants_probe(item.first, now) || leaving_.wants_probe(item.first, now)) {
+            probe(item.second, now);
+        }
+    }
+}
+
+void executor_pool::probe(const executor_pointer& e, time_point now)
+{
+    e->slots.on_probe_sent(now);
+    leaving_.on_probe_sent(e->target.name, now);
+    ejection_.on_probe_sent(e->target.name, now);
+    http_call call;
+    call.path = "/health";
+    call.timeout = probe_timeout;
+    call.connect_timeout = connect_timeout;
+    client_.send(e->target.address, std::move(call),
+                 [this, e](const std::optional<http_reply>& reply, const error&) {
+                     take_health(e, reply);
+                     if (e->owned && freed_) {
+                         freed_(e->target.service);
+                     }
+                 });
+}
+
+void executor_pool::take_health(const executor_pointer& e, const std::optional<http_reply>& reply)
+{
+    const time_point now = boot_clock::now();
+    const Json::Value health = reply && reply->status == 200
+                                   ? json_from(reply->body).value_or(Json::Value())
+                                   : Json::Value();
+    const std::string& name = e->target.name;
+    const bool readable = health.isObject() && health["busy"].isInt();
+    if (!readable) {
+        e->slots.on_probe_failed();
+    }
+    else {
+        e->slots.on_probe(health["busy"].asInt(), now);
+    }
+    if (!e->owned) {
+        return;
+    }
+    ejection_.on_probe(name, readable, now);
+    if (readable && health["draining"].isBool() && health["draining"].asBool()) {
+        if (watch_leaving_) {
+            leaving_.on_sign(name, leaving_sign::endpoint, now);
+        }
+    }
+    else if (readable) {
+        leaving_.on_healthy(name);
+    }
+}
+
+std::int32_t executor_pool::free(const std::string& service) const
+{
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end()) {
+        return 0;
+    }
+    const time_point now = boot_clock::now();
+    std::int32_t sum = 0;
+    for (const executor_pointer& e : found->second) {
+        sum += std::max(0, room(*e, now));
+    }
+    return sum;
+}
+
+std::int32_t executor_pool::usable(const std::string& service) const
+{
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end()) {
+        return 0;
+    }
+    const time_point now = boot_clock::now();
+    std::int32_t sum = 0;
+    for (const executor_pointer& e : found->second) {
+        sum += std::max(0, room(*e, now)) + e->slots.busy();
+    }
+    return sum;
+}
+
+std::vector<std::string> executor_pool::services() const
+{
+    std::vector<std::string> names;
+    names.reserve(by_service_.size());
+    for (const std::pair<const std::string, std::vector<executor_pointer>>& s : by_service_) {
+        names.push_back(s.first);
+    }
+    return names;
+}
+
+} // namespace sesamesill
--- /dev/null
+++ b/src/executor_pool.h
@@ -0,0 +1,94 @@
+// The executors of this member's shards: chooses one for each call, counts slots, finds out who
+// leaves.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cell_service.h"
+#include "sesamesill/drain.h"
+#include "sesamesill/ejection.h"
+#include "sesamesill/http.h"
+#include "sesamesill/limiter.h"
+#include "sesamesill/retry.h"
+#include "sesamesill/routing.h"
+#include "sesamesill/slots.h"
+
+namespace sesamesill {
+
+struct attempt_result {
+    attempt_end end = attempt_end::lost;
+    http_reply reply; ///< where `end` is answered
+    error why;        ///< else
+    std::string executor;
+};
+
+using attempt_done = std::function<void(const attempt_result&)>;
+
+class executor_pool {
+public:
+    executor_pool(event_loop& loop, http_client& client, cell_service& cell,
+                  const node_settings& settings);
+
+    /// Sends `call` to a free executor, another than `avoid` where there is one. Returns false
+    /// where none is free. `until` is when the call's work is over at the latest.
+    bool send(const std::string& service, const std::string& avoid, http_call call,
+              time_point until, attempt_done done);
+    bool has_free(const std::string& service);
+    /// Returns what this member offers now.
+    std::int32_t free(const std::string& service) const;
+    std::int32_t usable(const std::string& service) const;
+    const latency_estimate& latency(const std::string& service) { return latency_[service]; }
+    std::vector<std::string> services() const;
+    /// Runs `action` when a slot of the service may have become free.
+    void on_free(std::function<void(const std::string& service)> action)
+    {
+        freed_ = std::move(action);
+    }
+
+private:
+    struct executor {
+        vm target;
+        std::string shard;
+        slot_account slots;
+        latency_estimate latency;
+        bool owned = true; ///< false once it has left this member's shards
+
+        executor(vm v, time_point now);
+    };
+    using executor_pointer = std::shared_ptr<executor>;
+
+    void update();
+    void note_signs(const std::vector<vm>& vms);
+    executor_view view(const executor& e, time_point now) const;
+    std::int32_t room(const executor& e, time_point now) const;
+    executor_pointer choose(const std::string& service, const std::string& avoid);
+    void finish(const executor_pointer& e, time_point sent, time_point until,
+                std::optional<http_reply> reply, const error& why, const attempt_done& done);
+    void account(executor& e, const attempt_result& result, time_point sent, time_point until);
+    void probe_all();
+    void probe(const executor_pointer& e, time_point now);
+    void take_health(const executor_pointer& e, const std::optional<http_reply>& reply);
+
+    event_loop& loop_;
+    http_client& client_;
+    cell_service& cell_;
+    bool watch_leaving_;
+    bool watch_outliers_;
+    bool keep_lost_slots_;
+    std::mt19937_64 random_;
+    std::map<std::string, executor_pointer> executors_; ///< by name
+    std::map<std::string, std::vector<executor_pointer>> by_service_;
+    std::map<std::string, latency_estimate> latency_; ///< by service
+    leaving_endpoints leaving_;
+    ejection ejection_;
+    std::function<void(const std::string&)> freed_;
+};
+
+} // namespace sesamesill
--- a/src/key_service.h
+++ b/src/key_service.h
@@ -34,6 +34,8 @@
     /// that it did not start. A later `done` or `failed` replaces `unknown`.
     void end(const std::string& id, outcome ending, const std::string& body);
 
+    /// Returns whether it is certain that no attempt of the key has run or may run.
+    bool is_unused(const std::string& id) const { return table_.is_unused(id, view()); }
     std::size_t size() const { return table_.size(); }
     std::size_t waiting() const { return table_.callers(); }
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -46,7 +46,7 @@
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings),
           documents(journal, settings), workers(l, client, cell, settings),
-          keys(l, cell, journal, settings), calls(l, client, cell, keys, documents),
+          keys(l, cell, journal, settings), calls(l, client, cell, keys, documents, settings),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
@@ -63,7 +63,7 @@
 void node::state::serve()
 {
     documents.serve(callers);
-    calls.serve(callers, peers);
+    calls.serve(callers, peers, rpc);
     jobs.serve(callers, peers, rpc);
     peers.route("POST", "/rpc", [this](const http_request& r, const http_respond& respond) {
         respond({200, rpc.handle(r.body), {}, "application/json"});
@@ -103,6 +103,7 @@
     s.journal.start();
     s.cell.start();
     s.workers.start();
+    s.calls.start();
     s.jobs.start();
     log_event(log_level::info, "started", {{"listen", to_string(s.settings.listen)}});
     return true;
--- a/src/request.cc
+++ b/src/request.cc
@@ -101,6 +101,17 @@
     return static_cast<std::uint32_t>(found - writers_.begin());
 }
 
+bool request_table::is_unused(const std::string& id, const request_view& view) const
+{
+    const std::optional<request_key> key = request_key_from(id);
+    if (!key || !view.complete || !view.current) {
+        return false;
+    }
+    const auto known = entries_.find(*key);
+    return known == entries_.end() || (known->second.phase == request_phase::ended &&
+                                       known->second.ending == outcome::not_run);
+}
+
 request_actions request_table::begin(const request_caller& caller, const request_view& view,
                                      time_point now)
 {
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -8,33 +8,8 @@
 namespace sesamesill {
 namespace {
 
-constexpr int samples = 4; ///< draws before all executors are looked at
 constexpr millis hop_cost{5};
 
-std::size_t draw(std::size_t count, std::mt19937_64& random)
-{
-    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
-}
-
-double expected_time(const executor_view& e)
-{
-    const double latency = static_cast<double>(std::max<std::int64_t>(1, e.latency.count()));
-    return latency * static_cast<double>(e.busy + 1) / std::max(e.weight, 0.01);
-}
-
-std::optional<std::size_t> first_free(const std::vector<executor_view>& executors, std::size_t from)
-{
-    for (std::size_t i = 0; i < executors.size(); ++i) {
-        const std::size_t at = (from + i) % executors.size();
-        if (executors[at].free > 0) {
-            return at;
-        }
-    }
-    return std::nullopt;
-}
-
-using demand_member = std::map<std::string, double> load_summary::*;
-
 Json::Value demand_json(const std::map<std::string, double>& demand)
 {
     std::vector<std::pair<double, std::string>> largest;
@@ -81,27 +56,21 @@
 
 } // namespace
 
-std::optional<std::size_t> choose_executor(const std::vector<executor_view>& executors,
-                                           std::mt19937_64& random)
+namespace detail {
+
+std::size_t draw(std::size_t count, std::mt19937_64& random)
 {
-    std::optional<std::size_t> best;
-    if (executors.empty()) {
-        return best;
-    }
-    int found = 0;
-    for (int i = 0; i < samples && found < 2; ++i) {
-        const std::size_t at = draw(executors.size(), random);
-        if (executors[at].free <= 0 || (best && *best == at)) {
-            continue;
-        }
-        ++found;
-        if (!best || expected_time(executors[at]) < expected_time(executors[*best])) {
-            best = at;
-        }
-    }
-    return best ? best : first_free(executors, draw(executors.size(), random));
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+double expected_time(const executor_view& e)
+{
+    const double latency = static_cast<double>(std::max<std::int64_t>(1, e.latency.count()));
+    return latency * static_cast<double>(e.busy + 1) / std::max(e.weight, 0.01);
 }
 
+} // namespace detail
+
 Json::Value to_json(const load_summary& load)
 {
     Json::Value value;
@@ -199,9 +168,9 @@
         return std::nullopt;
     }
     const std::pair<std::int32_t, const std::string*>& a =
-        candidates[draw(candidates.size(), random)];
+        candidates[detail::draw(candidates.size(), random)];
     const std::pair<std::int32_t, const std::string*>& b =
-        candidates[draw(candidates.size(), random)];
+        candidates[detail::draw(candidates.size(), random)];
     return *(a.first >= b.first ? a.second : b.second);
 }
 
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -15,6 +15,12 @@
     return time_point(millis(ms));
 }
 
+std::optional<std::size_t> choose(const std::vector<executor_view>& all, std::mt19937_64& random)
+{
+    return choose_executor(
+        all.size(), [&all](std::size_t i) { return all[i]; }, random);
+}
+
 load_summary offer(std::int32_t free, std::int32_t slots, std::int64_t wait_ms)
 {
     load_summary load;
@@ -28,11 +34,11 @@
 {
     std::mt19937_64 random(1);
     std::vector<executor_view> all(50, {0, 8, millis(5), 1.0});
-    cr_assert_not(choose_executor(all, random));
-    cr_assert_not(choose_executor({}, random));
+    cr_assert_not(choose(all, random));
+    cr_assert_not(choose({}, random));
     all[17].free = 1;
     for (int i = 0; i < 100; ++i) {
-        cr_assert_eq(*choose_executor(all, random), 17);
+        cr_assert_eq(*choose(all, random), 17);
     }
 }
 
@@ -44,7 +50,7 @@
     all[1].weight = 0.125;
     int chosen[4] = {};
     for (int i = 0; i < 4000; ++i) {
-        ++chosen[*choose_executor(all, random)];
+        ++chosen[*choose(all, random)];
     }
     cr_assert_lt(chosen[0] + chosen[1], 1000);
     cr_assert_gt(chosen[2], 1000);
