Let go of a server's connection when evhttp does

Cause: the record of a connection held a reference to its bufferevent; evhttp closed the socket and the kept bufferevent still had events on it ('Epoll MOD failed: Bad file descriptor' in support/path.sh), which would have hit the next connection with that number. Change: the record is adopted in the same pass of the loop and ends by evhttp's own close callback; no reference is held. Ruled out: a filtering bufferevent (copies every byte).

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -18,14 +18,15 @@
 constexpr millis sweep_interval{500};
 constexpr std::size_t spare_files = 128; ///< for the log, peers and endpoints
 
-/// What is known of an open connection, whose bufferevent it keeps from being freed.
+/// What is known of an open connection. Lives until evhttp closes it.
 struct connection_record {
     bufferevent* handle = nullptr;
     bool receiving = false; ///< a request has begun and is not whole
-    bool refused = false;   ///< over the limit
     time_point begun;       ///< while receiving
 };
 
+using connection_records = std::unordered_map<bufferevent*, connection_record>;
+
 void on_bytes(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
 {
     connection_record* c = static_cast<connection_record*>(argument);
@@ -35,15 +36,25 @@
     }
 }
 
-/// evhttp takes its callbacks off a connection that it has closed.
-bool is_closed(const connection_record& c)
+/// Returns evhttp's own handle: the argument of the callbacks that it sets.
+evhttp_connection* connection_of(bufferevent* handle)
 {
     bufferevent_data_cb read = nullptr;
     bufferevent_data_cb write = nullptr;
     bufferevent_event_cb event = nullptr;
     void* argument = nullptr;
-    bufferevent_getcb(c.handle, &read, &write, &event, &argument);
-    return read == nullptr && write == nullptr && event == nullptr;
+    bufferevent_getcb(handle, &read, &write, &event, &argument);
+    return static_cast<evhttp_connection*>(argument);
+}
+
+void on_close(evhttp_connection* connection, void* argument)
+{
+    connection_records* open = static_cast<connection_records*>(argument);
+    const auto known = open->find(evhttp_connection_get_bufferevent(connection));
+    if (known != open->end()) {
+        evbuffer_remove_cb(bufferevent_get_input(known->first), on_bytes, &known->second);
+        open->erase(known);
+    }
 }
 
 std::size_t connection_limit(std::size_t wanted)
@@ -154,14 +165,17 @@
     evhttp* http = nullptr;
     evhttp_bound_socket* socket = nullptr;
     event* sweeper = nullptr;
+    event* adopter = nullptr;
     std::vector<route_entry> routes;
-    std::unordered_map<bufferevent*, std::unique_ptr<connection_record>> open;
+    connection_records open;
+    std::vector<bufferevent*> accepted; ///< to be adopted before the loop polls again
     std::shared_ptr<pending_requests> pending = std::make_shared<pending_requests>();
 
     state(event_loop& l, http_limits h) : loop(l), limits(h) {}
     const route_entry* find(const std::string& method, const std::string& path,
                             bool& path_known) const;
     bufferevent* accept(event_base* base);
+    void adopt();
     void serve(evhttp_request* raw);
     void sweep();
 };
@@ -186,40 +200,35 @@
 bufferevent* http_server::state::accept(event_base* base)
 {
     bufferevent* handle = bufferevent_socket_new(base, -1, 0);
-    if (handle == nullptr) {
-        return nullptr;
-    }
-    if (open.size() >= limits.max_connections) {
-        sweep();
+    if (handle != nullptr) {
+        accepted.push_back(handle); // evhttp has not set its callbacks yet
+        event_active(adopter, EV_TIMEOUT, 0);
     }
-    bufferevent_incref(handle);
-    std::unique_ptr<connection_record> c = std::make_unique<connection_record>();
-    c->handle = handle;
-    c->refused = open.size() >= limits.max_connections;
-    evbuffer_add_cb(bufferevent_get_input(handle), on_bytes, c.get());
-    if (c->refused) {
-        event_active(sweeper, EV_TIMEOUT, 0);
-    }
-    open.emplace(handle, std::move(c));
     return handle;
 }
 
-void http_server::state::sweep()
+void http_server::state::adopt()
 {
-    const time_point now = boot_clock::now();
-    for (auto it = open.begin(); it != open.end();) {
-        connection_record& c = *it->second;
-        if (is_closed(c)) {
-            evbuffer_remove_cb(bufferevent_get_input(c.handle), on_bytes, &c);
-            bufferevent_decref(c.handle);
-            it = open.erase(it);
+    for (bufferevent* handle : accepted) {
+        if (open.size() >= limits.max_connections) {
+            shutdown(bufferevent_getfd(handle), SHUT_RDWR); // evhttp sees the end and closes it
             continue;
         }
-        const bool late = c.receiving && now - c.begun > limits.request_timeout;
-        if ((c.refused || late) && bufferevent_getfd(c.handle) >= 0) {
-            shutdown(bufferevent_getfd(c.handle), SHUT_RDWR); // evhttp sees the end and closes it
+        connection_record& c = open[handle];
+        c.handle = handle;
+        evbuffer_add_cb(bufferevent_get_input(handle), on_bytes, &c);
+        evhttp_connection_set_closecb(connection_of(handle), on_close, &open);
+    }
+    accepted.clear();
+}
+
+void http_server::state::sweep()
+{
+    const time_point now = boot_clock::now();
+    for (const connection_records::value_type& c : open) {
+        if (c.second.receiving && now - c.second.begun > limits.request_timeout) {
+            shutdown(bufferevent_getfd(c.first), SHUT_RDWR);
         }
-        ++it;
     }
 }
 
@@ -228,7 +237,7 @@
     evhttp_connection* connection = evhttp_request_get_connection(raw);
     const auto known = open.find(evhttp_connection_get_bufferevent(connection));
     if (known != open.end()) {
-        known->second->receiving = false;
+        known->second.receiving = false;
     }
     const http_request request = request_from(raw);
     const std::shared_ptr<responder> r = std::make_shared<responder>(raw, pending);
@@ -265,6 +274,9 @@
     s.sweeper = event_new(
         loop.internals().base, -1, EV_PERSIST,
         [](evutil_socket_t, short, void* argument) { static_cast<state*>(argument)->sweep(); }, &s);
+    s.adopter = event_new(
+        loop.internals().base, -1, 0,
+        [](evutil_socket_t, short, void* argument) { static_cast<state*>(argument)->adopt(); }, &s);
     const timeval interval = detail::to_timeval(sweep_interval);
     event_add(s.sweeper, &interval);
 }
@@ -273,12 +285,8 @@
 {
     state_->pending->closed = true;
     event_free(state_->sweeper);
+    event_free(state_->adopter);
     evhttp_free(state_->http);
-    for (const std::pair<bufferevent* const, std::unique_ptr<connection_record>>& c :
-         state_->open) {
-        evbuffer_remove_cb(bufferevent_get_input(c.first), on_bytes, c.second.get());
-        bufferevent_decref(c.first);
-    }
 }
 
 void http_server::route(std::string method, std::string prefix, http_handler handler)
@@ -311,7 +319,6 @@
 
 std::size_t http_server::connections() const
 {
-    state_->sweep();
     return state_->open.size();
 }
 
