--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -108,6 +108,8 @@
     bool listen(const endpoint& at, error& why);
     /// Takes no further connections; those that are open go on.
     void stop_listening();
+    /// Asks the other side of each connection to close it after its next answer.
+    void close_after_answers();
     /// Requests that have not been answered yet.
     std::size_t pending() const;
     /// Open connections.
--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -362,6 +362,11 @@
     const micros limit =
         call->what.idempotent ? attempt_timeout(left, call->lost + 1, call->max_attempts) : left;
     request.timeout = std::max(millis(1), std::chrono::duration_cast<millis>(limit));
+    const auto steps = documents_.current()->services.find(call->service);
+    if (steps != documents_.current()->services.end()) {
+        request.connect_timeout = steps->second.connect_timeout;
+        request.first_byte_timeout = steps->second.first_byte_timeout;
+    }
     request.headers = {
         {"X-Request-Id", call->id},      {"X-Attempt", std::to_string(call->attempt + 1)},
         {"X-Tenant", call->what.tenant}, {"X-Class", call->what.work_class},
--- a/src/executor_pool.cc
+++ b/src/executor_pool.cc
@@ -14,9 +14,9 @@
 
 constexpr millis probe_tick{50};
 constexpr millis probe_timeout{500};
-constexpr millis connect_timeout{200};
+constexpr millis max_connect_timeout{200};
 /// An earlier owner's last call may still be connecting when it loses the shard.
-constexpr millis settle_time = connect_timeout + millis(50);
+constexpr millis settle_time = max_connect_timeout + millis(50);
 constexpr micros unknown_latency{1000};
 
 attempt_result result_of(std::optional<http_reply> reply, const error& why, const std::string& name)
@@ -174,7 +174,7 @@
         return false;
     }
     e->slots.on_sent();
-    call.connect_timeout = connect_timeout;
+    call.connect_timeout = std::min(call.connect_timeout, max_connect_timeout);
     const time_point sent = boot_clock::now();
     client_.send(e->target.address, std::move(call),
                  [this, e, sent, until, done = std::move(done)](std::optional<http_reply> reply,
@@ -245,7 +245,7 @@
     http_call call;
     call.path = "/health";
     call.timeout = probe_timeout;
-    call.connect_timeout = connect_timeout;
+    call.connect_timeout = max_connect_timeout;
     client_.send(e->target.address, std::move(call),
                  [this, e](const std::optional<http_reply>& reply, const error&) {
                      take_health(e, reply);
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -109,7 +109,8 @@
 
 struct pending_requests {
     std::size_t count = 0;
-    bool closed = false; ///< the server is gone, and its requests with it
+    bool closed = false;  ///< the server is gone, and its requests with it
+    bool closing = false; ///< connections end with their next answer
 };
 
 /// Answers once; a handler that forgets to answer leaves a 500.
@@ -141,9 +142,13 @@
         evhttp_request* raw = raw_;
         raw_ = nullptr;
         --pending_->count;
-        if (!pending_->closed) {
-            send_reply(raw, reply);
+        if (pending_->closed) {
+            return;
+        }
+        if (pending_->closing) {
+            evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection", "close");
         }
+        send_reply(raw, reply);
     }
 
 private:
@@ -312,6 +317,11 @@
     }
 }
 
+void http_server::close_after_answers()
+{
+    state_->pending->closing = true;
+}
+
 std::size_t http_server::pending() const
 {
     return state_->pending->count;
--- a/src/node.cc
+++ b/src/node.cc
@@ -4,11 +4,13 @@
 
 #include "call_service.h"
 #include "cell_service.h"
+#include "document_api.h"
 #include "document_service.h"
 #include "job_service.h"
 #include "journal_service.h"
 #include "key_service.h"
 #include "replies.h"
+#include "sesamesill/drain.h"
 #include "sesamesill/log.h"
 #include "sesamesill/rpc.h"
 #include "worker_service.h"
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr millis drain_check_interval{20};
+constexpr millis quiet_time{200};
 
 std::string new_incarnation()
 {
@@ -35,18 +38,21 @@
     journal_service journal;
     cell_service cell;
     document_service documents;
+    document_api document_calls;
     worker_service workers;
     key_service keys;
     call_service calls;
     job_service jobs;
+    stop_plan stop;
     bool draining = false;
-    time_point drain_until;
+    time_point busy_at; ///< while draining: when something was last in flight
 
     state(event_loop& l, const node_settings& s)
         : loop(l), settings(s), client(l, s.name), callers(l), peers(l),
           journal(l, client, settings, new_incarnation()), cell(l, client, settings),
-          documents(journal, settings), workers(l, client, cell, settings),
-          keys(l, cell, journal, settings), calls(l, client, cell, keys, documents, settings),
+          documents(l, client, cell, journal, settings), document_calls(documents, settings),
+          workers(l, client, cell, settings), keys(l, cell, journal, settings),
+          calls(l, client, cell, keys, documents, settings),
           jobs(l, client, cell, journal, documents, workers)
     {
     }
@@ -62,7 +68,8 @@
 
 void node::state::serve()
 {
-    documents.serve(callers);
+    documents.serve(rpc);
+    document_calls.serve(callers);
     calls.serve(callers, peers, rpc);
     jobs.serve(callers, peers, rpc);
     peers.route("POST", "/rpc", [this](const http_request& r, const http_respond& respond) {
@@ -78,10 +85,20 @@
 
 void node::state::check_drained()
 {
-    const bool idle = callers.pending() == 0 && peers.pending() == 0 && journal.waiting() == 0;
-    if (idle || boot_clock::now() >= drain_until) {
-        log_event(idle ? log_level::info : log_level::error, "drained",
-                  {{"cut_off", static_cast<std::int64_t>(callers.pending())}});
+    const time_point now = boot_clock::now();
+    const std::size_t in_flight = callers.pending() + peers.pending() + journal.waiting();
+    if (in_flight > 0) {
+        busy_at = now;
+    }
+    // Answers leave the process and late requests on kept connections arrive in the quiet time.
+    const bool quiet = now - busy_at >= quiet_time;
+    const stop_phase phase = stop.phase(now, quiet ? 0 : 1);
+    if (phase == stop_phase::finishing) {
+        callers.stop_listening();
+    }
+    if (phase == stop_phase::stopped) {
+        log_event(in_flight == 0 ? log_level::info : log_level::error, "drained",
+                  {{"cut_off", static_cast<std::int64_t>(in_flight)}});
         loop.stop();
     }
 }
@@ -102,6 +119,7 @@
     }
     s.journal.start();
     s.cell.start();
+    s.documents.start();
     s.workers.start();
     s.calls.start();
     s.jobs.start();
@@ -112,12 +130,15 @@
 void node::drain()
 {
     state& s = *state_;
+    const time_point now = boot_clock::now();
     if (s.draining) {
-        s.drain_until = boot_clock::now();
+        s.stop.hurry(now);
         return;
     }
     s.draining = true;
-    s.drain_until = boot_clock::now() + s.settings.drain_limit;
+    s.busy_at = now;
+    s.stop.begin(now, s.settings.stop_announce, s.settings.drain_limit);
+    s.callers.close_after_answers();
     s.loop.every(drain_check_interval, [&s] { s.check_drained(); });
     log_event(log_level::info, "draining");
 }
--- a/support/path.sh
+++ b/support/path.sh
@@ -36,6 +36,7 @@
 environment = production
 listen = 127.0.0.1:$((base + 100 + i))
 peer_listen = 127.0.0.1:$((base + 200 + i))
+stop_announce_ms = 100
 [platform]
 log = 127.0.0.1:$((base + 1))
 vm_list = 127.0.0.1:$((base + 2))
