--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -145,7 +145,7 @@
     http_client& operator=(http_client&&) = delete;
 
     /// Sends `call` and hands the whole answer, or the reason of the failure, to `done`.
-    void send(const endpoint& to, http_call call, http_done done);
+    void send(const endpoint& to, const http_call& call, http_done done);
     /// Closes the idle connections to `to`.
     void forget(const endpoint& to);
     std::uint64_t bytes_sent() const;
--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -137,13 +137,11 @@
     }
     call->respond = respond;
     ++in_flight_;
-    if (from == entrance::executor_owner) {
-        route_call(call);
-    }
-    else if (!call->what.idempotent) {
+    if (from != entrance::executor_owner && !call->what.idempotent) {
         receive_once_only(call);
+        return;
     }
-    else if (!refuse_for_rate(call)) {
+    if (from == entrance::executor_owner || !refuse_for_rate(call)) {
         route_call(call);
     }
 }
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -306,7 +306,7 @@
 
 } // namespace
 
-void http_client::send(const endpoint& to, http_call call, http_done done)
+void http_client::send(const endpoint& to, const http_call& call, http_done done)
 {
     const time_point now = boot_clock::now();
     state_->sweep(now);
