--- /dev/null
+++ b/bench/routing.cc
@@ -0,0 +1,412 @@
+// Load on running members and executors: added latency, requests a second, behaviour under
+// overload. Starts nothing; support/bench_routing.sh starts the processes and hands their addresses
+// over.
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <set>
+#include <sstream>
+#include <unordered_map>
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include "sesamesill/http.h"
+#include "sesamesill/rpc.h"
+
+DEFINE_string(mode, "latency", "latency, throughput, overload or control");
+DEFINE_string(entries, "", "callers' addresses of the members, comma-separated");
+DEFINE_string(executors, "", "addresses of the executors, comma-separated");
+DEFINE_string(pids, "", "process ids of the members, comma-separated");
+DEFINE_string(journal, "", "the executors' journal");
+DEFINE_double(rate, 350, "requests a second: of each stream, or the cell's capacity for overload");
+DEFINE_double(seconds, 5, "length of a measurement");
+DEFINE_int32(connections, 64, "requests at once for throughput");
+DEFINE_int64(deadline_ms, 800, "deadline of a quick check");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+
+namespace {
+
+using namespace sesamesill;
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream in(text);
+    std::string part;
+    while (std::getline(in, part, ',')) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+std::vector<endpoint> endpoints_from(const std::string& text)
+{
+    std::vector<endpoint> all;
+    for (const std::string& part : split(text)) {
+        all.push_back(endpoint_from(part).value());
+    }
+    return all;
+}
+
+/// Returns the processor time of a process so far, in seconds.
+double cpu_seconds(const std::string& pid)
+{
+    std::ifstream file("/proc/" + pid + "/stat");
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 1));
+    std::string skipped;
+    constexpr int before_user_time = 11;
+    for (int i = 0; i < before_user_time; ++i) {
+        fields >> skipped;
+    }
+    double user = 0.0;
+    double system = 0.0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double quantile(std::vector<double> values, double q)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const std::size_t at = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
+                     values.end());
+    return values[at];
+}
+
+struct sample {
+    time_point sent;
+    time_point ended;
+    int status = 0; ///< 0: no answer
+    std::string key;
+};
+
+/// Sends quick checks and keeps what came of each.
+class load {
+public:
+    load(event_loop& loop, std::string prefix)
+        : loop_(loop), client_(loop, "bench", 2048), prefix_(std::move(prefix)), random_(FLAGS_seed)
+    {
+    }
+
+    /// One request to a member, or straight to an executor.
+    void send(const endpoint& to, bool direct, const std::function<void()>& then = nullptr)
+    {
+        const std::string key = prefix_ + std::to_string(sent_++);
+        http_call call;
+        call.method = "POST";
+        call.timeout = millis(FLAGS_deadline_ms + 500);
+        if (direct) {
+            call.path = "/calls";
+            call.headers = {{"X-Request-Id", key}, {"X-Attempt", "1"}, {"X-Tenant", "delta"},
+                            {"X-Class", "hold"},   {"X-Key", key},     {"X-Idempotent", "yes"}};
+            call.body = "place 7?";
+        }
+        else {
+            call.path = "/v1/calls";
+            call.body = R"({"tenant":"delta","class":"hold","key":")" + key +
+                        R"(","body":"place 7?","deadline_ms":)" +
+                        std::to_string(FLAGS_deadline_ms) + "}";
+        }
+        const time_point now = boot_clock::now();
+        ++open_;
+        client_.send(
+            to, call, [this, now, key, then](const std::optional<http_reply>& reply, const error&) {
+                --open_;
+                samples_.push_back({now, boot_clock::now(), reply ? reply->status : 0, key});
+                if (then) {
+                    then();
+                }
+            });
+    }
+
+    /// Poisson arrivals at `rate` from now until `until`, spread over the targets at random.
+    void arrive(const std::vector<endpoint>& targets, bool direct, double rate, time_point until)
+    {
+        next_ = std::max(next_, boot_clock::now());
+        while (next_ <= boot_clock::now()) {
+            send(targets[random_() % targets.size()], direct);
+            next_ += micros(static_cast<std::int64_t>(
+                1e6 * std::exponential_distribution<double>(rate)(random_)));
+        }
+        if (boot_clock::now() >= until) {
+            return;
+        }
+        const millis wait = std::chrono::duration_cast<millis>(next_ - boot_clock::now());
+        loop_.after(wait,
+                    [this, targets, direct, rate, until] { arrive(targets, direct, rate, until); });
+    }
+
+    const std::vector<sample>& samples() const { return samples_; }
+    std::size_t open() const { return open_; }
+
+private:
+    event_loop& loop_;
+    http_client client_;
+    std::string prefix_;
+    std::mt19937_64 random_;
+    std::vector<sample> samples_;
+    std::uint64_t sent_ = 0;
+    std::size_t open_ = 0;
+    time_point next_;
+};
+
+void run_for(event_loop& loop, double seconds)
+{
+    loop.after(millis(static_cast<std::int64_t>(seconds * 1e3)), [&loop] { loop.stop(); });
+    loop.run();
+}
+
+/// What the executors saw of each key.
+struct journal_view {
+    std::unordered_map<std::string, double> work_us; ///< of the last attempt that ended
+    std::unordered_map<std::string, int> starts;
+    int over_slots = 0; ///< starts on a full executor
+};
+
+journal_view read_journal(const std::string& path)
+{
+    journal_view view;
+    std::unordered_map<std::string, std::int64_t> started;
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line)) {
+        const std::optional<Json::Value> entry = json_from(line);
+        if (!entry || !entry->isObject()) {
+            continue;
+        }
+        const std::string key = (*entry)["key"].asString();
+        const std::int64_t time = (*entry)["time_us"].asInt64();
+        const std::string event = (*entry)["event"].asString();
+        if (event == "start") {
+            started[key] = time;
+            ++view.starts[key];
+            view.over_slots += (*entry)["busy"].asInt() > (*entry)["slots"].asInt() ? 1 : 0;
+        }
+        else if (event == "end") {
+            view.work_us[key] = static_cast<double>(time - started[key]);
+        }
+    }
+    return view;
+}
+
+/// Returns what each answered request took beyond the executor's own work, in microseconds.
+std::vector<double> overheads(const std::vector<sample>& samples, const journal_view& seen)
+{
+    std::vector<double> all;
+    for (const sample& s : samples) {
+        const auto work = seen.work_us.find(s.key);
+        if (s.status == 200 && work != seen.work_us.end()) {
+            all.push_back(static_cast<double>((s.ended - s.sent).count()) - work->second);
+        }
+    }
+    return all;
+}
+
+void print(const std::string& name, Json::Value line)
+{
+    line["case"] = name;
+    std::cout << to_text(line) << std::endl;
+}
+
+void compare(const std::string& name, const std::vector<double>& with,
+             const std::vector<double>& direct)
+{
+    Json::Value line;
+    line["added_p50_us"] = quantile(with, 0.5) - quantile(direct, 0.5);
+    line["added_p99_us"] = quantile(with, 0.99) - quantile(direct, 0.99);
+    line["requests"] = static_cast<Json::UInt64>(with.size());
+    line["endpoints"] = static_cast<Json::UInt64>(split(FLAGS_executors).size());
+    line["members"] = static_cast<Json::UInt64>(split(FLAGS_entries).size());
+    print(name, line);
+}
+
+/// Two members and one shard: the one that answers faster owns it, the other passes all on.
+int measure_latency()
+{
+    event_loop loop;
+    const std::vector<endpoint> entries = endpoints_from(FLAGS_entries);
+    const std::vector<endpoint> executors = endpoints_from(FLAGS_executors);
+    load direct(loop, "d");
+    load first(loop, "a");
+    load second(loop, "b");
+    const time_point until =
+        boot_clock::now() + micros(static_cast<std::int64_t>(FLAGS_seconds * 1e6));
+    direct.arrive(executors, true, FLAGS_rate, until);
+    first.arrive({entries[0]}, false, FLAGS_rate, until);
+    second.arrive({entries[1]}, false, FLAGS_rate, until);
+    run_for(loop, FLAGS_seconds + 1.0);
+    const journal_view seen = read_journal(FLAGS_journal);
+    const std::vector<double> base = overheads(direct.samples(), seen);
+    std::vector<double> owner = overheads(first.samples(), seen);
+    std::vector<double> other = overheads(second.samples(), seen);
+    if (quantile(other, 0.5) < quantile(owner, 0.5)) {
+        owner.swap(other);
+    }
+    compare("one_entry", owner, base);
+    compare("forward", other, base);
+    return 0;
+}
+
+int measure_throughput()
+{
+    event_loop loop;
+    const endpoint entry = endpoints_from(FLAGS_entries)[0];
+    const std::string pid = split(FLAGS_pids)[0];
+    load all(loop, "t");
+    bool running = true;
+    std::function<void()> again = [&] {
+        if (running) {
+            all.send(entry, false, again);
+        }
+    };
+    for (int i = 0; i < FLAGS_connections; ++i) {
+        again();
+    }
+    run_for(loop, 1.0);
+    const std::size_t before = all.samples().size();
+    const double cpu_before = cpu_seconds(pid);
+    const time_point begun = boot_clock::now();
+    run_for(loop, FLAGS_seconds);
+    const double seconds = static_cast<double>((boot_clock::now() - begun).count()) / 1e6;
+    const double cpu = cpu_seconds(pid) - cpu_before;
+    std::size_t good = 0;
+    for (std::size_t i = before; i < all.samples().size(); ++i) {
+        good += all.samples()[i].status == 200 ? 1 : 0;
+    }
+    running = false;
+    Json::Value line;
+    line["requests_per_second"] = static_cast<double>(good) / seconds;
+    line["requests_per_core_second"] = static_cast<double>(good) / std::max(cpu, 1e-3);
+    line["core_ratio"] = cpu / seconds;
+    line["failed"] = static_cast<Json::UInt64>(all.samples().size() - before - good);
+    print("one_core", line);
+    return 0;
+}
+
+struct window {
+    std::size_t sent = 0;
+    std::size_t good = 0;
+    std::vector<double> good_ms;
+};
+
+/// Returns what became of the requests sent between two times.
+window between(const std::vector<sample>& samples, time_point from, time_point to)
+{
+    window w;
+    for (const sample& s : samples) {
+        if (s.sent < from || s.sent >= to) {
+            continue;
+        }
+        const double ms = static_cast<double>((s.ended - s.sent).count()) / 1e3;
+        ++w.sent;
+        if (s.status == 200 && ms <= static_cast<double>(FLAGS_deadline_ms)) {
+            ++w.good;
+        }
+        if (s.status == 200) {
+            w.good_ms.push_back(ms);
+        }
+    }
+    return w;
+}
+
+/// Returns the time from the end of the burst until a window in which 99% of the requests are good.
+double recovery_ms(const std::vector<sample>& samples, time_point from, time_point to)
+{
+    constexpr millis step{100};
+    for (time_point at = from; at + step <= to; at += step) {
+        const window w = between(samples, at, at + step);
+        if (w.sent > 0 && static_cast<double>(w.good) >= 0.99 * static_cast<double>(w.sent)) {
+            return static_cast<double>((at - from).count()) / 1e3;
+        }
+    }
+    return static_cast<double>((to - from).count()) / 1e3;
+}
+
+int measure_overload()
+{
+    event_loop loop;
+    const std::vector<endpoint> entries = endpoints_from(FLAGS_entries);
+    load all(loop, "o");
+    const double phases[] = {0.5, 1.0, 2.0, 5.0, 0.5};
+    std::vector<time_point> begins;
+    for (const double times : phases) {
+        begins.push_back(boot_clock::now());
+        const time_point until =
+            boot_clock::now() + micros(static_cast<std::int64_t>(FLAGS_seconds * 1e6));
+        all.arrive(entries, false, FLAGS_rate * times, until);
+        run_for(loop, FLAGS_seconds);
+    }
+    begins.push_back(boot_clock::now());
+    run_for(loop, 2.0);
+    const journal_view seen = read_journal(FLAGS_journal);
+    double starts = 0.0;
+    for (const std::pair<const std::string, int>& s : seen.starts) {
+        starts += s.second;
+    }
+    const double peak = static_cast<double>(between(all.samples(), begins[1], begins[2]).good);
+    for (std::size_t i = 0; i < 5; ++i) {
+        const window w = between(all.samples(), begins[i], begins[i + 1]);
+        Json::Value line;
+        line["load"] = phases[i];
+        line["goodput_per_second"] = static_cast<double>(w.good) / FLAGS_seconds;
+        line["goodput_ratio"] =
+            static_cast<double>(w.good) / std::min(peak, static_cast<double>(w.sent));
+        line["hold_p99_ms"] = quantile(w.good_ms, 0.99);
+        line["attempts_per_request"] =
+            starts / std::max<double>(1.0, static_cast<double>(seen.starts.size()));
+        line["over_slots"] = seen.over_slots;
+        line["members"] = static_cast<Json::UInt64>(entries.size());
+        if (i == 4) {
+            line["recovery_ms"] = recovery_ms(all.samples(), begins[4], begins[5]);
+        }
+        print("overload", line);
+    }
+    return 0;
+}
+
+int measure_control()
+{
+    event_loop loop;
+    const std::vector<std::string> pids = split(FLAGS_pids);
+    std::vector<double> before;
+    before.reserve(pids.size());
+    for (const std::string& pid : pids) {
+        before.push_back(cpu_seconds(pid));
+    }
+    run_for(loop, FLAGS_seconds);
+    double most = 0.0;
+    for (std::size_t i = 0; i < pids.size(); ++i) {
+        most = std::max(most, (cpu_seconds(pids[i]) - before[i]) / FLAGS_seconds);
+    }
+    Json::Value line;
+    line["control_core_ratio"] = most;
+    line["members"] = static_cast<Json::UInt64>(pids.size());
+    line["endpoints"] = static_cast<Json::UInt64>(split(FLAGS_executors).size());
+    print("control", line);
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_mode == "latency") {
+        return measure_latency();
+    }
+    if (FLAGS_mode == "throughput") {
+        return measure_throughput();
+    }
+    if (FLAGS_mode == "overload") {
+        return measure_overload();
+    }
+    return measure_control();
+}
--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -137,7 +137,8 @@
 /// Keeps connections alive, one request at a time on each.
 class http_client {
 public:
-    http_client(event_loop& loop, std::string name);
+    /// Keeps at most `max_idle` idle connections to each peer.
+    http_client(event_loop& loop, std::string name, std::size_t max_idle = 16);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
@@ -145,7 +146,7 @@
     http_client& operator=(http_client&&) = delete;
 
     /// Sends `call` and hands the whole answer, or the reason of the failure, to `done`.
-    void send(const endpoint& to, const http_call& call, http_done done);
+    void send(const endpoint& to, http_call call, http_done done);
     /// Closes the idle connections to `to`.
     void forget(const endpoint& to);
     std::uint64_t bytes_sent() const;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -12,7 +12,6 @@
 namespace sesamesill {
 namespace {
 
-constexpr std::size_t max_idle_connections = 16; ///< per peer
 constexpr micros max_idle_time{10000000};
 constexpr micros sweep_interval{2000000};
 constexpr timeval library_timeout{3600, 0}; ///< our own timers come first
@@ -30,13 +29,17 @@
 struct http_client::state {
     event_loop& loop;
     std::string name;
+    std::size_t max_idle;
     std::map<endpoint, std::vector<idle_connection>> idle;
     time_point swept;
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     bool closed = false;
 
-    state(event_loop& l, std::string n) : loop(l), name(std::move(n)) {}
+    state(event_loop& l, std::string n, std::size_t idle_limit)
+        : loop(l), name(std::move(n)), max_idle(idle_limit)
+    {
+    }
     evhttp_connection* take(const endpoint& to, bool& opened);
     void give_back(const endpoint& to, evhttp_connection* connection, bool healthy);
     void sweep(time_point now);
@@ -219,7 +222,7 @@
 void http_client::state::give_back(const endpoint& to, evhttp_connection* connection, bool healthy)
 {
     std::vector<idle_connection>& pool = idle[to];
-    if (!healthy || closed || pool.size() >= max_idle_connections) {
+    if (!healthy || closed || pool.size() >= max_idle) {
         free_later(connection);
         return;
     }
@@ -243,8 +246,8 @@
     }
 }
 
-http_client::http_client(event_loop& loop, std::string name)
-    : state_(std::make_shared<state>(loop, std::move(name)))
+http_client::http_client(event_loop& loop, std::string name, std::size_t max_idle)
+    : state_(std::make_shared<state>(loop, std::move(name), max_idle))
 {
 }
 
@@ -283,12 +286,20 @@
     for (const http_headers::value_type& h : call.headers) {
         evhttp_add_header(headers, h.first.c_str(), h.second.c_str());
     }
-    if (!call.body.empty()) {
-        evbuffer_add(evhttp_request_get_output_buffer(raw), call.body.data(), call.body.size());
-    }
     return raw;
 }
 
+/// Hands the bytes over without copying them.
+void set_body(evhttp_request* raw, std::string body)
+{
+    std::unique_ptr<std::string> owned = std::make_unique<std::string>(std::move(body));
+    const std::string& bytes = *owned;
+    evbuffer_add_reference(
+        evhttp_request_get_output_buffer(raw), bytes.data(), bytes.size(),
+        [](const void*, std::size_t, void* held) { delete static_cast<std::string*>(held); },
+        owned.release());
+}
+
 /// Tells of a request that could not even be begun, from the loop as all others.
 void fail_later(event_base* base, exchange* x)
 {
@@ -306,7 +317,7 @@
 
 } // namespace
 
-void http_client::send(const endpoint& to, const http_call& call, http_done done)
+void http_client::send(const endpoint& to, http_call call, http_done done)
 {
     const time_point now = boot_clock::now();
     state_->sweep(now);
@@ -320,7 +331,11 @@
     x->first_byte_until =
         call.first_byte_timeout > millis(0) ? now + call.first_byte_timeout : x->until;
     x->request = build_request(*x, call, state_->name);
+    const evhttp_cmd_type command = detail::command_of(call.method);
     state_->sent += call.body.size() + call.path.size() + header_estimate;
+    if (!call.body.empty()) {
+        set_body(x->request, std::move(call.body));
+    }
     exchange* in_flight = x.release(); // its completion frees it
     in_flight->timer = event_new(state_->loop.internals().base, -1, 0, on_timer, in_flight);
     arm(*in_flight, now);
