--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -89,6 +89,7 @@
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
     std::size_t max_connections = 4096;
+    int backlog = 1024;            ///< connections that wait to be accepted
     millis idle_timeout{30000};    ///< between requests
     millis request_timeout{10000}; ///< from a request's first byte to its last
 };
@@ -138,7 +139,7 @@
 class http_client {
 public:
     /// Keeps at most `max_idle` idle connections to each peer.
-    http_client(event_loop& loop, std::string name, std::size_t max_idle = 16);
+    http_client(event_loop& loop, std::string name, std::size_t max_idle = 256);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/include/sesamesill/routing.h
+++ b/include/sesamesill/routing.h
@@ -132,6 +132,7 @@
 struct route {
     route_kind kind = route_kind::refuse;
     std::string peer;
+    millis wait{0}; ///< expected at the peer
 };
 
 /// What this member can do itself for a call.
--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -278,7 +278,15 @@
     const own_capacity own{0, load.slots, load.wait};
     const std::int32_t hops = call->from == entrance::executor_owner ? max_hops : 0;
     const route chosen = choose_route(own, hops, call->service, loads_.peers(), now, random_);
-    if (chosen.kind == route_kind::peer) {
+    const std::optional<micros> later = admission_.refuse_for_deadline(
+        chosen.wait, pool_.latency(call->service), call->until - now);
+    if (chosen.kind == route_kind::peer && later) {
+        refuse(
+            call,
+            {error_code::overload, step::routing, chosen.peer, "the wait would pass the deadline"},
+            *later, 503);
+    }
+    else if (chosen.kind == route_kind::peer) {
         to_executor_owner(call, chosen.peer);
     }
     else if (chosen.kind == route_kind::queue) {
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -339,8 +339,8 @@
     exchange* in_flight = x.release(); // its completion frees it
     in_flight->timer = event_new(state_->loop.internals().base, -1, 0, on_timer, in_flight);
     arm(*in_flight, now);
-    if (evhttp_make_request(in_flight->connection, in_flight->request,
-                            detail::command_of(call.method), call.path.c_str()) != 0) {
+    if (evhttp_make_request(in_flight->connection, in_flight->request, command,
+                            call.path.c_str()) != 0) {
         event_del(in_flight->timer);
         fail_later(state_->loop.internals().base, in_flight);
     }
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -6,7 +6,10 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include <arpa/inet.h>
 #include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 
@@ -301,7 +304,17 @@
 
 bool http_server::listen(const endpoint& at, error& why)
 {
-    state_->socket = evhttp_bind_socket_with_handle(state_->http, at.address.c_str(), at.port);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    evconnlistener* listener = nullptr;
+    if (inet_pton(AF_INET, at.address.c_str(), &address.sin_addr) == 1) {
+        listener = evconnlistener_new_bind(
+            state_->loop.internals().base, nullptr, nullptr,
+            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE,
+            state_->limits.backlog, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    }
+    state_->socket = listener != nullptr ? evhttp_bind_listener(state_->http, listener) : nullptr;
     if (state_->socket == nullptr) {
         why = {error_code::unavailable, step::http, to_string(at), "cannot listen"};
         return false;
--- a/src/limiter.cc
+++ b/src/limiter.cc
@@ -141,8 +141,8 @@
 
 std::optional<micros> refuse_for_wait(micros wait, micros service, micros left)
 {
-    constexpr std::int64_t margin_parts = 5; // a fifth more than expected
-    const micros needed = wait + wait / margin_parts + service;
+    constexpr std::int64_t caution = 2; // a longer queue would add waiting and no throughput
+    const micros needed = caution * wait + service;
     return needed > left ? std::optional<micros>(needed - left) : std::nullopt;
 }
 
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -184,8 +184,11 @@
             offered->second.slots == 0) {
             continue;
         }
-        if (!best || offered->second.wait < best->second) {
-            best = {p.first, offered->second.wait};
+        // A queue drains as time goes by, until its member tells otherwise.
+        const millis age = std::chrono::duration_cast<millis>(now - p.second.heard);
+        const millis wait = std::max(millis(0), offered->second.wait - age);
+        if (!best || wait < best->second) {
+            best = {p.first, wait};
         }
     }
     return best;
@@ -228,22 +231,23 @@
                    const peer_table& peers, time_point now, std::mt19937_64& random)
 {
     if (own.free > 0) {
-        return {route_kind::own, ""};
+        return {route_kind::own, "", {}};
     }
     if (hops >= max_hops) {
-        return {own.slots > 0 ? route_kind::queue : route_kind::refuse, ""};
+        return {own.slots > 0 ? route_kind::queue : route_kind::refuse, "", {}};
     }
     const std::optional<std::string> free = peers.choose_free(service, now, random);
     if (free) {
-        return {route_kind::peer, *free};
+        return {route_kind::peer, *free, {}};
     }
     const std::optional<std::pair<std::string, millis>> shortest =
         peers.shortest_wait(service, now);
     if (own.slots == 0) {
-        return shortest ? route{route_kind::peer, shortest->first} : route{};
+        return shortest ? route{route_kind::peer, shortest->first, shortest->second} : route{};
     }
     const bool elsewhere = shortest && shortest->second + hop_cost < own.wait;
-    return elsewhere ? route{route_kind::peer, shortest->first} : route{route_kind::queue, ""};
+    return elsewhere ? route{route_kind::peer, shortest->first, shortest->second}
+                     : route{route_kind::queue, "", {}};
 }
 
 } // namespace sesamesill
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -101,6 +101,14 @@
               route_kind::refuse);
 }
 
+Test(routing, a_reported_wait_shrinks_with_its_age)
+{
+    peer_table peers(stale_after);
+    peers.report("e2", offer(0, 8, 300), at(0));
+    cr_assert_eq(peers.shortest_wait("s", at(100))->second.count(), 200);
+    cr_assert_eq(peers.shortest_wait("s", at(900))->second.count(), 0);
+}
+
 Test(routing, summaries_are_bounded_and_checked)
 {
     load_summary load = offer(1, 8, 4);
