Keep goodput at 2x and 5x of capacity

Cause 1: under overload a call left the queue with little time, its attempt got a third of that and was cut off before its usual time; the slot stayed in doubt and the executor was drained to count it.

--- a/include/sesamesill/retry.h
+++ b/include/sesamesill/retry.h
@@ -41,7 +41,9 @@
 /// Returns the wait before attempt `attempt` + 1: exponential with full jitter.
 micros backoff_after(std::int32_t attempt, const retry_policy& policy, std::mt19937_64& random);
 
-/// Returns the time that one attempt may take, so that those left still fit before the deadline.
-micros attempt_timeout(micros left, std::int32_t attempt, std::int32_t max_attempts);
+/// Returns the time that one attempt may take: so that those left still fit before the deadline,
+/// but not less than `usual`, the time that few calls exceed. A call cut off early would keep its
+/// slot.
+micros attempt_timeout(micros left, std::int32_t attempt, std::int32_t max_attempts, micros usual);
 
 } // namespace sesamesill
--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -335,7 +335,7 @@
         const auto next = waiting_.find(*queue.pop());
         const pending_pointer call = next->second;
         waiting_.erase(next);
-        if (boot_clock::now() + pool_.latency(service).mean() >= call->until) {
+        if (boot_clock::now() + pool_.latency(service).bound() >= call->until) {
             end_call(call, outcome::not_run,
                      {error_code::timeout, step::queueing, "", "too late to end in time"});
         }
@@ -365,8 +365,10 @@
     request.path = "/calls";
     request.body = call->what.body;
     const micros left = call->until - boot_clock::now();
-    const micros limit =
-        call->what.idempotent ? attempt_timeout(left, call->lost + 1, call->max_attempts) : left;
+    const micros limit = call->what.idempotent
+                             ? attempt_timeout(left, call->lost + 1, call->max_attempts,
+                                               pool_.latency(call->service).bound())
+                             : left;
     request.timeout = std::max(millis(1), std::chrono::duration_cast<millis>(limit));
     const auto steps = documents_.current()->services.find(call->service);
     if (steps != documents_.current()->services.end()) {
--- a/src/retry.cc
+++ b/src/retry.cc
@@ -48,9 +48,11 @@
     return micros(spread(random));
 }
 
-micros attempt_timeout(micros left, std::int32_t attempt, std::int32_t max_attempts)
+micros attempt_timeout(micros left, std::int32_t attempt, std::int32_t max_attempts, micros usual)
 {
-    return left / std::max(1, max_attempts - attempt + 1);
+    constexpr std::int64_t caution = 2;
+    const micros part = left / std::max(1, max_attempts - attempt + 1);
+    return std::min(left, std::max(part, caution * usual));
 }
 
 } // namespace sesamesill
