--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -79,9 +79,8 @@
                            key_service& keys, document_service& documents,
                            const node_settings& settings)
     : loop_(loop), client_(client), cell_(cell), keys_(keys), documents_(documents),
-      settings_(settings), pool_(loop, client, cell, settings),
-      loads_(loop, client, cell, settings), admission_(settings),
-      budgeted_(!is_disabled(settings, "retry_budget")),
+      settings_(settings), pool_(loop, client, cell, settings), loads_(cell, settings),
+      admission_(settings), budgeted_(!is_disabled(settings, "retry_budget")),
       random_(XXH3_64bits(settings.name.data(), settings.name.size()))
 {
     const auto configure = [this] {
@@ -92,11 +91,16 @@
     };
     documents_.on_change(configure);
     cell_.on_change(configure);
+    loads_.share([this] { return summary(); },
+                 [this] {
+                     admission_.set_others(cell_.members().size(), loads_.peers(),
+                                           boot_clock::now());
+                 });
     pool_.on_free([this](const std::string& service) { pump(service); });
     loop_.every(expiry_tick, [this] { expire(); });
 }
 
-void call_service::serve(http_server& callers, http_server& peers, rpc_server& rpc)
+void call_service::serve(http_server& callers, http_server& peers)
 {
     callers.route("POST", "/v1/calls", [this](const http_request& r, const http_respond& respond) {
         receive(r, respond, entrance::caller);
@@ -107,16 +111,6 @@
     peers.route("POST", "/v1/dispatch", [this](const http_request& r, const http_respond& respond) {
         receive(r, respond, entrance::executor_owner);
     });
-    loads_.serve(rpc);
-}
-
-void call_service::start()
-{
-    loads_.start([this] { return summary(); },
-                 [this] {
-                     admission_.set_others(cell_.members().size(), loads_.peers(),
-                                           boot_clock::now());
-                 });
 }
 
 void call_service::receive(const http_request& request, const http_respond& respond, entrance from)
--- a/src/call_service.h
+++ b/src/call_service.h
@@ -25,8 +25,7 @@
     call_service(event_loop& loop, http_client& client, cell_service& cell, key_service& keys,
                  document_service& documents, const node_settings& settings);
 
-    void serve(http_server& callers, http_server& peers, rpc_server& rpc);
-    void start();
+    void serve(http_server& callers, http_server& peers);
     std::size_t in_flight() const { return in_flight_; }
 
 private:
--- a/src/executor_pool.cc
+++ b/src/executor_pool.cc
@@ -54,6 +54,7 @@
       random_(XXH3_64bits(settings.name.data(), settings.name.size()))
 {
     cell_.on_change([this] { update(); });
+    cell_.on_settle([this] { return is_settled(); });
     loop_.every(probe_tick, [this] { probe_all(); });
 }
 
@@ -88,12 +89,18 @@
         }
         if (still == executors_.end() || still->second != old.second) {
             old.second->owned = false;
+            last_sent_to_lost_ = std::max(last_sent_to_lost_, old.second->last_sent);
             client_.forget(old.second->target.address);
         }
     }
     note_signs(cell_.vms());
 }
 
+bool executor_pool::is_settled() const
+{
+    return boot_clock::now() - last_sent_to_lost_ >= settle_time;
+}
+
 void executor_pool::note_signs(const std::vector<vm>& vms)
 {
     if (!watch_leaving_) {
@@ -176,6 +183,7 @@
     e->slots.on_sent();
     call.connect_timeout = std::min(call.connect_timeout, max_connect_timeout);
     const time_point sent = boot_clock::now();
+    e->last_sent = sent;
     client_.send(e->target.address, std::move(call),
                  [this, e, sent, until, done = std::move(done)](std::optional<http_reply> reply,
                                                                 const error& why) {
--- a/src/executor_pool.h
+++ b/src/executor_pool.h
@@ -58,12 +58,15 @@
         std::string shard;
         slot_account slots;
         latency_estimate latency;
+        time_point last_sent;
         bool owned = true; ///< false once it has left this member's shards
 
         executor(vm v, time_point now);
     };
     using executor_pointer = std::shared_ptr<executor>;
 
+    /// Returns whether all that was sent to executors of lost shards has arrived.
+    bool is_settled() const;
     void update();
     void note_signs(const std::vector<vm>& vms);
     executor_view view(const executor& e, time_point now) const;
@@ -89,6 +92,7 @@
     leaving_endpoints leaving_;
     ejection ejection_;
     std::function<void(const std::string&)> freed_;
+    time_point last_sent_to_lost_; ///< last call to an executor that is not owned any more
 };
 
 } // namespace sesamesill
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -35,6 +35,7 @@
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     bool closed = false;
+    http_faults faults;
 
     state(event_loop& l, std::string n, std::size_t idle_limit)
         : loop(l), name(std::move(n)), max_idle(idle_limit)
@@ -286,20 +287,12 @@
     for (const http_headers::value_type& h : call.headers) {
         evhttp_add_header(headers, h.first.c_str(), h.second.c_str());
     }
+    if (!call.body.empty()) {
+        evbuffer_add(evhttp_request_get_output_buffer(raw), call.body.data(), call.body.size());
+    }
     return raw;
 }
 
-/// Hands the bytes over without copying them.
-void set_body(evhttp_request* raw, std::string body)
-{
-    std::unique_ptr<std::string> owned = std::make_unique<std::string>(std::move(body));
-    const std::string& bytes = *owned;
-    evbuffer_add_reference(
-        evhttp_request_get_output_buffer(raw), bytes.data(), bytes.size(),
-        [](const void*, std::size_t, void* held) { delete static_cast<std::string*>(held); },
-        owned.release());
-}
-
 /// Tells of a request that could not even be begun, from the loop as all others.
 void fail_later(event_base* base, exchange* x)
 {
@@ -317,7 +310,30 @@
 
 } // namespace
 
+void http_client::set_faults(http_faults faults)
+{
+    state_->faults = std::move(faults);
+}
+
 void http_client::send(const endpoint& to, http_call call, http_done done)
+{
+    if (state_->faults.cut.count(to) > 0) {
+        state_->loop.after(call.timeout, [to, done = std::move(done)] {
+            done(std::nullopt, {error_code::timeout, step::http, to_string(to), "no whole answer"});
+        });
+        return;
+    }
+    if (state_->faults.delay.count() > 0) {
+        state_->loop.after(state_->faults.delay,
+                           [this, to, call = std::move(call), done = std::move(done)] {
+                               send_now(to, call, done);
+                           });
+        return;
+    }
+    send_now(to, call, std::move(done));
+}
+
+void http_client::send_now(const endpoint& to, const http_call& call, http_done done)
 {
     const time_point now = boot_clock::now();
     state_->sweep(now);
@@ -331,16 +347,12 @@
     x->first_byte_until =
         call.first_byte_timeout > millis(0) ? now + call.first_byte_timeout : x->until;
     x->request = build_request(*x, call, state_->name);
-    const evhttp_cmd_type command = detail::command_of(call.method);
     state_->sent += call.body.size() + call.path.size() + header_estimate;
-    if (!call.body.empty()) {
-        set_body(x->request, std::move(call.body));
-    }
     exchange* in_flight = x.release(); // its completion frees it
     in_flight->timer = event_new(state_->loop.internals().base, -1, 0, on_timer, in_flight);
     arm(*in_flight, now);
-    if (evhttp_make_request(in_flight->connection, in_flight->request, command,
-                            call.path.c_str()) != 0) {
+    if (evhttp_make_request(in_flight->connection, in_flight->request,
+                            detail::command_of(call.method), call.path.c_str()) != 0) {
         event_del(in_flight->timer);
         fail_later(state_->loop.internals().base, in_flight);
     }
--- a/src/load_service.h
+++ b/src/load_service.h
@@ -1,5 +1,4 @@
-// Tells the other members what this one offers, one member an interval in turn, and keeps what they
-// tell.
+// Tells the other members what this one offers, with each heartbeat, and keeps what they tell.
 
 #pragma once
 
@@ -7,36 +6,26 @@
 #include <string>
 
 #include "cell_service.h"
-#include "sesamesill/http.h"
 #include "sesamesill/routing.h"
-#include "sesamesill/rpc.h"
 
 namespace sesamesill {
 
 class load_service {
 public:
-    load_service(event_loop& loop, http_client& client, cell_service& cell,
-                 const node_settings& settings);
+    load_service(cell_service& cell, const node_settings& settings);
 
-    void serve(rpc_server& rpc);
-    /// `summary` returns what this member offers now; `heard` runs after each answer of another.
-    void start(std::function<load_summary()> summary, std::function<void()> heard);
+    /// `summary` returns what this member offers now; `heard` runs after each word of another.
+    void share(std::function<load_summary()> summary, std::function<void()> heard);
 
     peer_table& peers() { return peers_; }
 
 private:
-    void ask_next();
-    std::optional<Json::Value> take(const Json::Value& params, error& why);
-    bool accept(const Json::Value& told, const std::string& expected, error& why);
-    Json::Value own() const;
+    void keep_members();
+    void take(const std::string& peer, const Json::Value& told);
 
-    event_loop& loop_;
-    http_client& client_;
     cell_service& cell_;
-    const node_settings& settings_;
+    millis interval_;
     peer_table peers_;
-    std::size_t next_ = 0; ///< whom to ask next
-    std::function<load_summary()> summary_;
     std::function<void()> heard_;
 };
 
