--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -112,7 +112,7 @@
     void stop_listening();
     /// Asks the other side of each connection to close it after its next answer.
     void close_after_answers();
-    /// Requests that have not been answered yet.
+    /// Requests whose answer has not left yet.
     std::size_t pending() const;
     /// Open connections.
     std::size_t connections() const;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -337,7 +337,11 @@
 
 std::size_t http_server::pending() const
 {
-    return state_->pending->count;
+    std::size_t unsent = 0;
+    for (const connection_records::value_type& c : state_->open) {
+        unsent += evbuffer_get_length(bufferevent_get_output(c.first)) > 0 ? 1 : 0;
+    }
+    return state_->pending->count + unsent;
 }
 
 std::size_t http_server::connections() const
--- a/src/key_service.h
+++ b/src/key_service.h
@@ -36,6 +36,9 @@
 
     /// Returns whether it is certain that no attempt of the key has run or may run.
     bool is_unused(const std::string& id) const { return table_.is_unused(id, view()); }
+    /// Returns whether all that earlier owners may have run or accepted has been read: an owner
+    /// stops a lease after the members changed.
+    bool current() const;
     std::size_t size() const { return table_.size(); }
     std::size_t waiting() const { return table_.callers(); }
 
