--- a/bench/load_cases.h
+++ b/bench/load_cases.h
@@ -36,29 +36,47 @@
     bool may_preempt;
 };
 
-/// Holds beside reviews and whole placement runs; the same for the smaller workers, halved.
+/// Quick checks, short batch work and long runs; the smaller workers have more of the long ones.
 inline std::vector<load_class> classes_of(const shape& s)
 {
-    const std::int64_t half = s.size.cpu_millis < 32000 ? 2 : 1;
-    const auto size = [half](std::int64_t cpu, std::int64_t memory) {
-        return resources{cpu / half, memory / half, 0};
-    };
-    return {
-        {"hold", priority_band::urgent, 0.05, {size(500, 512)}, millis(200), millis(1000), true},
-        {"review",
-         priority_band::normal,
-         0.55,
-         {size(1000, 2048), size(2000, 2048), size(2000, 6144), size(4000, 6144)},
-         std::chrono::seconds(5),
-         std::chrono::seconds(30),
-         false},
-        {"cohort",
-         priority_band::normal,
-         0.40,
-         {size(8000, 12288), size(16000, 28672)},
-         std::chrono::seconds(20),
-         std::chrono::seconds(60),
-         false}};
+    if (s.name == "liit") {
+        return {{"hold",
+                 priority_band::urgent,
+                 0.05,
+                 {{250, 256, 0}, {500, 512, 0}},
+                 millis(100),
+                 millis(500),
+                 true},
+                {"review",
+                 priority_band::normal,
+                 0.35,
+                 {{500, 1024, 0}, {1000, 3072, 0}, {2000, 2048, 0}},
+                 std::chrono::seconds(2),
+                 std::chrono::seconds(20),
+                 false},
+                {"cohort",
+                 priority_band::normal,
+                 0.60,
+                 {{4000, 8192, 0}, {6000, 12288, 0}, {12000, 24576, 0}},
+                 std::chrono::seconds(20),
+                 std::chrono::seconds(90),
+                 false}};
+    }
+    return {{"hold", priority_band::urgent, 0.05, {{500, 512, 0}}, millis(200), millis(1000), true},
+            {"review",
+             priority_band::normal,
+             0.55,
+             {{1000, 2048, 0}, {2000, 2048, 0}, {2000, 6144, 0}, {4000, 6144, 0}},
+             std::chrono::seconds(5),
+             std::chrono::seconds(30),
+             false},
+            {"cohort",
+             priority_band::normal,
+             0.40,
+             {{8000, 12288, 0}, {16000, 28672, 0}},
+             std::chrono::seconds(20),
+             std::chrono::seconds(60),
+             false}};
 }
 
 /// Poisson arrivals of one class at a part of the cell's processors.
@@ -285,87 +303,117 @@
                 static_cast<double>(wasted) / static_cast<double>(starts), judge.out());
 }
 
-/// True use is the declaration times 0.2 to 5; a report shows it 5 s late.
-inline void measure_declarations(bool learning, int seconds)
-{
-    constexpr micros lag = std::chrono::seconds(5);
-    constexpr std::uint32_t workers = 50;
-    cell where;
-    const shape s = tabara();
-    fill(where, s, workers, 4, 0);
-    placement place(where, strategy::balance, 0.5, 3);
-    estimates learnt;
-    std::mt19937_64 random(9);
+/// True use is the declaration times 0.2 to 5, by class; a report shows it 5 s late.
+class wrong_declarations {
+public:
+    explicit wrong_declarations(bool learning)
+        : learning_(learning), place_(where_, strategy::balance, 0.5, 3), random_(9)
+    {
+        fill(where_, shape_, workers, 4, 0);
+    }
+
+    void run(int seconds)
+    {
+        for (int second = 0; second < seconds; ++second) {
+            const time_point now = time_point(std::chrono::seconds(second));
+            end_due(now);
+            report(now);
+            for (int i = 0; i < starts_per_second; ++i) {
+                start_one(now);
+            }
+        }
+        std::printf("{\"case\":\"declarations\",\"learning\":%s,\"starts\":%lld,\"overfills\":%lld,"
+                    "\"worker_seconds_beyond_size_by_true_use\":%.4f}\n",
+                    learning_ ? "true" : "false", static_cast<long long>(starts_),
+                    static_cast<long long>(overfills_), beyond_ / seen_);
+    }
+
+private:
+    static constexpr micros lag = std::chrono::seconds(5);
+    static constexpr worker_id workers = 50;
+    static constexpr int starts_per_second = 20;
+    static constexpr int kinds = 8;
+
     struct running {
-        worker_id where;
+        worker_id where = 0;
         task_usage usage;
         resources declared;
         time_point started;
         std::string work_class;
     };
-    std::multimap<time_point, running> tasks;
-    std::int64_t overfills = 0;
-    std::int64_t starts = 0;
-    std::int64_t number = 0;
-    double beyond = 0.0;
-    double seen = 0.0;
-    for (time_point now = time_point(); now < time_point(std::chrono::seconds(seconds));
-         now += std::chrono::seconds(1)) {
-        for (auto it = tasks.begin(); it != tasks.end() && it->first <= now; it = tasks.erase(it)) {
-            where.end(it->second.where, it->second.usage.name);
-            if (learning) {
-                learnt.add_peak(it->second.work_class, it->second.declared, it->second.usage.used);
+
+    void end_due(time_point now)
+    {
+        for (auto it = tasks_.begin(); it != tasks_.end() && it->first <= now;
+             it = tasks_.erase(it)) {
+            const running& r = it->second;
+            where_.end(r.where, r.usage.name);
+            if (learning_) {
+                learnt_.add_peak(r.work_class, r.declared, r.usage.used);
             }
         }
+    }
+
+    void report(time_point now)
+    {
         std::vector<std::vector<task_usage>> lists(workers);
         std::vector<resources> truth(workers);
-        for (const std::pair<const time_point, running>& t : tasks) {
+        for (const std::pair<const time_point, running>& t : tasks_) {
             task_usage u = t.second.usage;
             truth[t.second.where] += u.used;
             u.used = now - t.second.started >= lag ? u.used : resources{};
             lists[t.second.where].push_back(u);
         }
         for (worker_id w = 0; w < workers; ++w) {
-            where.report(w, lists[w], now, std::chrono::seconds(3));
-            seen += 1.0;
-            beyond += fits(truth[w], s.size) ? 0.0 : 1.0;
+            where_.report(w, lists[w], now, std::chrono::seconds(3));
+            seen_ += 1.0;
+            beyond_ += fits(truth[w], shape_.size) ? 0.0 : 1.0;
         }
-        for (int i = 0; i < 20; ++i) {
-            const int kind = static_cast<int>(random() % 8);
-            const double factor = std::exp(-1.609 + 3.219 * kind / 7.0);
-            resources declared = pick(s.mix, random);
-            declared = {declared.cpu_millis / 2, declared.memory_mb / 2, 0};
-            running r;
-            r.work_class = std::to_string(kind);
-            r.declared = declared;
-            r.started = now;
-            task_need need;
-            need.size = learnt.reservation(r.work_class, declared, 0.1, s.size);
-            const std::optional<placement_choice> choice = place.choose(need);
-            if (!choice) {
-                continue;
-            }
-            r.where = choice->worker;
-            r.usage.name = std::to_string(++number);
-            r.usage.reserved = need.size;
-            r.usage.used = {
-                static_cast<std::int64_t>(static_cast<double>(declared.cpu_millis) * factor),
-                static_cast<std::int64_t>(static_cast<double>(declared.memory_mb) * factor), 0};
-            held_task t;
-            t.name = r.usage.name;
-            t.reserved = need.size;
-            t.started = now;
-            where.start(choice->worker, t);
-            ++starts;
-            overfills += fits(where.at(choice->worker).claimed(), s.size) ? 0 : 1;
-            tasks.emplace(now + micros(10000000 + random() % 50000000), r);
+    }
+
+    void start_one(time_point now)
+    {
+        const int kind = static_cast<int>(random_() % kinds);
+        const double factor = std::exp(-1.609 + 3.219 * kind / (kinds - 1));
+        const resources drawn = pick(shape_.mix, random_);
+        running r;
+        r.declared = {drawn.cpu_millis / 2, drawn.memory_mb / 2, 0};
+        r.work_class = std::to_string(kind);
+        r.started = now;
+        task_need need;
+        need.size = learnt_.reservation(r.work_class, r.declared, 0.1, shape_.size);
+        const std::optional<placement_choice> choice = place_.choose(need);
+        if (!choice) {
+            return;
         }
+        const auto used = [factor](std::int64_t amount) {
+            return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
+        };
+        r.where = choice->worker;
+        r.usage.name = std::to_string(++starts_);
+        r.usage.reserved = need.size;
+        r.usage.used = {used(r.declared.cpu_millis), used(r.declared.memory_mb), 0};
+        held_task t;
+        t.name = r.usage.name;
+        t.reserved = need.size;
+        t.started = now;
+        where_.start(choice->worker, t);
+        overfills_ += fits(where_.at(choice->worker).claimed(), shape_.size) ? 0 : 1;
+        tasks_.emplace(now + micros(10000000 + random_() % 50000000), std::move(r));
     }
-    std::printf("{\"case\":\"declarations\",\"learning\":%s,\"starts\":%lld,\"overfills\":%lld,"
-                "\"worker_seconds_beyond_size_by_true_use\":%.4f}\n",
-                learning ? "true" : "false", static_cast<long long>(starts),
-                static_cast<long long>(overfills), beyond / seen);
-}
+
+    bool learning_;
+    shape shape_ = tabara();
+    cell where_;
+    placement place_;
+    estimates learnt_;
+    std::mt19937_64 random_;
+    std::multimap<time_point, running> tasks_;
+    std::int64_t overfills_ = 0;
+    std::int64_t starts_ = 0;
+    double beyond_ = 0.0;
+    double seen_ = 0.0;
+};
 
 inline void measure_cancels()
 {
@@ -375,7 +423,7 @@
     fairness tenants;
     tenants.set_capacity({1000000000, 1000000000, 0});
     for (int t = 0; t < 570; ++t) {
-        tenants.put({"t" + std::to_string(t), 1.0, {INT64_MAX / 4, INT64_MAX / 4, 0}, 0.0});
+        tenants.put({"t" + std::to_string(t), 1.0, no_quota, 0.0});
     }
     work_queue queue(tenants, placement_policy{}, {400000});
     std::mt19937_64 random(2);
