--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -90,6 +90,7 @@
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
     std::size_t max_connections = 4096;
+    int backlog = 1024;            ///< connections that wait to be accepted
     millis idle_timeout{30000};    ///< between requests
     millis request_timeout{10000}; ///< from a request's first byte to its last
 };
@@ -109,7 +110,9 @@
     bool listen(const endpoint& at, error& why);
     /// Takes no further connections; those that are open go on.
     void stop_listening();
-    /// Requests that have not been answered yet.
+    /// Asks the other side of each connection to close it after its next answer.
+    void close_after_answers();
+    /// Requests whose answer has not left yet.
     std::size_t pending() const;
     /// Open connections.
     std::size_t connections() const;
@@ -142,7 +145,8 @@
 /// Keeps connections alive, one request at a time on each.
 class http_client {
 public:
-    http_client(event_loop& loop, std::string name);
+    /// Keeps at most `max_idle` idle connections to each peer.
+    http_client(event_loop& loop, std::string name, std::size_t max_idle = 256);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -39,7 +39,8 @@
     millis sync_interval{500}; ///< between reports asked of a worker
     millis task_lease{10000};
     millis log_timeout{2000};
-    millis drain_limit{30000};
+    millis stop_announce{1500}; ///< planned stop: not ready but serving, until the balancer knows
+    millis drain_limit{30000};  ///< planned stop: longest wait for what is in flight
     millis document_snapshot_interval{600000}; ///< well below the retention of the log
     std::vector<operator_key> operators;       ///< none: all changes by operators are refused
     bool faults = false;                       ///< test only: serve /test/faults
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -12,7 +12,6 @@
 namespace sesamesill {
 namespace {
 
-constexpr std::size_t max_idle_connections = 16; ///< per peer
 constexpr micros max_idle_time{10000000};
 constexpr micros sweep_interval{2000000};
 constexpr timeval library_timeout{3600, 0}; ///< our own timers come first
@@ -30,6 +29,7 @@
 struct http_client::state {
     event_loop& loop;
     std::string name;
+    std::size_t max_idle;
     std::map<endpoint, std::vector<idle_connection>> idle;
     time_point swept;
     std::uint64_t sent = 0;
@@ -37,7 +37,10 @@
     bool closed = false;
     http_faults faults;
 
-    state(event_loop& l, std::string n) : loop(l), name(std::move(n)) {}
+    state(event_loop& l, std::string n, std::size_t idle_limit)
+        : loop(l), name(std::move(n)), max_idle(idle_limit)
+    {
+    }
     evhttp_connection* take(const endpoint& to, bool& opened);
     void give_back(const endpoint& to, evhttp_connection* connection, bool healthy);
     void sweep(time_point now);
@@ -220,7 +223,7 @@
 void http_client::state::give_back(const endpoint& to, evhttp_connection* connection, bool healthy)
 {
     std::vector<idle_connection>& pool = idle[to];
-    if (!healthy || closed || pool.size() >= max_idle_connections) {
+    if (!healthy || closed || pool.size() >= max_idle) {
         free_later(connection);
         return;
     }
@@ -244,8 +247,8 @@
     }
 }
 
-http_client::http_client(event_loop& loop, std::string name)
-    : state_(std::make_shared<state>(loop, std::move(name)))
+http_client::http_client(event_loop& loop, std::string name, std::size_t max_idle)
+    : state_(std::make_shared<state>(loop, std::move(name), max_idle))
 {
 }
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -2,6 +2,8 @@
 
 #include "sesamesill/node.h"
 
+#include <algorithm>
+
 #include <sys/resource.h>
 
 #include "admin_service.h"
@@ -13,6 +15,7 @@
 #include "journal_service.h"
 #include "key_service.h"
 #include "replies.h"
+#include "sesamesill/drain.h"
 #include "sesamesill/log.h"
 #include "sesamesill/metrics.h"
 #include "sesamesill/rpc.h"
@@ -22,6 +25,7 @@
 namespace {
 
 constexpr millis drain_check_interval{20};
+constexpr millis quiet_time{200};
 constexpr millis release_limit{2000}; ///< longest wait for the log to take the release
 
 std::string new_incarnation()
@@ -47,8 +51,9 @@
     call_service calls;
     job_service jobs;
     admin_service admin;
+    stop_plan stop;
     bool draining = false;
-    time_point drain_until;
+    time_point busy_at; ///< while draining: when something was last in flight
     time_point release_until;
 
     state(event_loop& l, const node_settings& s)
@@ -56,7 +61,7 @@
           journal(l, client, settings, new_incarnation()), cell(l, client, settings, journal),
           documents(l, client, cell, journal, settings), document_calls(documents, settings),
           workers(l, client, cell, settings), keys(l, cell, journal, settings),
-          calls(l, client, cell, keys, documents),
+          calls(l, client, cell, keys, documents, settings),
           jobs(l, client, cell, journal, documents, workers, keys, settings),
           admin(client, cell, settings)
     {
@@ -182,12 +187,22 @@
 
 void node::state::check_drained()
 {
-    const bool released = cell.waiting() == 0 || boot_clock::now() >= release_until;
-    const bool idle = callers.pending() == 0 && peers.pending() == 0 &&
-                      journal.waiting() <= cell.waiting() && released;
-    if (idle || boot_clock::now() >= drain_until) {
-        log_event(idle ? log_level::info : log_level::error, "drained",
-                  {{"cut_off", static_cast<std::int64_t>(callers.pending())}});
+    const time_point now = boot_clock::now();
+    const bool released = cell.waiting() == 0 || now >= release_until;
+    const std::size_t appends = journal.waiting() - std::min(journal.waiting(), cell.waiting());
+    const std::size_t in_flight = callers.pending() + peers.pending() + appends;
+    if (in_flight > 0 || !released) {
+        busy_at = now;
+    }
+    // Answers leave the process and late requests on kept connections arrive in the quiet time.
+    const bool quiet = now - busy_at >= quiet_time;
+    const stop_phase phase = stop.phase(now, quiet ? 0 : 1);
+    if (phase == stop_phase::finishing) {
+        callers.stop_listening();
+    }
+    if (phase == stop_phase::stopped) {
+        log_event(in_flight == 0 ? log_level::info : log_level::error, "drained",
+                  {{"cut_off", static_cast<std::int64_t>(in_flight)}});
         loop.stop();
     }
 }
@@ -223,14 +238,17 @@
 void node::drain()
 {
     state& s = *state_;
+    const time_point now = boot_clock::now();
     if (s.draining) {
-        s.drain_until = boot_clock::now();
+        s.stop.hurry(now);
         return;
     }
     s.draining = true;
-    s.release_until = boot_clock::now() + release_limit;
+    s.busy_at = now;
+    s.release_until = now + release_limit;
+    s.stop.begin(now, s.settings.stop_announce, s.settings.drain_limit);
+    s.callers.close_after_answers();
     s.cell.release();
-    s.drain_until = boot_clock::now() + s.settings.drain_limit;
     s.loop.every(drain_check_interval, [&s] { s.check_drained(); });
     log_event(log_level::info, "draining");
 }
--- a/src/request.cc
+++ b/src/request.cc
@@ -101,6 +101,17 @@
     return static_cast<std::uint32_t>(found - writers_.begin());
 }
 
+bool request_table::is_unused(const std::string& id, const request_view& view) const
+{
+    const std::optional<request_key> key = request_key_from(id);
+    if (!key || !view.complete || !view.current) {
+        return false;
+    }
+    const auto known = entries_.find(*key);
+    return known == entries_.end() || (known->second.phase == request_phase::ended &&
+                                       known->second.ending == outcome::not_run);
+}
+
 /// A member that was paused past a deadline cannot know whether the caller has come again.
 bool request_table::is_late(const request_caller& caller, time_point now) const
 {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -30,6 +30,7 @@
     {"node", "listen", &node_settings::listen, true},
     {"node", "peer_listen", &node_settings::peer_listen, true},
     {"node", "drain_limit_ms", &node_settings::drain_limit, false},
+    {"node", "stop_announce_ms", &node_settings::stop_announce, false},
     {"platform", "log", &node_settings::log, true},
     {"platform", "vm_list", &node_settings::vm_list, true},
     {"platform", "log_timeout_ms", &node_settings::log_timeout, false},
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -201,6 +201,23 @@
     cr_assert_eq(server.connections(), 0);
 }
 
+Test(http, an_answer_is_pending_until_its_bytes_have_left, .timeout = 10)
+{
+    event_loop loop;
+    http_server server(loop);
+    const std::uint16_t port = free_port();
+    server.route("GET", "/big", [](const http_request&, const http_respond& respond) {
+        respond({200, std::string(std::size_t{32} * 1024 * 1024, 'x'), {}, "text/plain"});
+    });
+    error why;
+    cr_assert(server.listen({"127.0.0.1", port}, why));
+    const raw_socket reader;
+    reader.connect_to(port);
+    reader.write_text("GET /big HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_for(loop, millis(200));
+    cr_assert_eq(server.pending(), 1, "the reader has not taken it yet");
+}
+
 Test(http, half_sent_requests_are_closed, .timeout = 10)
 {
     event_loop loop;
