--- a/src/settings.cc
+++ b/src/settings.cc
@@ -3,7 +3,6 @@
 #include "sesamesill/settings.h"
 
 #include <algorithm>
-#include <array>
 #include <sstream>
 #include <variant>
 
@@ -23,7 +22,7 @@
     bool required;
 };
 
-const std::array<setting, 21> known_settings{{
+const std::vector<setting> known_settings{
     {"node", "name", &node_settings::name, true},
     {"node", "data_center", &node_settings::data_center, true},
     {"node", "environment", &node_settings::environment, true},
@@ -46,7 +45,7 @@
     {"timing", "task_lease_ms", &node_settings::task_lease, false},
     {"test", "faults", &node_settings::faults, false},
     {"test", "disable", &node_settings::disable, false},
-}};
+};
 
 struct value_reader {
     node_settings& target;
