--- a/bench/recovery.cc
+++ b/bench/recovery.cc
@@ -13,6 +13,7 @@
 DEFINE_int32(kills, 60, "kills and planned stops to measure");
 DEFINE_uint64(seed, 1, "seed of the first run");
 DEFINE_int32(seconds, 300, "virtual length of each disturbed run but the log outage");
+DEFINE_int32(control_members, 0, "measure only the cost of heartbeats, at this size");
 
 namespace {
 
@@ -208,6 +209,10 @@
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_control_members > 0) {
+        measure_cost(static_cast<std::size_t>(FLAGS_control_members));
+        return 0;
+    }
     for (const std::size_t members : {6, 12, 24}) {
         measure_start(members);
         measure_takeovers(members);
