--- /dev/null
+++ b/bench/state.cc
@@ -0,0 +1,232 @@
+// Costs of durable state, as JSON lines: appends at a given load in virtual time, bytes of memory
+// and of snapshots for each key and task, and the speed of a replay.
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <deque>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "sesamesill/journal.h"
+#include "sesamesill/recovery.h"
+#include "sesamesill/request.h"
+
+DEFINE_int32(placements, 3000, "placements a second, half of them non-idempotent");
+DEFINE_int32(seconds, 20, "virtual time");
+DEFINE_int32(keys, 200000, "remembered keys");
+DEFINE_int32(tasks, 200000, "running tasks");
+
+namespace {
+
+using namespace sesamesill;
+
+constexpr std::size_t body_bytes = 64;
+constexpr micros tick{100};
+
+time_point at(micros t)
+{
+    return time_point(micros(1000000) + t);
+}
+
+std::string id_of(std::uint64_t n)
+{
+    return to_string(request_key{n * 0x9e3779b97f4a7c15ULL, n + 1});
+}
+
+struct append_case {
+    const char* name;
+    std::size_t members;
+    micros latency;      ///< of an append
+    micros slow_latency; ///< of the appends of the first third of the members
+};
+
+struct committing_member {
+    commit_pacer pacer{append_budget{}};
+    std::deque<micros> waiting; ///< when each item came
+    std::vector<micros> in_flight;
+    micros done{0};
+};
+
+/// Counts the appends and the waiting of intents and endings over all members.
+void run_appends(const append_case& c)
+{
+    std::vector<committing_member> members(c.members);
+    for (committing_member& m : members) {
+        m.pacer.share_among(c.members);
+    }
+    const micros end = std::chrono::seconds(FLAGS_seconds);
+    const double per_tick = FLAGS_placements / 2.0 * 2.0 * 1e-6 * static_cast<double>(tick.count());
+    double due = 0;
+    std::size_t turn = 0;
+    std::int64_t appends = 0;
+    std::int64_t items = 0;
+    std::vector<micros> waits;
+    for (micros now{0}; now < end; now += tick) {
+        for (due += per_tick; due >= 1; due -= 1) {
+            members[turn++ % c.members].waiting.push_back(now);
+            ++items;
+        }
+        for (std::size_t i = 0; i < c.members; ++i) {
+            committing_member& m = members[i];
+            if (!m.in_flight.empty() && m.done <= now) {
+                for (const micros came : m.in_flight) {
+                    waits.push_back(now - came);
+                }
+                m.in_flight.clear();
+            }
+            if (m.in_flight.empty() && !m.waiting.empty() && m.pacer.next() <= at(now)) {
+                m.in_flight.assign(m.waiting.begin(), m.waiting.end());
+                m.waiting.clear();
+                m.pacer.sent(at(now));
+                m.done = now + (i < c.members / 3 ? c.slow_latency : c.latency);
+                ++appends;
+            }
+        }
+    }
+    std::sort(waits.begin(), waits.end());
+    std::printf("{\"bench\":\"state\",\"case\":\"%s\",\"members\":%zu,\"placements_per_second\":%d,"
+                "\"appends_per_second\":%.1f,\"items_per_second\":%.1f,\"wait_p50_ms\":%.1f,"
+                "\"wait_p99_ms\":%.1f}\n",
+                c.name, c.members, FLAGS_placements, static_cast<double>(appends) / FLAGS_seconds,
+                static_cast<double>(items) / FLAGS_seconds,
+                static_cast<double>(waits[waits.size() / 2].count()) / 1e3,
+                static_cast<double>(waits[waits.size() * 99 / 100].count()) / 1e3);
+}
+
+std::int64_t heap()
+{
+    return static_cast<std::int64_t>(mallinfo2().uordblks + mallinfo2().hblkhd);
+}
+
+std::size_t snapshot_bytes(const std::vector<journal_item>& items)
+{
+    std::size_t bytes = 0;
+    for (const Json::Value& part : snapshot_parts("e1#1:1", 1, {}, items)) {
+        log_record record{"e1#1", 1, Json::Value(Json::arrayValue)};
+        record.items.append(part);
+        bytes += encode(record).size();
+    }
+    return bytes;
+}
+
+void run_keys()
+{
+    const std::int64_t before = heap();
+    request_table table("e1#1", request_limits{});
+    for (int n = 0; n < FLAGS_keys; ++n) {
+        table.ending_read(id_of(n), "e2#1", outcome::done, std::string(body_bytes, 'x'), at({}));
+    }
+    const double each = static_cast<double>(heap() - before) / FLAGS_keys;
+    std::vector<journal_item> items;
+    table.for_each([&items](const std::string& id, const std::string& writer, outcome ending,
+                            const std::string& body) {
+        if (items.size() < 10000) {
+            Json::Value value;
+            value["type"] = "ending";
+            value["id"] = id;
+            value["outcome"] = std::string(name_of(ending));
+            value["body"] = body;
+            items.push_back({"ending", writer, 0, value});
+        }
+    });
+    std::printf("{\"bench\":\"state\",\"case\":\"keys\",\"keys\":%d,\"body_bytes\":%zu,"
+                "\"bytes_per_key\":%.1f,\"snapshot_bytes_per_key\":%.1f}\n",
+                FLAGS_keys, body_bytes, each,
+                static_cast<double>(snapshot_bytes(items)) / static_cast<double>(items.size()));
+}
+
+/// Returns the bytes of jobs with `each` running tasks.
+double bytes_of_jobs(int jobs, int each)
+{
+    const std::int64_t before = heap();
+    job_table table("e1#1");
+    submission what;
+    what.tenant = "seaside";
+    what.work_class = "review";
+    what.key = "key-0000000001";
+    what.kind = work_kind::batch;
+    what.tasks = each;
+    what.payload["run_ms"] = 300;
+    for (int n = 0; n < jobs; ++n) {
+        job& j = *table.accept_read(id_of(n), what, 3, "e1#1", 1, true, at({}));
+        for (int i = 0; i < each; ++i) {
+            const std::size_t index = static_cast<std::size_t>(i);
+            table.placed(j.id, index, table.sent(j, index, "e1"), "w12345");
+        }
+    }
+    return static_cast<double>(heap() - before);
+}
+
+void run_tasks()
+{
+    const int jobs = 1000;
+    const int more = FLAGS_tasks / jobs;
+    const double few = bytes_of_jobs(jobs, 1);
+    const double many = bytes_of_jobs(jobs, 1 + more);
+    const double each = (many - few) / (static_cast<double>(jobs) * more);
+    std::printf("{\"bench\":\"state\",\"case\":\"tasks\",\"tasks\":%d,\"bytes_per_running_task\":"
+                "%.1f,\"bytes_per_job\":%.1f}\n",
+                FLAGS_tasks, each, few / jobs - each);
+}
+
+void run_replay()
+{
+    constexpr std::size_t records = 5000;
+    constexpr int items_each = 20;
+    std::vector<raw_record> log;
+    std::uint64_t n = 0;
+    for (std::size_t r = 0; r < records; ++r) {
+        log_record record{"e1#1", r + 1, Json::Value(Json::arrayValue)};
+        for (int i = 0; i < items_each; ++i) {
+            Json::Value item;
+            item["type"] = i % 2 == 0 ? "intent" : "ending";
+            item["id"] = id_of(n / 2);
+            item["outcome"] = "done";
+            item["body"] = i % 2 == 0 ? std::string() : std::string(body_bytes, 'x');
+            record.items.append(item);
+            ++n;
+        }
+        log.push_back({r, encode(record)});
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    stream_reader reader;
+    request_table table("e2#1", request_limits{});
+    const request_view view;
+    for (const reader_event& e : reader.take(0, records, log)) {
+        const std::string id = e.item.value["id"].asString();
+        if (e.item.type == "intent") {
+            table.intent_read(id, e.item.writer, view, false, at({}));
+        }
+        else if (e.item.type == "ending") {
+            table.ending_read(id, e.item.writer, outcome::done, e.item.value["body"].asString(),
+                              at({}));
+        }
+    }
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+    std::printf("{\"bench\":\"state\",\"case\":\"replay\",\"records_per_second\":%.0f,"
+                "\"items_per_second\":%.0f,\"items_per_record\":%d}\n",
+                static_cast<double>(records) / took.count(), static_cast<double>(n) / took.count(),
+                items_each);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    run_appends({"appends", 6, std::chrono::milliseconds(3), std::chrono::milliseconds(3)});
+    run_appends(
+        {"appends_two_slow", 6, std::chrono::milliseconds(3), std::chrono::milliseconds(300)});
+    run_appends(
+        {"appends_all_slow", 6, std::chrono::milliseconds(150), std::chrono::milliseconds(150)});
+    run_appends(
+        {"appends_60_members", 60, std::chrono::milliseconds(3), std::chrono::milliseconds(3)});
+    run_keys();
+    run_tasks();
+    run_replay();
+    return 0;
+}
