Place waiting jobs by their home's queue: bands, shares, quotas, age

Cause: jobs were tried in order of their ids; quotas of the document were not kept; what can never run waited for its deadline. Change: every 100 ms the queue takes over from the table what waits and what runs, rounds offer up to 16 tasks of a job within the quota, all-at-once jobs whole; what can never run is refused with 422 and the nearest size. What runs is told to peers with the heartbeats, so that shares and quotas hold over homes, but for what starts within one heartbeat.

--- a/src/home_queue.cc
+++ b/src/home_queue.cc
@@ -2,11 +2,15 @@
 
 #include "home_queue.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace sesamesill {
 namespace {
 
 /// Work that was admitted is never refused for a full queue when it has to wait again.
 constexpr std::int64_t no_class_limit = INT64_MAX;
+constexpr std::int64_t max_tasks_per_offer = 16;
 
 Json::Value to_json(const resources& r)
 {
@@ -116,6 +120,16 @@
     return tenants_.within_quota(tenant_of(job.what), scaled(job.what.size, job.tasks));
 }
 
+/// Returns how many tasks may be offered together: a few, so that tenants take turns.
+std::int64_t home_queue::tasks_within_quota(const waiting_job& job) const
+{
+    std::int64_t tasks = std::min(job.tasks, max_tasks_per_offer);
+    while (tasks > 1 && !tenants_.within_quota(tenant_of(job.what), scaled(job.what.size, tasks))) {
+        --tasks;
+    }
+    return tasks;
+}
+
 void home_queue::take(const std::string& name, std::int64_t tasks)
 {
     waiting_job& job = jobs_.at(name);
@@ -130,11 +144,9 @@
     }
 }
 
-void home_queue::round(
-    time_point now, std::size_t limit,
-    const std::function<verdict(const std::string& job, bool first_refusal)>& place)
+void home_queue::round(time_point now, std::size_t limit,
+                       const std::function<answer(const offer&)>& place)
 {
-    bool first_refusal = true;
     queue_.begin_round(now);
     for (std::size_t i = 0; i < limit; ++i) {
         const ticket t = queue_.next();
@@ -148,32 +160,60 @@
             queue_.pass_over();
             continue;
         }
-        switch (place(name, first_refusal)) {
-        case verdict::placed:
-            take(name, whole ? job.tasks : 1);
-            break;
-        case verdict::no_room:
-            first_refusal = false;
-            whole ? queue_.pass_over() : queue_.no_room();
-            break;
-        case verdict::later:
+        const answer given = place({name, whole ? job.tasks : tasks_within_quota(job)});
+        if (given.what == verdict::placed && given.tasks > 0) {
+            take(name, std::min(given.tasks, job.tasks));
+        }
+        else if (given.what == verdict::no_room && !whole) {
+            queue_.no_room();
+        }
+        else {
             queue_.pass_over();
-            break;
         }
     }
 }
 
-void home_queue::refund(const submission& what)
+void home_queue::set_waiting(const std::string& job, const submission& what, std::int64_t tasks,
+                             time_point arrived)
 {
-    const tenant_id t = tenant_of(what);
-    tenants_.refund(t, what.size);
-    queue_.share_changed(t);
+    const auto known = jobs_.find(job);
+    const std::int64_t before = known != jobs_.end() ? known->second.tasks : 0;
+    if (tasks == before && (known == jobs_.end() || queue_.find(known->second.place) != nullptr)) {
+        return;
+    }
+    cancel(job);
+    if (tasks > 0) {
+        add(job, what, tasks, arrived);
+    }
 }
 
-void home_queue::adopt(const submission& what)
+void home_queue::keep_jobs(const std::set<std::string>& ids)
+{
+    std::vector<std::string> gone;
+    for (const std::pair<const std::string, waiting_job>& entry : jobs_) {
+        if (ids.count(entry.first) == 0) {
+            gone.push_back(entry.first);
+        }
+    }
+    for (const std::string& job : gone) {
+        cancel(job);
+    }
+}
+
+void home_queue::set_running(const std::map<std::string, resources>& by_tenant)
+{
+    for (tenant_id t = 0; t < tenants_.size(); ++t) {
+        const auto found = by_tenant.find(tenants_.name(t));
+        tenants_.refund(t, tenants_.running(t));
+        tenants_.adopt(t, found != by_tenant.end() ? found->second : resources{});
+        queue_.share_changed(t);
+    }
+}
+
+void home_queue::refund(const submission& what)
 {
     const tenant_id t = tenant_of(what);
-    tenants_.adopt(t, what.size);
+    tenants_.refund(t, what.size);
     queue_.share_changed(t);
 }
 
--- a/src/home_queue.h
+++ b/src/home_queue.h
@@ -23,10 +23,20 @@
 /// Invariant: a job has at most one entry in the queue, for all of its tasks that wait.
 class home_queue {
 public:
-    /// What became of an offer: all that was asked for has a place, there is none for its size, or
-    /// it is not to be tried again in this round for another reason.
+    /// What became of an offer: tasks were sent, there is no room for the size, or it is not to be
+    /// tried again in this round for another reason.
     enum class verdict : std::uint8_t { placed, no_room, later };
 
+    struct offer {
+        std::string job;
+        std::int64_t most = 1; ///< tasks that may be sent; all-at-once jobs: all of them
+    };
+
+    struct answer {
+        verdict what = verdict::later;
+        std::int64_t tasks = 0; ///< that were sent
+    };
+
     home_queue();
 
     void set_document(const environment& document);
@@ -40,14 +50,17 @@
              time_point arrived);
     void cancel(const std::string& job);
 
-    /// Offers jobs in order: `place(job, first_refusal)` gives a place to one task, or to all tasks
-    /// of an all-at-once job. Offers at most `limit` times.
-    void round(time_point now, std::size_t limit,
-               const std::function<verdict(const std::string& job, bool first_refusal)>& place);
+    /// Offers jobs in order, at most `limit` times.
+    void round(time_point now, std::size_t limit, const std::function<answer(const offer&)>& place);
+    /// Takes over how many tasks of a job wait; 0 removes it.
+    void set_waiting(const std::string& job, const submission& what, std::int64_t tasks,
+                     time_point arrived);
+    /// Removes the jobs that are not in `ids`.
+    void keep_jobs(const std::set<std::string>& ids);
+    /// Takes over what the jobs of this home hold by tenant.
+    void set_running(const std::map<std::string, resources>& by_tenant);
     /// A task that was placed ended, or lost its place.
     void refund(const submission& what);
-    /// Counts a task that was found running.
-    void adopt(const submission& what);
 
     /// Returns what a task of the job waits for.
     explanation explain(const cell& where, const std::string& job, const std::string& task,
@@ -72,6 +85,7 @@
     void sum_elsewhere();
     tenant_id tenant_of(const submission& what) const;
     bool whole_within_quota(const waiting_job& job) const;
+    std::int64_t tasks_within_quota(const waiting_job& job) const;
     bool enqueue(const std::string& name, waiting_job& job);
     void take(const std::string& name, std::int64_t tasks);
 
--- a/src/job_placing.cc
+++ b/src/job_placing.cc
@@ -1,6 +1,7 @@
 // The part of the job service that finds places for tasks, here or with another member.
 
 #include <algorithm>
+#include <utility>
 
 #include "job_service.h"
 #include "sesamesill/log.h"
@@ -10,8 +11,9 @@
 
 constexpr millis rpc_timeout{500};
 constexpr millis no_room_delay{100};
+constexpr millis follow_interval{100};
 constexpr std::size_t max_places_per_round = 500;
-constexpr std::size_t max_tasks_per_request = 100;
+constexpr int reservations_in_ageing = 8; ///< part of the ageing time after which room is kept
 
 std::vector<std::size_t> sendable(job_table& table, job& j, std::size_t most, job_actions& out)
 {
@@ -26,22 +28,91 @@
 
 } // namespace
 
-void job_service::place_waiting()
+std::optional<error> job_service::refusal(const submission& what) const
 {
-    const time_point now = boot_clock::now();
-    const std::set<std::string> ids = table_.placeable();
-    std::size_t placed = 0;
-    for (const std::string& id : ids) {
-        const auto retry = retry_at_.find(id);
-        if (placed >= max_places_per_round || asking_.count(id) > 0 ||
-            (retry != retry_at_.end() && retry->second > now) || !cell_.may_act(id)) {
+    const std::optional<environment>& document = documents_.current();
+    if (!document) {
+        return std::nullopt;
+    }
+    std::optional<error> refused = queue_.refusal(what);
+    if (refused) {
+        return refused;
+    }
+    task_spec spec;
+    const auto policy = document->classes.find(what.work_class);
+    if (policy != document->classes.end()) {
+        apply_policy(spec, policy->second);
+    }
+    spec.size = what.size;
+    spec.kind = what.kind;
+    return workers_.never_fits(spec, what.tasks);
+}
+
+void job_service::share_running()
+{
+    documents_.on_change([this] { queue_.set_document(*documents_.current()); });
+    cell_.on_change([this] {
+        std::set<std::string> names;
+        for (const member& m : cell_.members()) {
+            names.insert(m.name);
+        }
+        queue_.keep_peers(names);
+    });
+    cell_.share(
+        "running", [this] { return queue_.running(); },
+        [this](const std::string& peer, const Json::Value& value) {
+            queue_.take_running(peer, value);
+        });
+}
+
+/// Brings the queue in line with the table: what waits, and what the tenants' jobs hold.
+void job_service::follow_table(time_point now)
+{
+    std::map<std::string, resources> running;
+    std::set<std::string> waiting_jobs;
+    for (const std::pair<const std::string, job>& entry : table_.jobs()) {
+        const job& j = entry.second;
+        if (!j.home || j.ending != outcome::pending) {
             continue;
         }
-        retry_at_.erase(id);
-        job& j = *table_.find(id);
-        placed += j.tasks.size();
-        place(j);
+        std::int64_t waiting = 0;
+        std::int64_t held = 0;
+        for (const job_task& t : j.tasks) {
+            waiting += t.phase == task_phase::waiting ? 1 : 0;
+            held += t.phase != task_phase::waiting && !is_over(t.phase) ? 1 : 0;
+        }
+        running[j.what.tenant] += scaled(j.what.size, held);
+        if (waiting > 0 && table_.placeable().count(j.id) > 0) {
+            waiting_jobs.insert(j.id);
+            queue_.set_waiting(j.id, j.what, waiting, j.arrived);
+        }
     }
+    queue_.keep_jobs(waiting_jobs);
+    queue_.set_running(running);
+    followed_ = now;
+}
+
+void job_service::place_waiting()
+{
+    const time_point now = boot_clock::now();
+    if (!documents_.current()) {
+        return;
+    }
+    if (now - followed_ >= follow_interval) {
+        queue_.set_capacity(workers_.cell_size());
+        follow_table(now);
+    }
+    room_kept_ = false;
+    queue_.round(now, max_places_per_round, [this, now](const home_queue::offer& offered) {
+        job* const j = table_.find(offered.job);
+        const auto retry = retry_at_.find(offered.job);
+        if (j == nullptr || asking_.count(offered.job) > 0 ||
+            (retry != retry_at_.end() && retry->second > now) || !cell_.may_act(offered.job)) {
+            return home_queue::answer{};
+        }
+        retry_at_.erase(offered.job);
+        return place(*j, offered);
+    });
 }
 
 task_spec job_service::spec_of(const job& j, std::size_t index) const
@@ -62,19 +133,16 @@
     return spec;
 }
 
-/// Sends what may be sent of a job: here as far as there is room, the rest to the next member.
-void job_service::place(job& j)
+/// Sends what may be sent of an offer: here as far as there is room, the rest to the next member.
+home_queue::answer job_service::place(job& j, const home_queue::offer& offered)
 {
-    if (!documents_.current()) {
-        return;
-    }
     const bool all = j.what.kind == work_kind::gang;
-    const std::size_t most = all ? j.tasks.size() : max_tasks_per_request;
     job_actions actions;
-    const std::vector<std::size_t> indices = sendable(table_, j, most, actions);
+    const std::vector<std::size_t> indices =
+        sendable(table_, j, static_cast<std::size_t>(offered.most), actions);
     carry_out(actions);
     if (indices.empty() || (all && indices.size() < j.tasks.size())) {
-        return;
+        return {};
     }
     place_request request;
     request.id = j.id;
@@ -84,26 +152,34 @@
         request.attempts.push_back(table_.sent(j, i, cell_.self()));
         request.specs.push_back(spec_of(j, i));
     }
-    if (!place_here(j, request)) {
+    const micros kept_after = documents_.current()->placement.ageing / reservations_in_ageing;
+    const bool keep_room = boot_clock::now() - j.arrived > kept_after;
+    if (!place_here(j, request, keep_room)) {
         place_remote(request);
     }
+    return {home_queue::verdict::placed, static_cast<std::int64_t>(indices.size())};
 }
 
 /// Returns whether nothing is left; `request` keeps the tasks that found no room here.
-bool job_service::place_here(job& j, place_request& request)
+bool job_service::place_here(job& j, place_request& request, bool keep_room)
 {
     error why;
-    std::size_t placed = 0;
     if (request.all) {
         const std::optional<std::vector<std::string>> workers =
             workers_.place_all(request.specs, why);
-        for (std::size_t k = 0; workers && k < workers->size(); ++k, ++placed) {
+        for (std::size_t k = 0; workers && k < workers->size(); ++k) {
             table_.placed(j.id, request.indices[k], request.attempts[k], (*workers)[k]);
         }
-        return placed > 0;
+        return workers.has_value();
     }
+    std::size_t placed = 0;
     for (; placed < request.specs.size(); ++placed) {
-        const std::optional<std::string> worker = workers_.place(request.specs[placed], why);
+        const task_spec& spec = request.specs[placed];
+        std::optional<std::string> worker = workers_.place(spec, why);
+        if (!worker && keep_room && !std::exchange(room_kept_, true)) {
+            const std::optional<std::vector<std::string>> kept = workers_.place_all({spec}, why);
+            worker = kept ? std::optional<std::string>(kept->front()) : std::nullopt;
+        }
         if (!worker) {
             break;
         }
--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t max_callers_per_job = 8;
 constexpr std::size_t max_pending_accepts = 5000;
 constexpr std::size_t max_listed = 1000;
+constexpr int unfit_status = 422;
 
 const std::string jobs_path = "/v1/jobs/";
 
@@ -81,6 +82,7 @@
         task_end(report, acknowledge);
     });
     cell_.on_change([this] { note_cell(); });
+    share_running();
     follow_log();
 }
 
@@ -251,6 +253,14 @@
              fresh ? "too many jobs wait for the log" : "an earlier submission has not ended"}));
         return;
     }
+    const std::optional<error> refused = refusal(what);
+    if (refused) {
+        http_reply reply =
+            ending_reply(keys_.current() ? outcome::not_run : outcome::unknown, *refused);
+        reply.status = refused->code == error_code::unfit ? unfit_status : reply.status;
+        respond(reply);
+        return;
+    }
     const class_policy& policy = documents_.current()->classes.at(what.work_class);
     pending_accept& p = accepts_[id];
     p.until = boot_clock::now() + what.deadline;
--- a/src/job_service.h
+++ b/src/job_service.h
@@ -11,6 +11,7 @@
 
 #include "cell_service.h"
 #include "document_service.h"
+#include "home_queue.h"
 #include "job_items.h"
 #include "journal_service.h"
 #include "key_service.h"
@@ -75,9 +76,12 @@
     void expire_accepts();
     void give_up(const std::string& id, pending_accept& p);
 
+    std::optional<error> refusal(const submission& what) const;
+    void share_running();
+    void follow_table(time_point now);
     void place_waiting();
-    void place(job& j);
-    bool place_here(job& j, place_request& request);
+    home_queue::answer place(job& j, const home_queue::offer& offered);
+    bool place_here(job& j, place_request& request, bool keep_room);
     void place_remote(const place_request& request);
     void take_places(const place_request& request, const Json::Value& result);
     task_spec spec_of(const job& j, std::size_t index) const;
@@ -118,6 +122,9 @@
     std::set<std::string> worker_names_;
     time_point worker_lost_; ///< when a worker last left the VM list
     time_point started_;
+    home_queue queue_;
+    bool room_kept_ = false;    ///< in this round: one task at a time
+    time_point followed_;       ///< when the queue last took over what waits and runs
     std::size_t next_peer_ = 0; ///< whom to ask next for a place
 };
 
--- a/test/home_queue-test.cc
+++ b/test/home_queue-test.cc
@@ -46,9 +46,9 @@
     std::vector<std::string> round(verdict answer)
     {
         std::vector<std::string> offered;
-        queue.round(now, 100, [&offered, answer](const std::string& name, bool) {
-            offered.push_back(name);
-            return answer;
+        queue.round(now, 100, [&offered, answer](const home_queue::offer& o) {
+            offered.push_back(o.job);
+            return home_queue::answer{answer, o.job == "g" || o.job == "h" ? o.most : 1};
         });
         return offered;
     }
@@ -104,12 +104,37 @@
     fixture f;
     home_queue peer;
     peer.set_document(f.document);
-    for (int i = 0; i < 5; ++i) {
-        peer.adopt(fixture::job("review", 1));
-    }
+    peer.set_running({{"delta", {5000, 5120, 0}}});
     f.queue.take_running("e2", peer.running());
     f.queue.add("a", fixture::job("review", 10), 10, f.now);
     cr_assert_eq(f.round(verdict::placed).size(), 3U);
     f.queue.keep_peers({"e3"});
     cr_assert_eq(f.round(verdict::placed).size(), 5U);
 }
+
+Test(home_queue, offers_no_more_together_than_the_quota_allows)
+{
+    fixture f;
+    f.queue.add("a", fixture::job("review", 30), 30, f.now);
+    std::int64_t sent = 0;
+    f.queue.round(f.now, 100, [&sent](const home_queue::offer& o) {
+        sent += o.most;
+        return home_queue::answer{verdict::placed, o.most};
+    });
+    cr_assert_eq(sent, 8);
+}
+
+Test(home_queue, follows_what_waits_and_runs)
+{
+    fixture f;
+    f.queue.set_waiting("a", fixture::job("review", 9), 9, f.now);
+    f.queue.set_waiting("b", fixture::job("review", 1), 1, f.now);
+    f.queue.set_running({{"delta", {7000, 7168, 0}}});
+    cr_assert_eq(f.round(verdict::placed).size(), 1U);
+    f.queue.set_waiting("a", fixture::job("review", 9), 0, f.now);
+    f.queue.keep_jobs({});
+    cr_assert_eq(f.queue.size(), 0U);
+    f.queue.set_running({});
+    f.queue.set_waiting("a", fixture::job("review", 9), 2, f.now);
+    cr_assert_eq(f.round(verdict::placed).size(), 2U);
+}
