--- a/test/standin/caller.cc
+++ b/test/standin/caller.cc
@@ -34,6 +34,8 @@
 constexpr millis tick{5};
 constexpr millis probe_interval{200};
 constexpr millis probe_timeout{400};
+constexpr millis answer_slack{1000}; ///< an answer is due by the deadline
+constexpr millis accept_timeout{5000};
 constexpr millis grace{3000}; ///< for learning the ending of a request past its deadline
 constexpr millis base_backoff{30};
 constexpr millis poll_wait{2000};
@@ -112,7 +114,7 @@
     std::string key;
     std::string tenant;
     const shape* kind = nullptr;
-    std::string body;
+    Json::Value body;
     std::string wanted; ///< digest of the answer that belongs to it
     time_point until;
     time_point sent;
@@ -250,7 +252,7 @@
         else {
             fill_job(kind, *r, body);
         }
-        r->body = to_text(body);
+        r->body = body;
         ++counts_[{r->tenant, kind.work_class}].sent;
         ++in_flight_;
         send(r);
