--- a/test/standin/caller.cc
+++ b/test/standin/caller.cc
@@ -87,10 +87,18 @@
            {2048, 8192},
            {500, 2000}}}},
         {"keepers",
-         {"tallinn", "tartu", "parnu"},
+         {"tallinn", "elistvere", "alaveski"},
          {{"check", true, true, 0.8, millis(800), {}, {}, {}, {}},
           {"swap", true, false, 0.2, millis(5000), {}, {}, {}, {}},
-          {"week", false, true, 0.85, millis(60000), {1, 4}, {500, 2000}, {512, 4096}, {200, 1500}},
+          {"rebalance",
+           false,
+           true,
+           0.85,
+           millis(60000),
+           {1, 4},
+           {500, 2000},
+           {512, 4096},
+           {200, 1500}},
           {"season",
            false,
            false,
@@ -335,11 +343,13 @@
             call.timeout = poll_wait + millis(1000);
         }
         else {
+            const millis deadline = r->kind->deadline / (r->kind->is_call ? 2 : 1);
+            Json::Value body = r->body;
+            body["deadline_ms"] = static_cast<Json::Int64>(deadline.count());
             call.method = "POST";
             call.path = r->kind->is_call ? "/v1/calls" : "/v1/jobs";
-            call.body = r->body;
-            call.timeout =
-                r->kind->is_call ? std::max(millis(300), r->kind->deadline * 3 / 5) : millis(5000);
+            call.body = to_text(body);
+            call.timeout = r->kind->is_call ? deadline + answer_slack : accept_timeout;
             note("sent", *r, e.name, "", "");
         }
         const time_point sent = boot_clock::now();
