--- a/test/scenario/commands.cc
+++ b/test/scenario/commands.cc
@@ -12,6 +12,7 @@
 using namespace sesamesill;
 
 constexpr millis publish_timeout{10000};
+constexpr millis post_timeout{8000};
 constexpr double load_slack_seconds = 90;
 
 Json::Value with_defaults(const Json::Value& given, const char* defaults)
@@ -117,7 +118,7 @@
 {
     const Json::Value o = with_defaults(
         arguments[0], R"({"mix":"tabara","seconds":10,"calls":100,"jobs":2,"entries":6,
-        "cancel":0,"tenant":"","only":"","job_limit_ms":60000})");
+        "cancel":0,"tenant":"","only":"","job_limit_ms":25000})");
     const std::string name = "load" + std::to_string(++loads_);
     std::string entries;
     for (int i = 1; i <= o["entries"].asInt(); ++i) {
@@ -256,12 +257,13 @@
     return ask_json(port(0), "/admin/mode", arguments[0], why);
 }
 
+/// trim("cell", 4000): records older than 4 s are gone.
 std::optional<Json::Value> testbed::trim(const Json::Value& arguments, std::string& why)
 {
     note("trim " + to_text(arguments));
     Json::Value body;
     body["stream"] = arguments[0];
-    body["keep"] = arguments[1];
+    body["older_ms"] = arguments[1];
     return ask_json(port(0), "/admin/trim", body, why);
 }
 
@@ -328,19 +330,28 @@
     return result;
 }
 
+/// post({"e1", "/v1/calls", body}, ...): all at once; returns the answer of each in that order.
 std::optional<Json::Value> testbed::post(const Json::Value& arguments, std::string& /*why*/)
 {
-    http_call call;
-    call.method = "POST";
-    call.path = arguments[1].asString();
-    call.body = to_text(arguments[2]);
-    call.timeout = millis(arguments.size() > 3 ? arguments[3].asInt64() : 8000);
-    const std::optional<http_reply> reply = ask(*address_of(arguments[0].asString()), call);
-    Json::Value result;
-    result["status"] = reply ? reply->status : 0;
-    result["text"] = reply ? reply->body : "";
-    result["body"] = reply ? json_from(reply->body).value_or(Json::Value()) : Json::Value();
-    return result;
+    const std::shared_ptr<Json::Value> answers = std::make_shared<Json::Value>(Json::arrayValue);
+    const std::shared_ptr<Json::ArrayIndex> open =
+        std::make_shared<Json::ArrayIndex>(arguments.size());
+    for (Json::ArrayIndex i = 0; i < arguments.size(); ++i) {
+        http_call call;
+        call.method = "POST";
+        call.path = arguments[i][1].asString();
+        call.body = to_text(arguments[i][2]);
+        call.timeout = post_timeout;
+        client_.send(*address_of(arguments[i][0].asString()), std::move(call),
+                     [answers, open, i](const std::optional<http_reply>& reply, const error&) {
+                         --*open;
+                         (*answers)[i]["status"] = reply ? reply->status : 0;
+                         (*answers)[i]["body"] =
+                             reply ? json_from(reply->body).value_or(Json::Value()) : Json::Value();
+                     });
+    }
+    wait(boot_clock::now() + post_timeout, [open] { return *open == 0; });
+    return *answers;
 }
 
 /// in_force(version, seconds): whether all entries that are up report it in that time.
--- /dev/null
+++ b/test/scenario/freeze_full.lua
@@ -0,0 +1,14 @@
+-- A full cell of few workers, many jobs waiting: a member is frozen past its leases and goes on,
+-- three times; no worker is overfilled and no task runs twice.
+start{workers = 12, executors = 12,
+      settings = "[timing]\nlease_ms = 1000\nheartbeat_interval_ms = 200\ntask_lease_ms = 3000\n"}
+load{seconds = 24, calls = 20, jobs = 25}
+for i = 1, 3 do
+    sleep(2)
+    local victim = "e" .. math.random(1, 6)
+    freeze(victim)
+    sleep(4.5)
+    thaw(victim)
+end
+wait_load()
+expect(figures().lost == 0, "no request is lost")
--- /dev/null
+++ b/test/scenario/same_key.lua
@@ -0,0 +1,12 @@
+-- The same placement reaches all six members at once, and again later: it runs once, and each
+-- answer says so.
+start{}
+for round = 1, 10 do
+    local body = {tenant = "delta", class = "place", key = "child-" .. round, body = "child 9"}
+    local all = {}
+    for i = 1, 6 do all[i] = {"e" .. i, "/v1/calls", body} end
+    post(table.unpack(all))
+    for _, answer in ipairs(post(table.unpack(all))) do
+        expect(answer.body.outcome == "done", "a retry gets the answer")
+    end
+end
--- a/test/scenario/trim_restart.lua
+++ b/test/scenario/trim_restart.lua
@@ -1,12 +1,12 @@
 -- Old records are gone from the log and a member starts behind them: it knows the document or says
 -- that it does not, and keys that were used before the trim are not used again.
-local timing = "[timing]\nlease_ms = 1000\nheartbeat_interval_ms = 200\ntask_lease_ms = 4000\n"
-local version = start{settings = timing}.version
+local version = start{settings = "[timing]\nlease_ms = 1000\nheartbeat_interval_ms = 200\n" ..
+                                 "task_lease_ms = 4000\nsnapshot_interval_ms = 1000\n"}.version
 local used = {tenant = "delta", class = "place", key = "before-the-trim", body = "child 9"}
-expect(post("e1", "/v1/calls", used).status == 200, "the placement is done")
+expect(post({"e1", "/v1/calls", used})[1].status == 200, "the placement is done")
 load{seconds = 8, calls = 100, jobs = 3}
 wait_load()
-trim("cell", 20)
+trim("cell", 5000)
 trim("config", 0)
 local victim = "e" .. math.random(1, 6)
 kill(victim)
@@ -18,7 +18,7 @@
 if shown == 0 then
     expect(get(victim, "/readyz").status ~= 200, "without a document it takes no work")
 end
-for i = 1, 6 do post("e" .. i, "/v1/calls", used) end
+for i = 1, 6 do post({"e" .. i, "/v1/calls", used}) end
 load{seconds = 3, calls = 100, jobs = 3}
 wait_load()
 expect(figures().lost == 0, "no request is lost")
--- a/test/standin/log.cc
+++ b/test/standin/log.cc
@@ -22,6 +22,7 @@
 struct stream {
     std::uint64_t first = 0;
     std::deque<std::string> records;
+    std::deque<time_point> times; ///< of each record's append
     std::uint64_t next() const { return first + records.size(); }
 };
 
@@ -88,6 +89,7 @@
         stream& s = streams_[stream_name(request)];
         const std::uint64_t offset = s.next();
         s.records.push_back(request.body);
+        s.times.push_back(boot_clock::now());
         Json::Value seen;
         seen["stream"] = stream_name(request);
         seen["client"] = client_of(request);
@@ -185,11 +187,11 @@
             return;
         }
         stream& s = streams_[(*what)["stream"].asString()];
-        const std::uint64_t keep = (*what)["keep"].asUInt64();
-        const std::uint64_t before = what->isMember("keep") ? s.next() - std::min(s.next(), keep)
-                                                            : (*what)["before"].asUInt64();
-        while (s.first < before && !s.records.empty()) {
+        const std::uint64_t before = what->get("before", Json::Value::maxUInt64).asUInt64();
+        const time_point until = boot_clock::now() - millis((*what)["older_ms"].asInt64());
+        while (!s.records.empty() && s.first < before && s.times.front() <= until) {
             s.records.pop_front();
+            s.times.pop_front();
             ++s.first;
         }
         journal_.write("trim", *what);
