Ask members anew in in_force; the caller tells what it was told last

Cause: in_force() held for a member that was killed and started again, from what its earlier process had reported (found by the lead). A request that was refused and then met a dead entry was closed as lost. Change: in_force forgets what it saw before the call; the caller closes a request by the last answer, by lost only where an attempt got none since.

--- a/test/scenario/commands.cc
+++ b/test/scenario/commands.cc
@@ -354,10 +354,11 @@
     return *answers;
 }
 
-/// in_force(version, seconds): whether all entries that are up report it in that time.
+/// in_force(version, seconds): whether all entries that are up report it in that time, asked anew.
 std::optional<Json::Value> testbed::in_force(const Json::Value& arguments, std::string& /*why*/)
 {
     const std::uint64_t version = arguments[0].asUInt64();
+    versions_.clear(); // only what is seen from now on counts
     const auto all = [this, version] {
         for (const std::string& name : entries_) {
             if (versions_[name] < version) {
--- a/test/standin/caller.cc
+++ b/test/standin/caller.cc
@@ -127,9 +127,9 @@
     time_point until;
     time_point sent;
     std::int64_t attempts = 0;
-    bool open = false;     ///< an attempt may have run
-    bool reached = false;  ///< an attempt got to an entry
-    bool accepted = false; ///< a job that the cell answers for
+    bool open = false;              ///< an attempt may have run
+    std::string told = "unreached"; ///< what the caller knows of the attempts up to now
+    bool accepted = false;          ///< a job that the cell answers for
     bool cancelled = false;
     std::string job;
     int tasks = 0;
@@ -373,13 +373,12 @@
         const std::string ending = unconnected ? "unconnected" : waited ? "timed_out" : "cut";
         note("answered", *r, e.name, ending, "");
         r->open = r->open || !unconnected;
-        r->reached = r->reached || !unconnected;
-        again(r, r->reached ? "lost" : "unreached");
+        r->told = unconnected ? r->told : "lost";
+        again(r, r->told);
     }
 
     void take_reply(const request_pointer& r, const std::string& entry, const http_reply& reply)
     {
-        r->reached = true;
         const Json::Value answer = json_from(reply.body).value_or(Json::Value(Json::objectValue));
         const std::string outcome = answer.isObject() ? answer["outcome"].asString() : "";
         if (reply.status >= 400 && reply.status < 500 && reply.status != 404) {
@@ -406,7 +405,8 @@
         }
         note("answered", *r, entry, outcome == "not_run" ? "not_run" : "unknown", "");
         r->open = r->open || outcome != "not_run";
-        again(r, r->open ? "unknown" : "not_run");
+        r->told = r->open ? "unknown" : "not_run";
+        again(r, r->told);
     }
 
     void take_job(const request_pointer& r, const std::string& entry, const std::string& outcome,
@@ -425,12 +425,15 @@
         }
         else if (outcome == "not_run" || outcome == "failed" || outcome == "cancelled") {
             note("answered", *r, entry, outcome == "not_run" ? "not_run" : "failed", "");
+            r->told = r->open ? "unknown" : "not_run";
             const bool final = r->accepted || outcome != "not_run";
-            final ? close(r, r->cancelled ? "cancelled" : outcome) : again(r, "not_run");
+            final ? close(r, r->cancelled ? "cancelled" : outcome) : again(r, r->told);
         }
         else {
             note("answered", *r, entry, "unknown", "");
-            again(r, "lost");
+            r->open = true;
+            r->told = r->accepted ? "lost" : "unknown";
+            again(r, r->told);
         }
     }
 
