--- a/test/scenario/commands.cc
+++ b/test/scenario/commands.cc
@@ -54,6 +54,7 @@
                                                 {"publish", &testbed::publish},
                                                 {"get", &testbed::get},
                                                 {"post", &testbed::post},
+                                                {"post_all", &testbed::post_all},
                                                 {"in_force", &testbed::in_force},
                                                 {"read_file", &testbed::read_file},
                                                 {"figures", &testbed::figures},
@@ -330,8 +331,24 @@
     return result;
 }
 
-/// post({"e1", "/v1/calls", body}, ...): all at once; returns the answer of each in that order.
 std::optional<Json::Value> testbed::post(const Json::Value& arguments, std::string& /*why*/)
+{
+    http_call call;
+    call.method = "POST";
+    call.path = arguments[1].asString();
+    call.headers["Authorization"] = "Bearer scenario";
+    call.body = arguments[2].isString() ? arguments[2].asString() : to_text(arguments[2]);
+    call.timeout = millis(arguments.size() > 3 ? arguments[3].asInt64() : 8000);
+    const std::optional<http_reply> reply = ask(*address_of(arguments[0].asString()), call);
+    Json::Value result;
+    result["status"] = reply ? reply->status : 0;
+    result["text"] = reply ? reply->body : "";
+    result["body"] = reply ? json_from(reply->body).value_or(Json::Value()) : Json::Value();
+    return result;
+}
+
+/// post_all({"e1", "/v1/calls", body}, ...): at once; returns the answer of each in that order.
+std::optional<Json::Value> testbed::post_all(const Json::Value& arguments, std::string& /*why*/)
 {
     const std::shared_ptr<Json::Value> answers = std::make_shared<Json::Value>(Json::arrayValue);
     const std::shared_ptr<Json::ArrayIndex> open =
--- a/test/scenario/testbed.h
+++ b/test/scenario/testbed.h
@@ -81,6 +81,7 @@
     std::optional<Json::Value> publish(const Json::Value& arguments, std::string& why);
     std::optional<Json::Value> get(const Json::Value& arguments, std::string& why);
     std::optional<Json::Value> post(const Json::Value& arguments, std::string& why);
+    std::optional<Json::Value> post_all(const Json::Value& arguments, std::string& why);
     std::optional<Json::Value> in_force(const Json::Value& arguments, std::string& why);
     std::optional<Json::Value> read_file(const Json::Value& arguments, std::string& why);
     std::optional<Json::Value> figures(const Json::Value& arguments, std::string& why);
