--- a/src/settings.cc
+++ b/src/settings.cc
@@ -23,7 +23,7 @@
     bool required;
 };
 
-const std::array<setting, 20> known_settings{{
+const std::array<setting, 21> known_settings{{
     {"node", "name", &node_settings::name, true},
     {"node", "data_center", &node_settings::data_center, true},
     {"node", "environment", &node_settings::environment, true},
@@ -35,6 +35,7 @@
     {"platform", "log_timeout_ms", &node_settings::log_timeout, false},
     {"timing", "document_snapshot_interval_ms", &node_settings::document_snapshot_interval, false},
     {"platform", "vm_list_interval_ms", &node_settings::vm_list_interval, false},
+    {"platform", "vm_list_lag_ms", &node_settings::vm_list_lag, false},
     {"timing", "commit_interval_ms", &node_settings::commit_interval, false},
     {"timing", "snapshot_interval_ms", &node_settings::snapshot_interval, false},
     {"timing", "key_retention_ms", &node_settings::key_retention, false},
@@ -161,7 +162,9 @@
 /// Combinations that cannot work.
 void check_timing(const node_settings& s, std::vector<fault>& faults)
 {
-    if (s.heartbeat_interval * 2 > s.lease) {
+    constexpr millis budget_interval{320}; // what the byte budget allows in a cell of six
+    const bool is_set = s.heartbeat_interval > millis(0);
+    if ((is_set ? s.heartbeat_interval : budget_interval) * 2 > s.lease) {
         faults.push_back(
             {0, "timing", "heartbeat_interval_ms", "must be at most half of lease_ms", ""});
     }
