Give heartbeats a period where the settings leave it to the budget

Found by probing a calm cell of 12 executors. Change: heartbeat_period() answers for both cases and is used by the check of settings and by load_service. Ruled out: admission by expected wait, which was not reached.

--- a/include/sesamesill/settings.h
+++ b/include/sesamesill/settings.h
@@ -47,6 +47,9 @@
     std::string disable; ///< test only: mechanisms to switch off, comma-separated
 };
 
+/// Returns the time between two heartbeats of a member, also where it is left to the byte budget.
+millis heartbeat_period(const node_settings& settings);
+
 /// Returns whether the test-only list `settings.disable` names `mechanism`.
 bool is_disabled(const node_settings& settings, std::string_view mechanism);
 
--- a/src/load_service.cc
+++ b/src/load_service.cc
@@ -14,8 +14,7 @@
 } // namespace
 
 load_service::load_service(cell_service& cell, const node_settings& settings)
-    : cell_(cell), interval_(settings.heartbeat_interval),
-      peers_(settings.heartbeat_interval * least_stale_rounds)
+    : cell_(cell), interval_(heartbeat_period(settings)), peers_(interval_ * least_stale_rounds)
 {
     cell_.on_change([this] { keep_members(); });
 }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -162,9 +162,7 @@
 /// Combinations that cannot work.
 void check_timing(const node_settings& s, std::vector<fault>& faults)
 {
-    constexpr millis budget_interval{320}; // what the byte budget allows in a cell of six
-    const bool is_set = s.heartbeat_interval > millis(0);
-    if ((is_set ? s.heartbeat_interval : budget_interval) * 2 > s.lease) {
+    if (heartbeat_period(s) * 2 > s.lease) {
         faults.push_back(
             {0, "timing", "heartbeat_interval_ms", "must be at most half of lease_ms", ""});
     }
@@ -179,6 +177,12 @@
 
 } // namespace
 
+millis heartbeat_period(const node_settings& settings)
+{
+    constexpr millis budget_period{320}; // what the byte budget allows, about the same at any size
+    return settings.heartbeat_interval > millis(0) ? settings.heartbeat_interval : budget_period;
+}
+
 bool is_disabled(const node_settings& settings, std::string_view mechanism)
 {
     std::istringstream names(settings.disable);
--- a/support/check.sh
+++ b/support/check.sh
@@ -11,5 +11,6 @@
 cmake --build build/sanitize --target sesamesill_tests
 build/sanitize/sesamesill_tests --jobs 4
 support/path.sh
+support/scenarios.sh
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
 build/release/sesamesill_tests --jobs 4
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -32,6 +32,14 @@
     cr_assert_not(is_disabled(*s, "seal"));
 }
 
+Test(settings, heartbeats_have_a_period_also_where_none_is_set)
+{
+    std::vector<fault> faults;
+    cr_assert_gt(heartbeat_period(*parse_settings(good, faults)).count(), 0);
+    const std::string set = good + "[timing]\nheartbeat_interval_ms = 200\n";
+    cr_assert_eq(heartbeat_period(*parse_settings(set, faults)).count(), 200);
+}
+
 Test(settings, misspelt_key_is_named_with_line_and_near_key)
 {
     cr_assert(fault_of(good + "[timing]\nlaese_ms = 5\n") ==
