Free closing connections with the loop; search all seeds for a broken rule

With sanitizers two tests of ownership found no violation with a mechanism off, since they searched a tenth of the seeds; connections that were to be freed by a later event leaked when the loop ended first. Change: the search runs to the same 1,250 seeds in each build and stops at the first hit; the loop keeps closing connections and frees the rest itself. Ruled out: freeing all pending one-shot actions with the loop, whose closures may answer through a server that is gone. Conclusion: explain says little of tasks on other members' workers; left open.

--- a/src/evhttp.h
+++ b/src/evhttp.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,7 @@
     };
 
     event_base* base = nullptr;
+    std::set<evhttp_connection*> closing;       ///< to be freed outside of their own callbacks
     std::vector<std::unique_ptr<timer>> timers; ///< repeating timers and signals
 };
 
--- a/src/http.cc
+++ b/src/http.cc
@@ -144,6 +144,9 @@
     for (const std::unique_ptr<state::timer>& t : state_->timers) {
         event_free(t->handle);
     }
+    for (evhttp_connection* connection : state_->closing) {
+        evhttp_connection_free(connection);
+    }
     event_base_free(state_->base);
 }
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -51,6 +51,7 @@
 /// One request in flight. Freed by its completion.
 struct exchange {
     std::weak_ptr<http_client::state> client;
+    event_loop* loop = nullptr;
     evhttp_connection* connection = nullptr;
     evhttp_request* request = nullptr;
     event* timer = nullptr;
@@ -77,16 +78,24 @@
     exchange& operator=(exchange&&) = delete;
 };
 
-void free_later(evhttp_connection* connection)
+void free_closing(evutil_socket_t /*fd*/, short /*what*/, void* argument)
 {
-    // A connection must not be freed inside its own callback.
-    const timeval now{};
-    event_base_once(
-        evhttp_connection_get_base(connection), -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* c) {
-            evhttp_connection_free(static_cast<evhttp_connection*>(c));
-        },
-        connection, &now);
+    std::set<evhttp_connection*>& closing = *static_cast<std::set<evhttp_connection*>*>(argument);
+    for (evhttp_connection* connection : closing) {
+        evhttp_connection_free(connection);
+    }
+    closing.clear();
+}
+
+/// Frees the connection outside of its own callback, at the latest with the loop.
+void free_later(event_loop& loop, evhttp_connection* connection)
+{
+    event_loop::state& state = loop.internals();
+    state.closing.insert(connection);
+    if (state.closing.size() == 1) {
+        const timeval now{};
+        event_base_once(state.base, -1, EV_TIMEOUT, free_closing, &state.closing, &now);
+    }
 }
 
 bool is_connected(evhttp_connection* connection)
@@ -108,7 +117,7 @@
         client->give_back(x->to, x->connection, reply && reply->headers.count("connection") == 0);
     }
     else {
-        free_later(x->connection);
+        free_later(*x->loop, x->connection);
     }
     x->done(std::move(reply), why);
 }
@@ -224,7 +233,7 @@
 {
     std::vector<idle_connection>& pool = idle[to];
     if (!healthy || closed || pool.size() >= max_idle) {
-        free_later(connection);
+        free_later(loop, connection);
         return;
     }
     pool.push_back({connection, boot_clock::now()});
@@ -269,7 +278,7 @@
         return;
     }
     for (const idle_connection& c : pool->second) {
-        free_later(c.handle);
+        free_later(state_->loop, c.handle);
     }
     state_->idle.erase(pool);
 }
@@ -339,6 +348,7 @@
     state_->sweep(now);
     std::unique_ptr<exchange> x = std::make_unique<exchange>();
     x->client = state_;
+    x->loop = &state_->loop;
     x->to = to;
     x->done = std::move(done);
     x->connection = state_->take(to, x->connecting);
--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -20,6 +20,8 @@
 constexpr millis forget_interval{10000};
 constexpr millis retry_delay{50};
 constexpr millis cancel_limit{5000};
+constexpr std::size_t max_explained = 50; ///< tasks in one answer
+const std::string explain_suffix = "/explain";
 constexpr std::int64_t max_wait_ms = 20000;
 constexpr std::size_t max_callers_per_job = 8;
 constexpr std::size_t max_pending_accepts = 5000;
@@ -353,7 +355,9 @@
 
 void job_service::show(const http_request& request, const http_respond& respond, bool forwarded)
 {
-    const std::string id = request.path.substr(jobs_path.size());
+    const std::string rest = request.path.substr(jobs_path.size());
+    const std::string id = rest.substr(0, rest.find('/'));
+    const bool explained = rest != id;
     const std::optional<member> owner = cell_.owner_of(id);
     if (owner && owner->name != cell_.self() && !forwarded) {
         pass_on(request, *owner,
@@ -366,15 +370,60 @@
                 });
         return;
     }
-    if (table_.find(id) == nullptr) {
+    const job* const known = table_.find(id);
+    if (known == nullptr || (explained && rest != id + explain_suffix)) {
         respond(error_reply(404, {error_code::not_found, step::answer, "", "no such job"}));
         return;
     }
+    if (explained) {
+        respond(json_reply(200, explain(*known)));
+        return;
+    }
     const std::int64_t wait_ms = std::atoll(query_of(request, "wait_ms").c_str());
     watchers_[id].push_back(
         {boot_clock::now() + millis(std::clamp<std::int64_t>(wait_ms, 0, max_wait_ms)), respond});
 }
 
+/// Tells more of a task on this member's own workers, or that waits, than of one elsewhere.
+Json::Value job_service::explain_task(const job& j, std::size_t index) const
+{
+    const job_task& t = j.tasks[index];
+    const explanation e = workers_.explain(spec_of(j, index));
+    const bool is_elsewhere = t.phase == task_phase::running && e.worker.empty();
+    Json::Value entry(Json::objectValue);
+    if (!is_elsewhere) {
+        entry = to_json(e);
+    }
+    if (is_elsewhere) {
+        entry["text"] = "runs on " + t.worker + ", chosen by the owner of its shard";
+    }
+    else if (e.worker.empty() && e.elsewhere.empty() && e.with_room == 0) {
+        entry["text"] = "waits for its turn and room; " + cell_.self() +
+                        ", its home, owns no worker and asks the other members";
+    }
+    entry["task"] = task_name(j.id, index);
+    entry["phase"] = std::string(name_of(t.phase));
+    entry["placed_on"] = t.worker;
+    return entry;
+}
+
+/// Says of each task that is not over where it is, or what keeps it off this member's workers.
+Json::Value job_service::explain(const job& j) const
+{
+    Json::Value answer;
+    answer["job"] = j.id;
+    answer["outcome"] = std::string(name_of(j.ending));
+    answer["tasks"] = Json::Value(Json::arrayValue);
+    for (std::size_t i = 0; i < j.tasks.size() && answer["tasks"].size() < max_explained; ++i) {
+        const job_task& t = j.tasks[i];
+        if (is_over(t.phase)) {
+            continue;
+        }
+        answer["tasks"].append(explain_task(j, i));
+    }
+    return answer;
+}
+
 void job_service::list(const http_request& request, const http_respond& respond) const
 {
     Json::Value body;
--- a/src/job_service.h
+++ b/src/job_service.h
@@ -85,6 +85,8 @@
     void place_remote(const place_request& request);
     void take_places(const place_request& request, const Json::Value& result);
     task_spec spec_of(const job& j, std::size_t index) const;
+    Json::Value explain(const job& j) const;
+    Json::Value explain_task(const job& j, std::size_t index) const;
     std::optional<Json::Value> rpc_place(const Json::Value& params, error& why);
     std::optional<Json::Value> rpc_stop(const Json::Value& params, error& why);
 
--- a/test/ownership-test.cc
+++ b/test/ownership-test.cc
@@ -15,6 +15,8 @@
 #else
 constexpr std::uint64_t seeds_per_test = 1250;
 #endif
+constexpr std::uint64_t most_seeds_to_break =
+    1250; ///< in each build: the search stops at the first
 
 struct tally {
     std::uint64_t violations = 0;
@@ -90,7 +92,7 @@
 /// Returns whether some seed breaks the rule, as it must with a mechanism off.
 bool breaks(const model::options& o)
 {
-    for (std::uint64_t seed = 1; seed <= seeds_per_test; ++seed) {
+    for (std::uint64_t seed = 1; seed <= most_seeds_to_break; ++seed) {
         model::cell cell(o, seed);
         if (!cell.run().violation.empty()) {
             return true;
