Move what shows jobs out of job_service

Change: job_views.cc describes, lists and explains; query_text stands once, in replies.h. No behaviour changes.

--- a/src/document_api.cc
+++ b/src/document_api.cc
@@ -15,12 +15,6 @@
 constexpr millis publish_limit{10000};
 const std::string environments_path = "/v1/environments/";
 
-std::string query_text(const http_request& request, const std::string& name)
-{
-    const auto found = request.query.find(name);
-    return found == request.query.end() ? std::string() : found->second;
-}
-
 std::uint64_t query_number(const http_request& request, const std::string& name,
                            std::uint64_t fallback)
 {
--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -20,22 +20,14 @@
 constexpr millis forget_interval{10000};
 constexpr millis retry_delay{50};
 constexpr millis cancel_limit{5000};
-constexpr std::size_t max_explained = 50; ///< tasks in one answer
 const std::string explain_suffix = "/explain";
 constexpr std::int64_t max_wait_ms = 20000;
 constexpr std::size_t max_callers_per_job = 8;
 constexpr std::size_t max_pending_accepts = 5000;
-constexpr std::size_t max_listed = 1000;
 constexpr int unfit_status = 422;
 
 const std::string jobs_path = "/v1/jobs/";
 
-std::string query_of(const http_request& request, const std::string& name)
-{
-    const auto found = request.query.find(name);
-    return found == request.query.end() ? std::string() : found->second;
-}
-
 job_limits limits_from(const node_settings& settings)
 {
     job_limits limits;
@@ -58,16 +50,6 @@
            (*value)["code"] == Json::Value(std::string(name_of(error_code::not_owner)));
 }
 
-bool matches(const job& j, const http_request& request)
-{
-    const std::string tenant = query_of(request, "tenant");
-    const std::string work_class = query_of(request, "class");
-    const std::string ending = query_of(request, "outcome");
-    return (tenant.empty() || tenant == j.what.tenant) &&
-           (work_class.empty() || work_class == j.what.work_class) &&
-           (ending.empty() || ending == name_of(j.ending));
-}
-
 } // namespace
 
 job_service::job_service(event_loop& loop, http_client& client, cell_service& cell,
@@ -213,7 +195,7 @@
     http_call call;
     call.method = request.method;
     call.path = request.path;
-    const std::string wait = query_of(request, "wait_ms");
+    const std::string wait = query_text(request, "wait_ms");
     call.path += wait.empty() ? "" : "?wait_ms=" + wait;
     call.body = request.body;
     call.timeout = millis(max_wait_ms + 1000);
@@ -329,30 +311,6 @@
     journal_.append("cell", item, nullptr);
 }
 
-Json::Value job_service::describe(const job& j)
-{
-    Json::Value body;
-    body["job"] = j.id;
-    body["tenant"] = j.what.tenant;
-    body["class"] = j.what.work_class;
-    body["outcome"] = std::string(name_of(j.ending));
-    std::map<task_phase, std::int64_t> counts{{task_phase::running, 0}, {task_phase::done, 0}};
-    for (const job_task& t : j.tasks) {
-        ++counts[t.phase];
-        if (t.phase == task_phase::done) {
-            body["results"].append(t.result);
-        }
-    }
-    body["tasks"] = static_cast<Json::Int64>(j.tasks.size());
-    for (const std::pair<const task_phase, std::int64_t>& count : counts) {
-        body[std::string(name_of(count.first))] = static_cast<Json::Int64>(count.second);
-    }
-    if (j.reason.code != error_code::none) {
-        body["reason"] = to_json(j.reason);
-    }
-    return body;
-}
-
 void job_service::show(const http_request& request, const http_respond& respond, bool forwarded)
 {
     const std::string rest = request.path.substr(jobs_path.size());
@@ -379,69 +337,11 @@
         respond(json_reply(200, explain(*known)));
         return;
     }
-    const std::int64_t wait_ms = std::atoll(query_of(request, "wait_ms").c_str());
+    const std::int64_t wait_ms = std::atoll(query_text(request, "wait_ms").c_str());
     watchers_[id].push_back(
         {boot_clock::now() + millis(std::clamp<std::int64_t>(wait_ms, 0, max_wait_ms)), respond});
 }
 
-/// Tells more of a task on this member's own workers, or that waits, than of one elsewhere.
-Json::Value job_service::explain_task(const job& j, std::size_t index) const
-{
-    const job_task& t = j.tasks[index];
-    const explanation e = workers_.explain(spec_of(j, index));
-    const bool is_elsewhere = t.phase == task_phase::running && e.worker.empty();
-    Json::Value entry(Json::objectValue);
-    if (!is_elsewhere) {
-        entry = to_json(e);
-    }
-    if (is_elsewhere) {
-        entry["text"] = "runs on " + t.worker + ", chosen by the owner of its shard";
-    }
-    else if (e.worker.empty() && e.elsewhere.empty() && e.with_room == 0) {
-        entry["text"] = "waits for its turn and room; " + cell_.self() +
-                        ", its home, owns no worker and asks the other members";
-    }
-    entry["task"] = task_name(j.id, index);
-    entry["phase"] = std::string(name_of(t.phase));
-    entry["placed_on"] = t.worker;
-    return entry;
-}
-
-/// Says of each task that is not over where it is, or what keeps it off this member's workers.
-Json::Value job_service::explain(const job& j) const
-{
-    Json::Value answer;
-    answer["job"] = j.id;
-    answer["outcome"] = std::string(name_of(j.ending));
-    answer["tasks"] = Json::Value(Json::arrayValue);
-    for (std::size_t i = 0; i < j.tasks.size() && answer["tasks"].size() < max_explained; ++i) {
-        const job_task& t = j.tasks[i];
-        if (is_over(t.phase)) {
-            continue;
-        }
-        answer["tasks"].append(explain_task(j, i));
-    }
-    return answer;
-}
-
-void job_service::list(const http_request& request, const http_respond& respond) const
-{
-    Json::Value body;
-    body["jobs"] = Json::Value(Json::arrayValue);
-    for (const std::pair<const std::string, job>& entry : table_.jobs()) {
-        if (matches(entry.second, request)) {
-            body["truncated"] = body["jobs"].size() >= max_listed;
-            if (body["truncated"].asBool()) {
-                break;
-            }
-            Json::Value short_form = describe(entry.second);
-            short_form.removeMember("results");
-            body["jobs"].append(short_form);
-        }
-    }
-    respond(json_reply(200, body));
-}
-
 void job_service::cancel(const http_request& request, const http_respond& respond, bool forwarded)
 {
     const std::string id = request.path.substr(jobs_path.size());
--- /dev/null
+++ b/src/job_views.cc
@@ -0,0 +1,106 @@
+// Jobs as callers and operators see them: one, a list, and the reasons behind places and waits.
+
+#include "job_service.h"
+#include "replies.h"
+
+namespace sesamesill {
+namespace {
+
+constexpr std::size_t max_explained = 50; ///< tasks in one answer
+constexpr std::size_t max_listed = 1000;  ///< jobs in one answer
+
+bool matches(const job& j, const http_request& request)
+{
+    const std::string tenant = query_text(request, "tenant");
+    const std::string work_class = query_text(request, "class");
+    const std::string ending = query_text(request, "outcome");
+    return (tenant.empty() || tenant == j.what.tenant) &&
+           (work_class.empty() || work_class == j.what.work_class) &&
+           (ending.empty() || ending == name_of(j.ending));
+}
+
+} // namespace
+
+Json::Value job_service::describe(const job& j)
+{
+    Json::Value body;
+    body["job"] = j.id;
+    body["tenant"] = j.what.tenant;
+    body["class"] = j.what.work_class;
+    body["outcome"] = std::string(name_of(j.ending));
+    std::map<task_phase, std::int64_t> counts{{task_phase::running, 0}, {task_phase::done, 0}};
+    for (const job_task& t : j.tasks) {
+        ++counts[t.phase];
+        if (t.phase == task_phase::done) {
+            body["results"].append(t.result);
+        }
+    }
+    body["tasks"] = static_cast<Json::Int64>(j.tasks.size());
+    for (const std::pair<const task_phase, std::int64_t>& count : counts) {
+        body[std::string(name_of(count.first))] = static_cast<Json::Int64>(count.second);
+    }
+    if (j.reason.code != error_code::none) {
+        body["reason"] = to_json(j.reason);
+    }
+    return body;
+}
+
+/// Tells more of a task on this member's own workers, or that waits, than of one elsewhere.
+Json::Value job_service::explain_task(const job& j, std::size_t index) const
+{
+    const job_task& t = j.tasks[index];
+    const explanation e = workers_.explain(spec_of(j, index));
+    const bool is_elsewhere = t.phase == task_phase::running && e.worker.empty();
+    Json::Value entry(Json::objectValue);
+    if (!is_elsewhere) {
+        entry = to_json(e);
+    }
+    if (is_elsewhere) {
+        entry["text"] = "runs on " + t.worker + ", chosen by the owner of its shard";
+    }
+    else if (e.worker.empty() && e.elsewhere.empty() && e.with_room == 0) {
+        entry["text"] = "waits for its turn and room; " + cell_.self() +
+                        ", its home, owns no worker and asks the other members";
+    }
+    entry["task"] = task_name(j.id, index);
+    entry["phase"] = std::string(name_of(t.phase));
+    entry["placed_on"] = t.worker;
+    return entry;
+}
+
+/// Says of each task that is not over where it is, or what keeps it off this member's workers.
+Json::Value job_service::explain(const job& j) const
+{
+    Json::Value answer;
+    answer["job"] = j.id;
+    answer["outcome"] = std::string(name_of(j.ending));
+    answer["tasks"] = Json::Value(Json::arrayValue);
+    for (std::size_t i = 0; i < j.tasks.size() && answer["tasks"].size() < max_explained; ++i) {
+        const job_task& t = j.tasks[i];
+        if (is_over(t.phase)) {
+            continue;
+        }
+        answer["tasks"].append(explain_task(j, i));
+    }
+    return answer;
+}
+
+void job_service::list(const http_request& request, const http_respond& respond) const
+{
+    Json::Value body;
+    body["jobs"] = Json::Value(Json::arrayValue);
+    for (const std::pair<const std::string, job>& entry : table_.jobs()) {
+        if (matches(entry.second, request)) {
+            body["truncated"] = body["jobs"].size() >= max_listed;
+            if (body["truncated"].asBool()) {
+                break;
+            }
+            Json::Value short_form = describe(entry.second);
+            short_form.removeMember("results");
+            body["jobs"].append(short_form);
+        }
+    }
+    respond(json_reply(200, body));
+}
+
+} // namespace sesamesill
--- a/src/replies.h
+++ b/src/replies.h
@@ -13,6 +13,13 @@
 
 namespace sesamesill {
 
+/// Returns the parameter of the query, or "" where it is absent.
+inline std::string query_text(const http_request& request, const std::string& name)
+{
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? std::string() : found->second;
+}
+
 inline http_reply json_reply(int status, const Json::Value& body)
 {
     return {status, to_text(body), {}, "application/json"};
