--- a/support/scenarios.sh
+++ b/support/scenarios.sh
@@ -6,7 +6,7 @@
 seed=1
 if [ "${1:-}" = --seed ]; then seed=$2; shift 2; fi
 if [ $# -eq 0 ]; then
-    set -- path same_key rolling_restart freeze_full log_down all_replaced three_killed cut_members kill_owner owner_killed_in_flight freeze cut_log \
+    set -- demo demo_keepers path same_key rolling_restart freeze_full log_down all_replaced three_killed cut_members kill_owner owner_killed_in_flight freeze cut_log \
         trim_restart leaving race flood burst black_hole cancel_wave lose_answers log_slow document_gossip document_outage document_promote document_snapshot
 fi
 results=$(mktemp -d)
