--- a/support/plot_curve.sh
+++ b/support/plot_curve.sh
@@ -6,7 +6,7 @@
 set datafile separator ","
 set terminal svg size 720,420 font "sans,12"
 set output "docs/placement_curve.svg"
-set title "Waiting against packing over waiting_weight 0 to 1, at 110% of capacity"
+set title "Waiting against packing over the waiting weight from 0 to 1"
 set xlabel "mean wait, s"
 set ylabel "use of the fullest resource"
 set key bottom right
