--- a/bench/load_cases.h
+++ b/bench/load_cases.h
@@ -438,12 +438,12 @@
     }
     std::shuffle(tickets.begin(), tickets.end(), random);
     std::vector<double> times;
-    const auto begin = std::chrono::steady_clock::now();
+    const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
     queue.begin_round(time_point());
     for (std::int64_t i = 0; i < cancels; ++i) {
         queue.cancel(tickets[static_cast<std::size_t>(i)]);
         if (i % cancels_per_decision == 0) {
-            const auto start = std::chrono::steady_clock::now();
+            const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
             const ticket t = queue.next();
             const waiting_work w = *queue.find(t);
             tenants.charge(w.tenant, w.size);
--- a/bench/state.cc
+++ b/bench/state.cc
@@ -194,7 +194,7 @@
         }
         log.push_back({r, encode(record)});
     }
-    const auto begun = std::chrono::steady_clock::now();
+    const std::chrono::steady_clock::time_point begun = std::chrono::steady_clock::now();
     stream_reader reader;
     request_table table("e2#1", request_limits{});
     const request_view view;
