--- /dev/null
+++ b/daemon/sesamesill-member.cc
@@ -0,0 +1,219 @@
+// The pool's daemon: reads its settings, joins the control plane, serves until it is told to stop.
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "directory.h"
+#include "front.h"
+#include "names.h"
+#include "sesamesill/log.h"
+#include "sesamesill/metrics.h"
+#include "sesamesill/pool_follower.h"
+#include "sesamesill/pool_member.h"
+#include "sesamesill/pool_settings.h"
+#include "store.h"
+#include "workers.h"
+
+DEFINE_string(settings, "", "file with the settings, INI; default: $SESAMESILL_SETTINGS");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace {
+
+using namespace sesamesill;
+
+constexpr int exit_bad_settings = 2;
+constexpr std::size_t idle_connections = 16;      ///< kept to each peer
+constexpr millis configuration_wait{2000};        ///< a read waits so long for a new version
+constexpr millis configuration_pause{20};         ///< between reads, against a busy loop
+constexpr millis directory_pause{300};            ///< workers that drain get nothing new after 2 s
+constexpr millis farewell{1800};                  ///< before the end of the grace: last answers
+constexpr millis farewell_period{50};
+constexpr millis serve_while_leaving{2500};       ///< the balancer notices within about 2 s
+
+std::optional<pool::daemon_settings> read_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    std::vector<fault> faults;
+    std::optional<pool::daemon_settings> settings =
+        pool::parse_daemon_settings(text.str(), faults);
+    for (const fault& f : faults) {
+        std::cerr << path << ": " << to_string(f) << '\n';
+    }
+    return settings;
+}
+
+/// The processes' parts, and what follows the platform's store for them.
+class daemon_parts {
+public:
+    daemon_parts(event_loop& loop, const pool::daemon_settings& settings)
+        : loop_(loop), settings_(settings), client_(loop, settings.name, idle_connections),
+          records_(client_, settings.store, platform::wire::pool_topic),
+          declared_(client_, settings.store, platform::wire::operator_topic),
+          directory_(client_, settings.store, platform::wire::directory_topic),
+          executors_(client_), advice_(client_, settings.advisor),
+          member_(loop,
+                  {settings.name, settings.data_center, settings.peer_listen, settings.bounds},
+                  records_, executors_, advice_),
+          front_(loop, member_, {}), metrics_(loop),
+          declared_follower_(loop, declared_, "declared",
+                             {configuration_wait, configuration_pause},
+                             [this](const pool::keyed_record& r) { on_declared(r); }),
+          directory_follower_(loop, directory_, "directory", {millis(0), directory_pause},
+                              [this](const pool::keyed_record& r) { on_directory(r); })
+    {
+        metrics_.route("GET", "/metrics", [](const http_request&, const http_respond& respond) {
+            http_reply reply;
+            reply.content_type = "text/plain; version=0.0.4";
+            reply.body = process_metrics().text();
+            respond(std::move(reply));
+        });
+    }
+
+    bool start(error& why)
+    {
+        if (!member_.start(why) || !front_.listen(settings_.listen, settings_.readiness_listen, why) ||
+            !metrics_.listen(settings_.metrics_listen, why)) {
+            return false;
+        }
+        declared_follower_.start();
+        directory_follower_.start();
+        return true;
+    }
+
+    /// Hands the lead over, serves on until the balancer has noticed, then answers what is left.
+    void leave()
+    {
+        if (leaving_) {
+            return;
+        }
+        leaving_ = true;
+        leave_until_ = boot_clock::now() + settings_.bounds.grace - farewell / 2;
+        log_event(log_level::info, "stopping",
+                  {{"open", static_cast<std::int64_t>(front_.clients().connections())}});
+        member_.leave();
+        loop_.after(serve_while_leaving, [this] { front_.clients().close_after_answers(); });
+        loop_.every(farewell_period, [this] {
+            const time_point now = boot_clock::now();
+            const bool idle = front_.clients().connections() == 0 && !member_.is_leader();
+            const bool last = now > leave_until_ - farewell / 2 && front_.clients().pending() == 0;
+            if (idle || last || now > leave_until_) {
+                log_event(log_level::info, "stopped",
+                          {{"unanswered", static_cast<std::int64_t>(front_.clients().pending())}});
+                loop_.stop();
+            }
+            else if (member_.is_leader()) {
+                member_.leave(); // no successor yet
+            }
+        });
+    }
+
+private:
+    void on_declared(const pool::keyed_record& record)
+    {
+        if (record.key != platform::wire::configuration_key || record.value.empty()) {
+            return;
+        }
+        error why;
+        const std::optional<pool::configuration> config =
+            platform::decode_configuration(record.value, why);
+        if (!config) {
+            log_error("configuration_unreadable", why);
+            return;
+        }
+        if (config->version <= version_) {
+            return; // never back
+        }
+        version_ = config->version;
+        log_event(log_level::info, "configuration",
+                  {{"version", version_},
+                   {"queues", static_cast<std::int64_t>(config->queues.size())}});
+        front_.configure(*config);
+        member_.configure(*config);
+    }
+
+    void on_directory(const pool::keyed_record& record)
+    {
+        if (record.value.empty()) {
+            member_.unlist_worker(record.key);
+            return;
+        }
+        error why;
+        const std::optional<pool::worker_entry> entry =
+            platform::decode_worker(record.key, record.value, why);
+        if (!entry) {
+            log_error("worker_entry_unreadable", why);
+            return;
+        }
+        member_.list_worker(*entry);
+    }
+
+    event_loop& loop_;
+    pool::daemon_settings settings_;
+    http_client client_;
+    platform::store_topic records_;
+    platform::store_topic declared_;
+    platform::store_topic directory_;
+    platform::executor_gateway executors_;
+    platform::advice_client advice_;
+    pool::member member_;
+    platform::front front_;
+    http_server metrics_;
+    pool::keyed_follower declared_follower_;
+    pool::keyed_follower directory_follower_;
+    std::int64_t version_ = 0;
+    bool leaving_ = false;
+    time_point leave_until_;
+};
+
+std::string settings_path()
+{
+    const char* named = std::getenv("SESAMESILL_SETTINGS");
+    return !FLAGS_settings.empty() ? FLAGS_settings : named != nullptr ? named : "";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("one member of a pool's control plane\n"
+                            "  sesamesill-member --settings FILE");
+    gflags::SetVersionString(SESAMESILL_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string path = settings_path();
+    const std::optional<pool::daemon_settings> settings = read_settings(path);
+    if (!settings) {
+        return exit_bad_settings;
+    }
+    if (FLAGS_check) {
+        std::cout << path << ": good\n";
+        return 0;
+    }
+    start_log(settings->name, log_level::info);
+    log_event(log_level::info, "starting", {{"version", SESAMESILL_VERSION}});
+    event_loop loop;
+    daemon_parts parts(loop, *settings);
+    error why;
+    if (!parts.start(why)) {
+        log_error("start_failed", why);
+        return 1;
+    }
+    loop.on_signal(SIGTERM, [&parts] { parts.leave(); });
+    loop.on_signal(SIGINT, [&parts] { parts.leave(); });
+    loop.on_signal(SIGHUP, [&path] {
+        const bool good = read_settings(path).has_value();
+        log_event(log_level::info, "reload", {{"good", good ? "yes" : "no"}});
+    });
+    loop.run();
+    return 0;
+}
--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -106,6 +106,8 @@
 
     /// Serves `method` on paths that equal `prefix`, or start with it where it ends in '/'.
     void route(std::string method, std::string prefix, http_handler handler);
+    /// Serves requests that no route matches.
+    void fallback(http_handler handler);
     /// Starts listening; returns false and the reason where the address cannot be bound.
     bool listen(const endpoint& at, error& why);
     /// Takes no further connections; those that are open go on.
--- /dev/null
+++ b/include/sesamesill/pool_order.h
@@ -0,0 +1,84 @@
+// Which step goes next, and on which workers. Pure functions over plain values.
+//
+// The load it is made for: a pool that is nearly full on an ordinary day and offered twice its size
+// in bursts, by jobs whose sizes differ a hundredfold, under advisors that let a step run on a third
+// of the workers only.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sesamesill/clock.h"
+#include "sesamesill/pool_job.h"
+#include "sesamesill/pool_ports.h"
+#include "sesamesill/pool_worker.h"
+
+namespace sesamesill::pool {
+
+struct ticket {
+    std::string text;
+    time_point until; ///< not used later than this
+};
+
+/// A step that waits for room. What an advisor once said of a worker stays true; only its ticket
+/// expires.
+struct unit {
+    task_id first; ///< index 0
+    std::map<std::string, ticket> approved;
+    std::map<std::string, bool> denied;
+    bool asking = false;          ///< a call for advice is under way
+    time_point ask_after;         ///< no call before
+    std::vector<std::string> ask; ///< workers to be named in the next call; empty for none
+    double score = 0;
+};
+
+/// What has been learnt of a queue's tasks.
+struct class_estimate {
+    double mean_run_ms = 0;       ///< of runs that were done
+    double mean_work = 0;         ///< core-seconds of a job
+    std::uint64_t runs = 0;
+    std::uint64_t jobs = 0;
+};
+
+/// Moves `mean` towards `value`, quickly at first.
+void learn(double& mean, std::uint64_t& count, double value);
+
+/// Returns the expected run time of a task: clients' estimates are off by factors, so the queue's
+/// own mean weighs more.
+double expected_run_ms(const class_estimate& learnt, double estimate_ms);
+
+/// Inputs of a step's rank.
+struct rank_inputs {
+    int priority = 0;
+    double job_work = 0;    ///< core-seconds of the whole job
+    double mean_work = 0;   ///< of the queue's jobs
+    double left_work = 0;   ///< core-seconds that are still to be done
+    double left_chain_ms = 0;
+    double waited_ms = 0;   ///< since the job was accepted
+    double objective_ms = 0;
+};
+
+/// Returns the step's rank; higher goes first.
+double rank_of(const rank_inputs& in);
+
+/// A worker on which some tasks of a step may run now.
+struct candidate {
+    worker* where = nullptr;
+    int fits = 0;          ///< tasks that there is room for
+    bool ticket_good = true;
+    bool preferred = false; ///< its rack holds the data
+};
+
+/// Returns how many tasks of `need` fit into `room`, at most `limit`.
+int fitting(const resources& need, const resources& room, int limit);
+
+/// Returns for each candidate how many tasks it gets, or nothing where they don't all fit.
+std::vector<int> spread_gang(const std::vector<candidate>& candidates, int tasks, bool same_rack);
+
+/// Returns the index of the candidate for one task, or -1: the data's rack first, then the fullest.
+int pick_for_task(const std::vector<candidate>& candidates, const resources& need);
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/include/sesamesill/pool_worker.h
@@ -0,0 +1,105 @@
+// One incarnation of a worker as the leader knows it: its room, its clock, its lease, the runs that
+// take room on it, and how far its ends are recorded.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "sesamesill/clock.h"
+#include "sesamesill/pool_job.h"
+#include "sesamesill/pool_ports.h"
+
+namespace sesamesill::pool {
+
+enum class run_phase : std::uint8_t {
+    starting, ///< ordered, no answer
+    running,
+    stopping, ///< a stop is under way
+    pinned    ///< a stop was obeyed: the run has ended, or will never begin
+};
+
+/// A run that takes room, from its order until its end is listed.
+struct run_record {
+    task_id task;
+    std::int64_t run = 0;
+    resources taken;
+    run_phase phase = run_phase::starting;
+    bool discard = false;  ///< its task is over, or has another run
+    time_point ordered;
+    std::optional<time_point> confirmed; ///< when its worker was first known to run it
+    time_point pinned_at;  ///< while `pinned`
+    std::int64_t until_ms = 0; ///< expiry of the start, on the worker's clock
+};
+
+/// Recent failures of a worker. Runs that fail on workers where others succeed are the job's fault;
+/// a worker on which run after run fails is avoided, then tried with one run at a time.
+struct worker_health {
+    int failures_in_row = 0;
+    time_point avoid_until;
+    int avoided = 0; ///< times in a row; lengthens the next avoidance
+};
+
+/// Invariant: `taken` is the sum over `runs`.
+struct worker {
+    worker_entry entry;
+    bool listed = true;
+    bool heard = false; ///< it has answered this leader: its runs are known
+    bool lost = false;  ///< its lease has surely run out, or its process is gone
+    std::map<std::pair<std::string, std::int64_t>, run_record> runs; ///< by task and run number
+    resources taken;
+    std::uint64_t listed_end = 0; ///< highest end number seen
+    std::uint64_t noted_end = 0;  ///< ends up to this number are recorded
+    std::optional<std::int64_t> clock_ms;
+    time_point clock_read; ///< when `clock_ms` was taken
+    time_point lease_sent; ///< when the last order that carries a lease was sent
+    time_point last_answer;
+    time_point gone_at;    ///< no run of it lives beyond this
+    worker_health health;
+
+    /// Returns the worker's clock, estimated low.
+    std::int64_t clock_at(time_point now) const
+    {
+        return clock_ms.value_or(0) + to_millis(now - clock_read);
+    }
+    resources room() const { return entry.capacity - taken; }
+    /// Returns whether it has answered so lately that its lease may be renewed.
+    bool is_responsive(time_point now) const { return now - last_answer < silence_limit; }
+    bool is_open(time_point now) const
+    {
+        return listed && heard && !lost && !entry.draining && is_responsive(now) &&
+               now >= health.avoid_until;
+    }
+
+    /// A lease isn't renewed unheard, or a silent worker's runs would never be known to be over.
+    /// Above the longest wait of a look and its time-out.
+    static constexpr millis silence_limit{2000};
+};
+
+/// How long a start may be on its way; later it is refused as expired, so a delayed one does
+/// nothing.
+constexpr millis start_validity{1500};
+
+/// A worker's clock may run this much slow against ours; from the platform's contract.
+constexpr double slowest_clock = 0.98;
+
+/// Returns when a lease of `length` sent at `sent` has surely run out.
+constexpr time_point lease_end(time_point sent, millis length)
+{
+    constexpr millis rounding{50}; ///< whole milliseconds and timers of the worker
+    return sent +
+           micros(static_cast<std::int64_t>(static_cast<double>(length.count()) * 1000 /
+                                            slowest_clock)) +
+           rounding;
+}
+
+void add_run(worker& w, run_record run);
+/// Forgets the run and gives its room back; returns whether it was known.
+bool remove_run(worker& w, const std::string& task, std::int64_t run);
+
+/// Judges the worker by the end of one run.
+void judge_end(worker_health& health, bool failed, time_point now);
+
+} // namespace sesamesill::pool
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -175,6 +175,7 @@
     event* sweeper = nullptr;
     event* adopter = nullptr;
     std::vector<route_entry> routes;
+    http_handler fallback;
     connection_records open;
     std::vector<bufferevent*> accepted; ///< to be adopted before the loop polls again
     std::shared_ptr<pending_requests> pending = std::make_shared<pending_requests>();
@@ -251,6 +252,10 @@
     const std::shared_ptr<responder> r = std::make_shared<responder>(raw, pending);
     bool path_known = false;
     const route_entry* found = find(request.method, request.path, path_known);
+    if (found == nullptr && fallback) {
+        fallback(request, [r](const http_reply& reply) { r->answer(reply); });
+        return;
+    }
     if (found == nullptr) {
         r->answer({path_known ? 405 : 404, "{\"error\":\"no such call\"}", {}, "application/json"});
         return;
@@ -302,6 +307,11 @@
     state_->routes.push_back({std::move(method), std::move(prefix), std::move(handler)});
 }
 
+void http_server::fallback(http_handler handler)
+{
+    state_->fallback = std::move(handler);
+}
+
 bool http_server::listen(const endpoint& at, error& why)
 {
     sockaddr_in address{};
--- /dev/null
+++ b/src/pool_election.cc
@@ -0,0 +1,103 @@
+// Suspects a leader that is silent both to this member and in the log.
+
+#include "sesamesill/pool_election.h"
+
+#include "sesamesill/rpc.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr millis claim_pause{300}; ///< after a claim that failed
+
+} // namespace
+
+std::string encode(const leader_record& leader)
+{
+    Json::Value value;
+    value["name"] = leader.name;
+    value["incarnation"] = leader.incarnation;
+    value["address"] = to_string(leader.address);
+    return to_text(value);
+}
+
+std::optional<leader_record> leader_from(const std::string& value, std::uint64_t offset)
+{
+    const std::optional<Json::Value> parsed = json_from(value);
+    if (!parsed || !parsed->isObject() || !(*parsed)["name"].isString() ||
+        !(*parsed)["incarnation"].isString() || !(*parsed)["address"].isString()) {
+        return std::nullopt;
+    }
+    const std::optional<endpoint> address = endpoint_from((*parsed)["address"].asString());
+    if (!address) {
+        return std::nullopt;
+    }
+    return leader_record{(*parsed)["name"].asString(), (*parsed)["incarnation"].asString(),
+                         *address, offset + 1};
+}
+
+election::election(std::string incarnation, millis delay, time_point now)
+    : incarnation_(std::move(incarnation)), delay_(delay), last_sign_(now), claim_after_(now)
+{
+}
+
+void election::on_leader(const leader_record& leader, time_point now)
+{
+    if (leader_ && leader.fence <= leader_->fence) {
+        return;
+    }
+    leader_ = leader;
+    last_sign_ = now;
+    gone_since_.reset();
+    nominated_ = false;
+}
+
+void election::on_contact(time_point now)
+{
+    last_sign_ = now;
+    gone_since_.reset();
+}
+
+void election::on_leader_gone(time_point now)
+{
+    if (!gone_since_) {
+        gone_since_ = now;
+    }
+}
+
+void election::on_log_record(time_point now)
+{
+    last_sign_ = now;
+}
+
+void election::on_nominated(time_point now)
+{
+    nominated_ = true;
+    claim_after_ = now;
+}
+
+void election::on_claim_failed(time_point now)
+{
+    claim_after_ = now + claim_pause;
+    nominated_ = false;
+}
+
+bool election::should_claim(time_point now) const
+{
+    if (now < claim_after_ || is_own()) {
+        return false;
+    }
+    if (nominated_) {
+        return true;
+    }
+    if (!leader_ || gone_since_) {
+        return now >= (gone_since_ ? *gone_since_ : last_sign_) + delay_;
+    }
+    return now >= last_sign_ + silence_limit + delay_;
+}
+
+bool election::has_live_leader(time_point now) const
+{
+    return leader_ && (is_own() || (!gone_since_ && now < last_sign_ + silence_limit));
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_follower.cc
@@ -0,0 +1,218 @@
+// Reads a log of keyed records and keeps the newest of each key.
+
+#include "sesamesill/pool_follower.h"
+
+#include <algorithm>
+
+#include "sesamesill/log.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr millis read_timeout{900};   ///< beyond the store's wait; it answers in 4 ms, slow in 250
+constexpr millis first_backoff{100};
+constexpr millis longest_backoff{500}; ///< the configuration must be in force 2 s after an outage
+
+} // namespace
+
+keyed_follower::keyed_follower(event_loop& loop, record_log& log, std::string name,
+                               follow_pace pace, std::function<void(const keyed_record&)> changed)
+    : loop_(loop), log_(log), name_(std::move(name)), pace_(pace), changed_(std::move(changed))
+{
+}
+
+keyed_follower::~keyed_follower()
+{
+    *alive_ = false;
+}
+
+void keyed_follower::start()
+{
+    pump();
+}
+
+void keyed_follower::resume()
+{
+    paused_ = false;
+    pump();
+}
+
+void keyed_follower::again(millis delay)
+{
+    if (waiting_) {
+        return;
+    }
+    waiting_ = true;
+    loop_.after(delay, [this, alive = alive_] {
+        if (*alive) {
+            waiting_ = false;
+            pump();
+        }
+    });
+}
+
+void keyed_follower::on_failure(const error& why)
+{
+    if (!failing_) {
+        log_event(log_level::warning, "log_lost",
+                  {{"log", name_}, {"reason", why.reason}, {"peer", why.peer}});
+    }
+    failing_ = true;
+    backoff_ = std::min(longest_backoff, std::max(first_backoff, backoff_ * 2));
+    again(backoff_);
+}
+
+void keyed_follower::on_success()
+{
+    if (failing_) {
+        log_event(log_level::info, "log_regained",
+                  {{"log", name_}, {"next", static_cast<std::int64_t>(next_)}});
+    }
+    failing_ = false;
+    backoff_ = millis(0);
+    last_read_ = boot_clock::now();
+}
+
+void keyed_follower::pump()
+{
+    if (paused_ || reading_) {
+        return;
+    }
+    if (!loaded_) {
+        loading_.clear();
+        load("");
+        return;
+    }
+    reading_ = true;
+    log_.read(next_, pace_.wait, pace_.wait + read_timeout,
+              [this, alive = alive_](const read_result& r) {
+                  if (!*alive) {
+                      return;
+                  }
+                  reading_ = false;
+                  if (r.trimmed) {
+                      log_event(log_level::info, "log_reload",
+                                {{"log", name_}, {"next", static_cast<std::int64_t>(next_)}});
+                      loaded_ = false;
+                      pump();
+                      return;
+                  }
+                  if (!r.good) {
+                      on_failure(r.why);
+                      return;
+                  }
+                  on_success();
+                  if (!paused_) {
+                      take(r.records, r.end);
+                  }
+                  again(next_ < r.end ? millis(0) : pace_.pause);
+              });
+}
+
+void keyed_follower::load(const std::string& after)
+{
+    reading_ = true;
+    log_.newest(after, read_timeout, [this, after, alive = alive_](const newest_result& r) {
+        if (!*alive) {
+            return;
+        }
+        reading_ = false;
+        if (!r.good) {
+            on_failure(r.why);
+            return;
+        }
+        on_success();
+        if (after.empty()) {
+            loading_from_ = r.end; // later pages may hold later records; they are read again
+        }
+        for (const keyed_record& record : r.records) {
+            loading_[record.key] = record;
+        }
+        if (r.more && !r.records.empty()) {
+            load(r.records.back().key);
+            return;
+        }
+        finish_load();
+        pump();
+    });
+}
+
+void keyed_follower::finish_load()
+{
+    std::vector<keyed_record> gone;
+    for (const std::pair<const std::string, keyed_record>& old : values_) {
+        if (loading_.count(old.first) == 0) {
+            gone.push_back({old.first, "", loading_from_});
+        }
+    }
+    loaded_ = true;
+    next_ = loading_from_;
+    for (const keyed_record& record : gone) {
+        apply(record);
+    }
+    std::map<std::string, keyed_record> loaded;
+    loaded.swap(loading_);
+    for (const std::pair<const std::string, keyed_record>& record : loaded) {
+        apply(record.second);
+    }
+}
+
+void keyed_follower::apply(const keyed_record& record)
+{
+    const auto known = values_.find(record.key);
+    if (known != values_.end() && known->second.offset > record.offset) {
+        return; // a page of the load already held a later one
+    }
+    if (record.value.empty()) {
+        values_.erase(record.key);
+    }
+    else {
+        values_[record.key] = record;
+    }
+    changed_(record);
+}
+
+void keyed_follower::take(const std::vector<keyed_record>& records, std::uint64_t end)
+{
+    for (const keyed_record& record : records) {
+        if (record.offset >= next_) {
+            next_ = record.offset + 1;
+            last_record_ = boot_clock::now();
+            apply(record);
+        }
+    }
+    if (records.empty()) {
+        next_ = std::max(next_, end);
+    }
+}
+
+void keyed_follower::catch_up(std::function<void(bool)> done)
+{
+    if (!loaded_) {
+        done(false);
+        return;
+    }
+    log_.read(next_, millis(0), read_timeout,
+              [this, alive = alive_, done = std::move(done)](const read_result& r) {
+                  if (!*alive) {
+                      return;
+                  }
+                  if (r.trimmed) {
+                      loaded_ = false;
+                      pump();
+                  }
+                  if (!r.good || r.trimmed) {
+                      done(false);
+                      return;
+                  }
+                  on_success();
+                  take(r.records, r.end);
+                  if (next_ < r.end) {
+                      catch_up(done);
+                      return;
+                  }
+                  done(true);
+              });
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_keys.h
@@ -0,0 +1,38 @@
+// Keys of the pool's durable records.
+
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace sesamesill::pool {
+
+constexpr const char* leader_key = "leader";
+constexpr const char* job_prefix = "job/";
+constexpr const char* progress_prefix = "progress/";
+
+inline std::string job_key(const std::string& id)
+{
+    return job_prefix + id;
+}
+
+inline std::string progress_key(const std::string& id)
+{
+    return progress_prefix + id;
+}
+
+/// Returns the rest of `key` after `prefix`, or nothing where it starts otherwise.
+inline std::optional<std::string> after_prefix(const std::string& key, const std::string& prefix)
+{
+    if (key.compare(0, prefix.size(), prefix) != 0) {
+        return std::nullopt;
+    }
+    return key.substr(prefix.size());
+}
+
+inline std::optional<std::string> job_of_progress_key(const std::string& key)
+{
+    return after_prefix(key, progress_prefix);
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_leader.cc
@@ -0,0 +1,532 @@
+// Carries out what the scheduler decides.
+
+#include "pool_leader.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "pool_keys.h"
+#include "sesamesill/log.h"
+#include "sesamesill/metrics.h"
+#include "sesamesill/rpc.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr millis settle_delay{2};        ///< gathers events that come together
+constexpr millis tick_period{50};
+constexpr millis start_timeout{350};     ///< a start is answered in a few milliseconds
+constexpr millis stop_timeout{400};
+constexpr millis look_wait{1000};        ///< an idle look lasts so long; renews the lease
+constexpr millis look_slack{700};        ///< beyond its wait
+constexpr millis look_again{100};        ///< while ends wait for the store, or after a failure
+constexpr millis advice_slack{900};      ///< beyond the time that the advisor needs
+constexpr millis short_call{30};         ///< calls that the reserved caller takes
+constexpr millis any_call{60000};
+constexpr millis peer_life{1200};        ///< a member is used for so long after its heartbeat
+constexpr millis pulse_period{400};      ///< a leader with nothing to write still shows that it lives
+constexpr millis submit_patience{1200};  ///< a job whose record can't be sent by then is refused
+constexpr millis store_tolerance{500};   ///< failing appends before new jobs are refused
+constexpr millis handover_after{400};    ///< failing appends before another member is asked to lead
+constexpr millis handover_pause{800};
+constexpr millis order_confidence{2500}; ///< orders without a sign that the claim is still the newest
+constexpr const char* pulse_key = "pulse";
+
+} // namespace
+
+std::int64_t wall_clock_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+leader::leader(event_loop& loop, const member_settings& settings, leader_record self,
+               record_log& log, worker_gateway& workers, advisor& advice, http_client& peers,
+               std::uint64_t end, std::function<void()> deposed,
+               std::function<void(const std::vector<keyed_record>&, std::uint64_t)> taken)
+    : loop_(loop), settings_(settings), self_(std::move(self)), workers_(workers), advice_(advice),
+      peer_client_(peers), deposed_(deposed),
+      scheduler_(self_.fence, settings.bounds, boot_clock::now()),
+      writer_(loop, log, end, std::move(deposed), std::move(taken))
+{
+}
+
+leader::~leader()
+{
+    *alive_ = false;
+    for (const std::pair<const std::string, pending_submit>& p : submits_) {
+        for (const std::function<void(submit_answer)>& done : p.second.waiting) {
+            done({submit_verdict::unknown, "the leader changed", millis(0)});
+        }
+    }
+}
+
+void leader::restore(const std::map<std::string, keyed_record>& records,
+                     const std::vector<worker_entry>& known_workers, const configuration& config)
+{
+    const time_point now = boot_clock::now();
+    const std::int64_t wall = wall_clock_ms();
+    scheduler_.configure(config);
+    std::map<std::string, std::pair<Json::Value, Json::Value>> jobs;
+    for (const std::pair<const std::string, keyed_record>& r : records) {
+        const std::optional<std::string> job = after_prefix(r.first, job_prefix);
+        const std::optional<std::string> progress = after_prefix(r.first, progress_prefix);
+        if (!job && !progress) {
+            continue;
+        }
+        std::optional<Json::Value> value = json_from(r.second.value);
+        if (!value || !value->isObject()) {
+            log_event(log_level::warning, "record_unreadable",
+                      {{"key", r.first}, {"offset", static_cast<std::int64_t>(r.second.offset)}});
+            continue;
+        }
+        if (job) {
+            jobs[*job].first = std::move(*value);
+        }
+        else {
+            jobs[*progress].second = std::move(*value);
+        }
+    }
+    for (const worker_entry& entry : known_workers) {
+        scheduler_.list_worker(entry, now);
+    }
+    for (const std::pair<const std::string, std::pair<Json::Value, Json::Value>>& j : jobs) {
+        scheduler_.restore(j.first, j.second.first, j.second.second, wall, now);
+    }
+    const time_point doubt_until =
+        lease_end(now + order_confidence, settings_.bounds.max_lease);
+    scheduler_.restored(now, doubt_until);
+    log_event(log_level::info, "leading",
+              {{"fence", static_cast<std::int64_t>(self_.fence)},
+               {"jobs", static_cast<std::int64_t>(jobs.size())},
+               {"workers", static_cast<std::int64_t>(known_workers.size())}});
+    tick();
+    soon();
+}
+
+void leader::configure(const configuration& config)
+{
+    scheduler_.configure(config);
+    soon();
+}
+
+void leader::list_worker(const worker_entry& entry)
+{
+    scheduler_.list_worker(entry, boot_clock::now());
+    soon();
+}
+
+void leader::unlist_worker(const std::string& id)
+{
+    scheduler_.unlist_worker(id, boot_clock::now());
+}
+
+void leader::on_peer(const std::string& name, const peer& seen)
+{
+    peers_[name] = seen;
+}
+
+void leader::soon()
+{
+    if (settling_) {
+        return;
+    }
+    settling_ = true;
+    loop_.after(settle_delay, [this, alive = alive_] {
+        if (*alive) {
+            settling_ = false;
+            settle();
+        }
+    });
+}
+
+void leader::settle()
+{
+    const std::shared_ptr<bool> alive = alive_;
+    const time_point now = boot_clock::now();
+    if (scheduler_.fenced()) {
+        log_event(log_level::warning, "fenced", {{"fence", static_cast<std::int64_t>(fence())}});
+        deposed_();
+        return;
+    }
+    if (may_order(now)) {
+        scheduler_.place(now);
+        ask_advice();
+    }
+    send_starts();
+    send_stops();
+    log_decisions();
+    write_records();
+    if (*alive) {
+        send_looks();
+    }
+}
+
+void leader::tick()
+{
+    loop_.after(tick_period, [this, alive = alive_] {
+        if (*alive) {
+            tick();
+        }
+    });
+    const time_point now = boot_clock::now();
+    scheduler_.tick(now);
+    if (now - writer_.last_stored() > pulse_period && !writing_) {
+        writing_ = true;
+        writer_.add({{pulse_key, std::to_string(self_.fence), 0}}, millis(0),
+                    [this, alive = alive_](write_outcome) {
+                        if (*alive) {
+                            writing_ = false;
+                            soon();
+                        }
+                    });
+    }
+    check_store();
+    soon();
+}
+
+/// Gives the lead to a member that reaches the store where this one doesn't.
+void leader::check_store()
+{
+    const time_point now = boot_clock::now();
+    if (writer_.failing_for(now) > handover_after && now - nominated_at_ > handover_pause) {
+        nominated_at_ = now;
+        nominate_successor("the store doesn't answer this member");
+    }
+}
+
+bool leader::nominate_successor(const char* why)
+{
+    const time_point now = boot_clock::now();
+    const std::pair<const std::string, peer>* best = nullptr;
+    for (const std::pair<const std::string, peer>& p : peers_) {
+        const bool usable =
+            now - p.second.heard < peer_life && p.second.store_good && !p.second.leaving;
+        if (usable && (best == nullptr || p.second.heard > best->second.heard)) {
+            best = &p;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    log_event(log_level::info, "successor_asked", {{"peer", best->first}, {"reason", why}});
+    Json::Value params;
+    params["fence"] = static_cast<Json::UInt64>(self_.fence);
+    constexpr millis nominate_timeout{500};
+    call_rpc(peer_client_, best->second.address, "succeed", params, nominate_timeout,
+             [name = best->first](const std::optional<Json::Value>& answer, const error& e) {
+                 if (!answer) {
+                     log_event(log_level::warning, "successor_silent",
+                               {{"peer", name}, {"reason", e.reason}});
+                 }
+             });
+    return true;
+}
+
+/// Without the store, heartbeats of most members that know of no later claim will do.
+bool leader::may_order(time_point now) const
+{
+    if (now - writer_.last_stored() < order_confidence) {
+        return true;
+    }
+    std::size_t agreeing = 0;
+    for (const std::pair<const std::string, peer>& p : peers_) {
+        agreeing += now - p.second.heard < peer_life && p.second.fence <= self_.fence ? 1 : 0;
+    }
+    return agreeing * 2 >= peers_.size();
+}
+
+void leader::send_starts()
+{
+    for (start_order& order : scheduler_.take_starts()) {
+        workers_.start(order, start_timeout,
+                       [this, alive = alive_, order](order_verdict verdict, std::int64_t clock_ms,
+                                                     const error&) {
+                           if (*alive) {
+                               scheduler_.on_start(order, verdict, clock_ms, boot_clock::now());
+                               soon();
+                           }
+                       });
+    }
+}
+
+void leader::send_stops()
+{
+    for (const stop_order& order : scheduler_.take_stops()) {
+        workers_.stop(order, stop_timeout,
+                      [this, alive = alive_, order](order_verdict verdict, std::int64_t,
+                                                    const error&) {
+                          if (*alive) {
+                              scheduler_.on_stop(order, verdict, boot_clock::now());
+                              looks_[order.worker].not_before = {};
+                              soon();
+                          }
+                      });
+    }
+}
+
+void leader::send_looks()
+{
+    const time_point now = boot_clock::now();
+    if (!may_order(now)) {
+        return;
+    }
+    for (const std::pair<const std::string, worker>& w : scheduler_.workers()) {
+        look& l = looks_[w.first];
+        if (!l.under_way && now >= l.not_before) {
+            send_look(w.first, l);
+        }
+    }
+}
+
+void leader::send_look(const std::string& id, look& l)
+{
+    const time_point now = boot_clock::now();
+    // The first look at a worker learns its clock and what runs there.
+    const worker& w = scheduler_.workers().find(id)->second;
+    const bool at_once = !w.heard || l.missed > 0 || scheduler_.has_unrecorded_ends(id) ||
+                         std::any_of(w.runs.begin(), w.runs.end(), [](const auto& r) {
+                             return r.second.phase == run_phase::pinned;
+                         });
+    const std::optional<hold_order> order =
+        scheduler_.hold_for(id, at_once ? millis(0) : look_wait, now);
+    if (!order) {
+        return;
+    }
+    l.under_way = true;
+    workers_.hold(*order, order->wait + look_slack,
+                  [this, alive = alive_, order = *order, sent = now](
+                      order_verdict verdict, const worker_report& report, const error&) {
+                      if (!*alive) {
+                          return;
+                      }
+                      const time_point answered = boot_clock::now();
+                      look& done = looks_[order.worker];
+                      done.under_way = false;
+                      done.missed = verdict == order_verdict::obeyed ? 0 : done.missed + 1;
+                      scheduler_.on_hold(order, sent, verdict, report, answered);
+                      if (verdict != order_verdict::obeyed ||
+                          scheduler_.has_unrecorded_ends(order.worker) ||
+                          order.wait == millis(0)) {
+                          done.not_before = answered + look_again;
+                      }
+                      soon();
+                  });
+}
+
+void leader::ask_advice()
+{
+    const time_point now = boot_clock::now();
+    std::vector<std::pair<std::string, std::optional<endpoint>>> callers;
+    for (const std::pair<const std::string, peer>& p : peers_) {
+        if (now - p.second.heard < peer_life) {
+            callers.emplace_back(p.first, p.second.address);
+        }
+    }
+    callers.emplace_back(settings_.name, std::nullopt);
+    // The advisor serves one call of a member at a time: one member stays free of long calls.
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        const bool reserved = i + 1 == callers.size() && callers.size() > 1;
+        ask_one(callers[i].first, callers[i].second, reserved ? short_call : any_call);
+    }
+}
+
+void leader::ask_one(const std::string& caller_name, const std::optional<endpoint>& address,
+                     millis longest)
+{
+    if (callers_[caller_name].busy) {
+        return;
+    }
+    const std::optional<advice_call> call = scheduler_.next_advice(longest, boot_clock::now());
+    if (!call) {
+        return;
+    }
+    callers_[caller_name].busy = true;
+    const std::function<void(advice_answer)> answered =
+        [this, alive = alive_, caller_name, call = *call](const advice_answer& answer) {
+            if (*alive) {
+                callers_[caller_name].busy = false;
+                scheduler_.on_advice(call, answer, boot_clock::now());
+                soon();
+            }
+        };
+    const millis timeout = call->expected + advice_slack;
+    if (!address) {
+        advice_.advise(call->step, call->workers, timeout, answered);
+        return;
+    }
+    Json::Value body;
+    body["step"] = call->step;
+    for (const std::string& w : call->workers) {
+        body["workers"].append(w);
+    }
+    body["timeout_ms"] = static_cast<Json::Int64>(timeout.count());
+    http_call request;
+    request.method = "POST";
+    request.path = "/pool/advise";
+    request.body = to_text(body);
+    request.timeout = timeout + stop_timeout;
+    peer_client_.send(*address, std::move(request),
+                      [answered](const std::optional<http_reply>& reply, const error& why) {
+                          advice_answer answer;
+                          answer.why = why;
+                          const std::optional<Json::Value> value =
+                              reply ? json_from(reply->body) : std::nullopt;
+                          if (value && (*value)["good"].asBool()) {
+                              answer.good = true;
+                              answer.valid = millis((*value)["valid_ms"].asInt64());
+                              for (const Json::Value& row : (*value)["approved"]) {
+                                  answer.approved.push_back(
+                                      {row[0].asString(), row[1].asString()});
+                              }
+                          }
+                          else if (value) {
+                              answer.why.reason = (*value)["reason"].asString();
+                          }
+                          answered(answer);
+                      });
+}
+
+void leader::write_records()
+{
+    if (writing_) {
+        return;
+    }
+    const record_batch batch = scheduler_.take_records(wall_clock_ms());
+    if (batch.empty()) {
+        return;
+    }
+    if (batch.records.empty()) {
+        scheduler_.recorded(batch, boot_clock::now());
+        return;
+    }
+    writing_ = true;
+    writer_.add(batch.records, millis(0), [this, alive = alive_, batch](write_outcome outcome) {
+        if (!*alive) {
+            return;
+        }
+        writing_ = false;
+        if (outcome != write_outcome::stored) {
+            scheduler_.not_recorded(batch);
+            return;
+        }
+        scheduler_.recorded(batch, boot_clock::now());
+        for (const std::pair<const std::string, std::uint64_t>& end : batch.ends) {
+            looks_[end.first].not_before = {};
+        }
+        soon();
+    });
+}
+
+void leader::log_decisions()
+{
+    for (const decision& d : scheduler_.take_decisions()) {
+        log_event(log_level::info, name_of(d.kind),
+                  {{"job", d.job},
+                   {"worker", d.worker},
+                   {"detail", d.detail},
+                   {"age_ms", d.age_ms},
+                   {"fence", static_cast<std::int64_t>(self_.fence)}});
+    }
+}
+
+void leader::submit(const job_spec& spec, std::function<void(submit_answer)> done)
+{
+    const time_point now = boot_clock::now();
+    const auto pending = submits_.find(spec.id);
+    if (pending != submits_.end()) {
+        pending->second.waiting.push_back(std::move(done));
+        return;
+    }
+    const admission_answer admitted = scheduler_.admit(spec, now);
+    if (admitted.verdict == admission::known) {
+        done({submit_verdict::accepted, "known", millis(0)});
+        return;
+    }
+    constexpr millis store_retry{1500};
+    if (admitted.verdict == admission::accept && writer_.failing_for(now) > store_tolerance) {
+        done({submit_verdict::refused, "the store doesn't answer", store_retry});
+        return;
+    }
+    if (admitted.verdict == admission::refuse) {
+        log_event(log_level::info, name_of(decision_kind::refused),
+                  {{"job", spec.id}, {"reason", admitted.reason}});
+        done({submit_verdict::refused, admitted.reason, admitted.retry_after});
+        return;
+    }
+    const std::int64_t wall = wall_clock_ms();
+    submits_[spec.id].waiting.push_back(std::move(done));
+    writer_.add({scheduler::record_of(spec, wall)}, submit_patience,
+                [this, alive = alive_, spec, wall](write_outcome outcome) {
+                    if (!*alive) {
+                        return;
+                    }
+                    submit_answer answer;
+                    if (outcome == write_outcome::stored) {
+                        scheduler_.add(spec, wall, boot_clock::now());
+                        answer.verdict = submit_verdict::accepted;
+                    }
+                    else if (outcome == write_outcome::not_stored) {
+                        answer = {submit_verdict::refused, "the record could not be stored",
+                                  store_retry};
+                    }
+                    pending_submit waiting = std::move(submits_[spec.id]);
+                    submits_.erase(spec.id);
+                    for (const std::function<void(submit_answer)>& tell : waiting.waiting) {
+                        tell(answer);
+                    }
+                    soon();
+                });
+}
+
+state_answer leader::state_of(const std::string& id) const
+{
+    if (submits_.count(id) > 0) {
+        return {lookup::found, job_state::queued};
+    }
+    const std::optional<job_state> state = scheduler_.shown(id);
+    return state ? state_answer{lookup::found, *state} : state_answer{lookup::not_known};
+}
+
+void leader::cancel(const std::string& id, std::function<void(state_answer)> done)
+{
+    if (submits_.count(id) > 0) {
+        submits_[id].waiting.push_back([this, alive = alive_, id, done](const submit_answer& a) {
+            if (!*alive || a.verdict == submit_verdict::unknown) {
+                done({lookup::unavailable});
+                return;
+            }
+            cancel(id, done);
+        });
+        return;
+    }
+    const cancel_answer answer = scheduler_.cancel(id, boot_clock::now());
+    if (answer == cancel_answer::not_known) {
+        done({lookup::not_known});
+        return;
+    }
+    if (answer == cancel_answer::already_final) {
+        done({lookup::found, job_state::cancelled});
+        return;
+    }
+    // The record of the batch that follows carries the cancelling; the answer waits for it.
+    record_batch batch = scheduler_.take_records(wall_clock_ms());
+    writer_.add(batch.records, millis(0),
+                [this, alive = alive_, batch, done](write_outcome outcome) {
+                    if (!*alive) {
+                        done({lookup::unavailable});
+                        return;
+                    }
+                    if (outcome == write_outcome::stored) {
+                        scheduler_.recorded(batch, boot_clock::now());
+                        done({lookup::found, job_state::cancelled});
+                        return;
+                    }
+                    scheduler_.not_recorded(batch);
+                    done({lookup::unavailable});
+                });
+    soon();
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_leader.h
@@ -0,0 +1,106 @@
+// What the leading member does: carries the scheduler's orders to workers, its records to the log,
+// its questions to advisors, and their answers back.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sesamesill/pool_member.h"
+
+namespace sesamesill::pool {
+
+/// Another member, as its heartbeats show it.
+struct peer {
+    endpoint address;
+    time_point heard;
+    bool store_good = false;  ///< it reads the store
+    std::uint64_t fence = 0;  ///< of the newest claim that it knows
+    bool leaving = false;     ///< a planned stop has begun
+};
+
+class leader {
+public:
+    leader(event_loop& loop, const member_settings& settings, leader_record self, record_log& log,
+           worker_gateway& workers, advisor& advice, http_client& peers, std::uint64_t end,
+           std::function<void()> deposed,
+           std::function<void(const std::vector<keyed_record>&, std::uint64_t)> taken);
+    ~leader();
+    leader(const leader&) = delete;
+    leader& operator=(const leader&) = delete;
+    leader(leader&&) = delete;
+    leader& operator=(leader&&) = delete;
+
+    /// Takes over from the records; the workers are those known to this member, late ones included.
+    void restore(const std::map<std::string, keyed_record>& records,
+                 const std::vector<worker_entry>& known_workers, const configuration& config);
+    void configure(const configuration& config);
+    void list_worker(const worker_entry& entry);
+    void unlist_worker(const std::string& id);
+    void on_peer(const std::string& name, const peer& seen);
+
+    void submit(const job_spec& spec, std::function<void(submit_answer)> done);
+    state_answer state_of(const std::string& id) const;
+    void cancel(const std::string& id, std::function<void(state_answer)> done);
+    int waiting_in(const std::string& queue) const { return scheduler_.waiting_in(queue); }
+    std::uint64_t fence() const { return self_.fence; }
+
+    /// Asks the member that is best placed to claim the lead; returns whether there is one.
+    bool nominate_successor(const char* why);
+
+private:
+    struct look {
+        bool under_way = false;
+        int missed = 0;
+        time_point not_before;
+    };
+    struct pending_submit {
+        std::vector<std::function<void(submit_answer)>> waiting;
+    };
+    struct caller {
+        bool busy = false;
+    };
+
+    void soon();
+    void settle();
+    void tick();
+    void send_starts();
+    void send_stops();
+    void send_looks();
+    void send_look(const std::string& worker, look& l);
+    void ask_advice();
+    void ask_one(const std::string& caller_name, const std::optional<endpoint>& address,
+                 millis longest);
+    void write_records();
+    void log_decisions();
+    void check_store();
+    bool may_order(time_point now) const;
+
+    event_loop& loop_;
+    const member_settings& settings_;
+    leader_record self_;
+    worker_gateway& workers_;
+    advisor& advice_;
+    http_client& peer_client_;
+    std::function<void()> deposed_;
+    scheduler scheduler_;
+    record_writer writer_;
+    std::map<std::string, peer> peers_;
+    std::map<std::string, look> looks_;
+    std::map<std::string, pending_submit> submits_; ///< jobs whose record is being stored
+    std::map<std::string, caller> callers_;         ///< members that call the advisor, by name
+    bool writing_ = false;
+    bool settling_ = false;
+    time_point nominated_at_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// Returns the Unix time in milliseconds.
+std::int64_t wall_clock_ms();
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_member.cc
@@ -0,0 +1,647 @@
+// Passes clients' requests to the leader, follows the log, and takes the lead when it falls vacant.
+
+#include "sesamesill/pool_member.h"
+
+#include <algorithm>
+#include <random>
+
+#include "pool_keys.h"
+#include "pool_leader.h"
+#include "sesamesill/log.h"
+#include "sesamesill/rpc.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr millis heartbeat_period{250};
+constexpr millis heartbeat_timeout{600};
+constexpr millis election_period{20};
+constexpr millis standby_pause{150};     ///< a standby is at most this far behind the log
+constexpr millis retry_pause{60};        ///< before a request is passed on again
+constexpr millis answer_reserve{250};    ///< of a client's time, kept for the answer's way
+constexpr millis longest_try{1800};      ///< of one pass to the leader
+constexpr millis come_back{1000};        ///< to clients, while the pool has no leader
+constexpr millis read_fresh{700};        ///< a store read this lately counts as reachable
+constexpr millis worker_memory{8000};    ///< entries that expired: longest lease and a margin
+constexpr std::uint32_t max_claim_delay_ms = 90; ///< spreads the claims of six members
+
+std::string random_text()
+{
+    std::random_device device;
+    return std::to_string(device()) + "-" + std::to_string(device());
+}
+
+struct forgotten_worker {
+    worker_entry entry;
+    time_point since;
+};
+
+/// A request that is passed on until it is answered or its time is over.
+struct passing {
+    std::string path;
+    std::string method;
+    std::string body;
+    time_point until;
+    bool maybe_done = false; ///< some try had no answer
+    std::function<void(std::optional<Json::Value>, bool maybe_done)> done;
+};
+
+} // namespace
+
+struct member::parts {
+    event_loop& loop;
+    member_settings settings;
+    record_log& log;
+    worker_gateway& workers;
+    advisor& advice;
+    http_client peers;
+    http_server peer_server;
+    rpc_server rpc;
+    std::string incarnation = random_text();
+    election vote;
+    keyed_follower follower;
+    configuration config;
+    std::map<std::string, worker_entry> known_workers;
+    std::map<std::string, forgotten_worker> forgotten_workers;
+    std::unique_ptr<leader> lead;
+    bool claiming = false;
+    bool leaving = false;
+    bool beating = false;
+
+    parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w, advisor& a);
+
+    bool start(error& why);
+    void on_record(const keyed_record& record);
+    void heartbeat();
+    void elect();
+    void claim();
+    void append_claim();
+    void take_lead(std::uint64_t claim_offset);
+    void lose_lead();
+    bool store_good() const;
+    bool leads() const { return lead != nullptr; }
+
+    void pass_on(std::shared_ptr<passing> request);
+    void serve_peers();
+    std::optional<Json::Value> on_heartbeat(const Json::Value& params, error& why);
+    void serve_submit(const http_request& request, const http_respond& respond);
+    void serve_advise(const http_request& request, const http_respond& respond);
+    std::vector<worker_entry> all_workers() const;
+};
+
+member::parts::parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w,
+                     advisor& a)
+    : loop(l), settings(std::move(s)), log(records), workers(w), advice(a),
+      peers(l, settings.name, 16), peer_server(l),
+      vote(incarnation,
+           millis(std::hash<std::string>{}(settings.name) % max_claim_delay_ms),
+           boot_clock::now()),
+      follower(l, records, "pool", {millis(0), standby_pause},
+               [this](const keyed_record& r) { on_record(r); })
+{
+}
+
+bool member::parts::store_good() const
+{
+    const time_point now = boot_clock::now();
+    return leads() || now - follower.last_read() < read_fresh;
+}
+
+void member::parts::on_record(const keyed_record& record)
+{
+    const time_point now = boot_clock::now();
+    vote.on_log_record(now);
+    if (record.key != leader_key) {
+        return;
+    }
+    const std::optional<leader_record> named = leader_from(record.value, record.offset);
+    if (!named) {
+        log_event(log_level::warning, "leader_unreadable",
+                  {{"offset", static_cast<std::int64_t>(record.offset)}});
+        return;
+    }
+    vote.on_leader(*named, now);
+    log_event(log_level::info, "leader_known",
+              {{"peer", named->name}, {"fence", static_cast<std::int64_t>(named->fence)}});
+}
+
+bool member::parts::start(error& why)
+{
+    serve_peers();
+    if (!peer_server.listen(settings.peer_listen, why)) {
+        return false;
+    }
+    follower.start();
+    loop.every(heartbeat_period, [this] { heartbeat(); });
+    loop.every(election_period, [this] { elect(); });
+    return true;
+}
+
+void member::parts::heartbeat()
+{
+    if (leads() || !vote.leader() || vote.is_own() || beating) {
+        return;
+    }
+    beating = true;
+    Json::Value params;
+    params["name"] = settings.name;
+    params["address"] = to_string(settings.peer_listen);
+    params["store_good"] = store_good();
+    params["leaving"] = leaving;
+    params["fence"] = static_cast<Json::UInt64>(vote.leader()->fence);
+    call_rpc(peers, vote.leader()->address, "heartbeat", params, heartbeat_timeout,
+             [this, asked = vote.leader()->incarnation](const std::optional<Json::Value>& answer,
+                                                        const error& why) {
+                 beating = false;
+                 const time_point now = boot_clock::now();
+                 if (!vote.leader() || vote.leader()->incarnation != asked) {
+                     return;
+                 }
+                 if (answer && (*answer)["incarnation"].asString() == asked &&
+                     (*answer)["leads"].asBool()) {
+                     vote.on_contact(now);
+                 }
+                 else if (answer || why.code == error_code::unavailable) {
+                     vote.on_leader_gone(now);
+                 }
+             });
+}
+
+void member::parts::elect()
+{
+    const time_point now = boot_clock::now();
+    for (auto w = forgotten_workers.begin(); w != forgotten_workers.end();) {
+        w = now - w->second.since > worker_memory ? forgotten_workers.erase(w) : std::next(w);
+    }
+    if (!claiming && !leaving && !leads() && follower.is_loaded() && vote.should_claim(now)) {
+        claim();
+    }
+}
+
+/// Claims the lead where the log, read to its end, names no live leader.
+void member::parts::claim()
+{
+    claiming = true;
+    follower.pause();
+    follower.catch_up([this](bool good) {
+        const time_point now = boot_clock::now();
+        if (!good || !vote.should_claim(now)) {
+            claiming = false;
+            if (!good) {
+                vote.on_claim_failed(now);
+            }
+            follower.resume();
+            return;
+        }
+        append_claim();
+    });
+}
+
+void member::parts::append_claim()
+{
+    const leader_record self{settings.name, incarnation, settings.peer_listen, 0};
+    constexpr millis claim_timeout{1000};
+    log.append({{leader_key, encode(self), 0}}, follower.next(), claim_timeout,
+               [this](const append_result& r) {
+                   claiming = false;
+                   if (r.verdict == append_verdict::stored) {
+                       take_lead(r.first);
+                       return;
+                   }
+                   log_event(log_level::info, "claim_failed",
+                             {{"reason", r.why.reason},
+                              {"next", static_cast<std::int64_t>(follower.next())}});
+                   vote.on_claim_failed(boot_clock::now());
+                   follower.resume();
+               });
+}
+
+std::vector<worker_entry> member::parts::all_workers() const
+{
+    std::vector<worker_entry> all;
+    for (const std::pair<const std::string, worker_entry>& w : known_workers) {
+        all.push_back(w.second);
+    }
+    for (const std::pair<const std::string, forgotten_worker>& w : forgotten_workers) {
+        all.push_back(w.second.entry);
+    }
+    return all;
+}
+
+void member::parts::take_lead(std::uint64_t claim_offset)
+{
+    leader_record self{settings.name, incarnation, settings.peer_listen, claim_offset + 1};
+    follower.take({{leader_key, encode(self), claim_offset}}, claim_offset + 1);
+    lead = std::make_unique<leader>(
+        loop, settings, self, log, workers, advice, peers, claim_offset + 1,
+        [this, fence = self.fence] {
+            loop.after(millis(0), [this, fence] {
+                if (leads() && lead->fence() == fence) {
+                    lose_lead();
+                }
+            });
+        },
+        [this](const std::vector<keyed_record>& records, std::uint64_t end) {
+            follower.take(records, end);
+        });
+    lead->restore(follower.values(), all_workers(), config);
+    for (const std::pair<const std::string, forgotten_worker>& w : forgotten_workers) {
+        lead->unlist_worker(w.first);
+    }
+}
+
+void member::parts::lose_lead()
+{
+    log_event(log_level::warning, "lead_lost",
+              {{"fence", static_cast<std::int64_t>(lead->fence())}});
+    lead.reset();
+    vote.on_claim_failed(boot_clock::now());
+    follower.resume();
+}
+
+std::optional<Json::Value> member::parts::on_heartbeat(const Json::Value& params, error& why)
+{
+    const std::optional<endpoint> address = endpoint_from(params["address"].asString());
+    if (!address) {
+        why = {error_code::invalid, step::rpc, params["name"].asString(), "bad address"};
+        return std::nullopt;
+    }
+    if (leads()) {
+        peer seen;
+        seen.address = *address;
+        seen.heard = boot_clock::now();
+        seen.store_good = params["store_good"].asBool();
+        seen.leaving = params["leaving"].asBool();
+        seen.fence = params["fence"].asUInt64();
+        lead->on_peer(params["name"].asString(), seen);
+    }
+    Json::Value answer;
+    answer["incarnation"] = incarnation;
+    // A claim under way counts as leading: its record is ahead of the answer.
+    answer["leads"] = leads() || claiming;
+    return answer;
+}
+
+namespace {
+
+Json::Value to_json(const submit_answer& a)
+{
+    Json::Value value;
+    value["verdict"] = static_cast<int>(a.verdict);
+    value["reason"] = a.reason;
+    value["retry_after_ms"] = static_cast<Json::Int64>(a.retry_after.count());
+    return value;
+}
+
+submit_answer submit_answer_from(const Json::Value& value)
+{
+    submit_answer a;
+    const int verdict = value["verdict"].asInt();
+    a.verdict = verdict == static_cast<int>(submit_verdict::accepted)  ? submit_verdict::accepted
+                : verdict == static_cast<int>(submit_verdict::refused) ? submit_verdict::refused
+                                                                       : submit_verdict::unknown;
+    a.reason = value["reason"].asString();
+    a.retry_after = millis(value["retry_after_ms"].asInt64());
+    return a;
+}
+
+Json::Value to_json(const state_answer& a)
+{
+    Json::Value value;
+    value["found"] = static_cast<int>(a.found);
+    value["state"] = std::string(name_of(a.state));
+    return value;
+}
+
+state_answer state_answer_from(const Json::Value& value)
+{
+    const std::optional<job_state> state = job_state_from(value["state"].asString());
+    const int found = value["found"].asInt();
+    if (!state || found == static_cast<int>(lookup::unavailable)) {
+        return {};
+    }
+    return {found == static_cast<int>(lookup::found) ? lookup::found : lookup::not_known, *state};
+}
+
+constexpr int not_leading = 421; ///< HTTP: misdirected request
+
+void respond_json(const http_respond& respond, const Json::Value& value)
+{
+    http_reply reply;
+    reply.body = to_text(value);
+    respond(std::move(reply));
+}
+
+void respond_not_leading(const http_respond& respond)
+{
+    http_reply reply;
+    reply.status = not_leading;
+    respond(std::move(reply));
+}
+
+std::string query_value(const http_request& request, const char* name)
+{
+    const auto known = request.query.find(name);
+    return known != request.query.end() ? known->second : std::string();
+}
+
+} // namespace
+
+void member::parts::serve_submit(const http_request& request, const http_respond& respond)
+{
+    const std::optional<Json::Value> body = json_from(request.body);
+    error why{error_code::corrupt, step::rpc, request.peer, "not JSON"};
+    const std::optional<job_spec> spec =
+        body ? job_spec_from(*body, why) : std::optional<job_spec>();
+    if (!spec) {
+        log_error("submit_unreadable", why);
+        respond_json(respond, to_json(submit_answer{submit_verdict::refused, why.reason}));
+        return;
+    }
+    lead->submit(*spec,
+                 [respond](const submit_answer& a) { respond_json(respond, to_json(a)); });
+}
+
+void member::parts::serve_advise(const http_request& request, const http_respond& respond)
+{
+    const std::optional<Json::Value> body = json_from(request.body);
+    if (!body || !body->isObject()) {
+        http_reply reply;
+        reply.status = 400;
+        respond(std::move(reply));
+        return;
+    }
+    std::vector<std::string> names;
+    for (const Json::Value& w : (*body)["workers"]) {
+        names.push_back(w.asString());
+    }
+    advice.advise((*body)["step"].asString(), names, millis((*body)["timeout_ms"].asInt64()),
+                  [respond](const advice_answer& a) {
+                      Json::Value value;
+                      value["good"] = a.good;
+                      value["valid_ms"] = static_cast<Json::Int64>(a.valid.count());
+                      value["reason"] = a.why.reason;
+                      for (const approval& row : a.approved) {
+                          Json::Value pair;
+                          pair.append(row.worker);
+                          pair.append(row.ticket);
+                          value["approved"].append(pair);
+                      }
+                      respond_json(respond, value);
+                  });
+}
+
+void member::parts::serve_peers()
+{
+    rpc.add("heartbeat",
+            [this](const Json::Value& params, error& why) { return on_heartbeat(params, why); });
+    rpc.add("succeed", [this](const Json::Value& params, error&) {
+        const bool newest = vote.leader() && vote.leader()->fence <= params["fence"].asUInt64();
+        if (newest && !leaving) {
+            vote.on_nominated(boot_clock::now());
+        }
+        return std::optional<Json::Value>(Json::Value(newest && !leaving));
+    });
+    peer_server.route("POST", "/rpc", [this](const http_request& request,
+                                             const http_respond& respond) {
+        http_reply reply;
+        reply.body = rpc.handle(request.body);
+        respond(std::move(reply));
+    });
+    peer_server.route("POST", "/pool/advise",
+                      [this](const http_request& request, const http_respond& respond) {
+                          serve_advise(request, respond);
+                      });
+    const auto leading_only = [this](auto handler) {
+        return [this, handler](const http_request& request, const http_respond& respond) {
+            if (!leads()) {
+                respond_not_leading(respond);
+                return;
+            }
+            handler(request, respond);
+        };
+    };
+    peer_server.route("POST", "/pool/submit",
+                      leading_only([this](const http_request& request,
+                                          const http_respond& respond) {
+                          serve_submit(request, respond);
+                      }));
+    peer_server.route("GET", "/pool/state",
+                      leading_only([this](const http_request& request,
+                                          const http_respond& respond) {
+                          respond_json(respond,
+                                       to_json(lead->state_of(query_value(request, "id"))));
+                      }));
+    peer_server.route(
+        "POST", "/pool/cancel",
+        leading_only([this](const http_request& request, const http_respond& respond) {
+            lead->cancel(query_value(request, "id"), [respond](const state_answer& a) {
+                respond_json(respond, to_json(a));
+            });
+        }));
+    peer_server.route("GET", "/pool/waiting",
+                      leading_only([this](const http_request& request,
+                                          const http_respond& respond) {
+                          Json::Value value;
+                          value["count"] = lead->waiting_in(query_value(request, "queue"));
+                          respond_json(respond, value);
+                      }));
+}
+
+void member::parts::pass_on(std::shared_ptr<passing> request)
+{
+    const time_point now = boot_clock::now();
+    const millis left(to_millis(request->until - now));
+    if (left <= millis(0)) {
+        request->done(std::nullopt, request->maybe_done);
+        return;
+    }
+    const auto again = [this, request] {
+        loop.after(retry_pause, [this, request] { pass_on(request); });
+    };
+    if (!vote.leader() || vote.is_own()) {
+        again(); // no leader yet, or this member's own lead is beginning or ending
+        return;
+    }
+    http_call call;
+    call.method = request->method;
+    call.path = request->path;
+    call.body = request->body;
+    call.timeout = std::min(left, longest_try);
+    peers.send(vote.leader()->address, std::move(call),
+               [this, request, again, asked = vote.leader()->incarnation](
+                   const std::optional<http_reply>& reply, const error& why) {
+                   if (reply && reply->status == 200) {
+                       request->done(json_from(reply->body), request->maybe_done);
+                       return;
+                   }
+                   const bool not_done = reply ? reply->status == not_leading
+                                               : why.code == error_code::unavailable;
+                   request->maybe_done = request->maybe_done || !not_done;
+                   if (!reply && not_done && vote.leader() &&
+                       vote.leader()->incarnation == asked) {
+                       vote.on_leader_gone(boot_clock::now());
+                   }
+                   again();
+               });
+}
+
+member::member(event_loop& loop, member_settings settings, record_log& log,
+               worker_gateway& workers, advisor& advice)
+    : parts_(std::make_unique<parts>(loop, std::move(settings), log, workers, advice))
+{
+}
+
+member::~member() = default;
+
+bool member::start(error& why)
+{
+    return parts_->start(why);
+}
+
+void member::configure(const configuration& config)
+{
+    parts_->config = config;
+    if (parts_->leads()) {
+        parts_->lead->configure(config);
+    }
+}
+
+void member::list_worker(const worker_entry& entry)
+{
+    parts_->known_workers[entry.id] = entry;
+    parts_->forgotten_workers.erase(entry.id);
+    if (parts_->leads()) {
+        parts_->lead->list_worker(entry);
+    }
+}
+
+void member::unlist_worker(const std::string& id)
+{
+    const auto known = parts_->known_workers.find(id);
+    if (known == parts_->known_workers.end()) {
+        return;
+    }
+    parts_->forgotten_workers[id] = {known->second, boot_clock::now()};
+    parts_->known_workers.erase(known);
+    if (parts_->leads()) {
+        parts_->lead->unlist_worker(id);
+    }
+}
+
+bool member::is_leader() const
+{
+    return parts_->leads();
+}
+
+bool member::ready() const
+{
+    return !parts_->leaving && parts_->config.version > 0 && parts_->follower.is_loaded() &&
+           parts_->vote.leader().has_value();
+}
+
+void member::leave()
+{
+    parts_->leaving = true;
+    if (parts_->leads()) {
+        parts_->lead->nominate_successor("planned stop");
+    }
+}
+
+namespace {
+
+time_point answer_by(millis budget)
+{
+    return boot_clock::now() + std::max(millis(50), budget - answer_reserve);
+}
+
+} // namespace
+
+void member::submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done)
+{
+    parts& p = *parts_;
+    if (p.leads()) {
+        const time_point until = answer_by(budget);
+        p.lead->submit(spec, [this, spec, until, done = std::move(done)](const submit_answer& a) {
+            const millis left(to_millis(until - boot_clock::now()));
+            if (a.verdict == submit_verdict::unknown && left > retry_pause) {
+                // The lead was lost meanwhile; the successor knows whether the job is stored.
+                parts_->loop.after(retry_pause,
+                                   [this, spec, left, done] { submit(spec, left, done); });
+                return;
+            }
+            done(a);
+        });
+        return;
+    }
+    const std::shared_ptr<passing> request = std::make_shared<passing>();
+    request->method = "POST";
+    request->path = "/pool/submit";
+    request->body = to_text(pool::to_json(spec));
+    request->until = answer_by(budget);
+    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer,
+                                             bool maybe_done) {
+        if (answer) {
+            done(submit_answer_from(*answer));
+            return;
+        }
+        done({maybe_done ? submit_verdict::unknown : submit_verdict::refused,
+              "no leader answered in time", come_back});
+    };
+    p.pass_on(request);
+}
+
+void member::state_of(const std::string& id, millis budget, std::function<void(state_answer)> done)
+{
+    parts& p = *parts_;
+    if (p.leads()) {
+        done(p.lead->state_of(id));
+        return;
+    }
+    const std::shared_ptr<passing> request = std::make_shared<passing>();
+    request->method = "GET";
+    request->path = "/pool/state?id=" + id;
+    request->until = answer_by(budget);
+    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer, bool) {
+        done(answer ? state_answer_from(*answer) : state_answer{});
+    };
+    p.pass_on(request);
+}
+
+void member::cancel(const std::string& id, millis budget, std::function<void(state_answer)> done)
+{
+    parts& p = *parts_;
+    if (p.leads()) {
+        p.lead->cancel(id, std::move(done));
+        return;
+    }
+    const std::shared_ptr<passing> request = std::make_shared<passing>();
+    request->method = "POST";
+    request->path = "/pool/cancel?id=" + id;
+    request->until = answer_by(budget);
+    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer, bool) {
+        done(answer ? state_answer_from(*answer) : state_answer{});
+    };
+    p.pass_on(request);
+}
+
+void member::waiting_in(const std::string& queue, millis budget,
+                        std::function<void(waiting_answer)> done)
+{
+    parts& p = *parts_;
+    if (p.leads()) {
+        done({lookup::found, p.lead->waiting_in(queue)});
+        return;
+    }
+    const std::shared_ptr<passing> request = std::make_shared<passing>();
+    request->method = "GET";
+    request->path = "/pool/waiting?queue=" + queue;
+    request->until = answer_by(budget);
+    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer, bool) {
+        done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()}
+                    : waiting_answer{});
+    };
+    p.pass_on(request);
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_order.cc
@@ -0,0 +1,140 @@
+// Ranks steps by what is earned for the room that they take.
+
+#include "sesamesill/pool_order.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr double slow_learning = 200;    ///< runs over which a mean forgets
+constexpr double estimate_weight = 0.25; ///< estimates scatter about twice as wide as run times
+constexpr double fixed_share = 0.3;      ///< of a job's value that doesn't depend on its size
+constexpr double late_factor = 0.2;      ///< value of a job that misses its objective
+constexpr double hopeless_factor = 0.01; ///< beyond `useful_until` it is only owed an end
+constexpr double useful_until = 3;       ///< times the objective, after which an end is worth little
+constexpr double urgent_factor = 3;      ///< of queues with priority 0
+
+} // namespace
+
+void learn(double& mean, std::uint64_t& count, double value)
+{
+    ++count;
+    mean += (value - mean) / std::min(static_cast<double>(count), slow_learning);
+}
+
+double expected_run_ms(const class_estimate& learnt, double estimate_ms)
+{
+    if (learnt.runs == 0 || estimate_ms <= 0) {
+        return std::max(estimate_ms, learnt.mean_run_ms);
+    }
+    return std::exp(estimate_weight * std::log(estimate_ms) +
+                    (1 - estimate_weight) * std::log(std::max(1.0, learnt.mean_run_ms)));
+}
+
+double rank_of(const rank_inputs& in)
+{
+    const double mean = in.mean_work > 0 ? in.mean_work : std::max(in.job_work, 0.001);
+    const double value = fixed_share * mean + (1 - fixed_share) * std::min(in.job_work, 4 * mean);
+    double rank = value / std::max(in.left_work, 0.001);
+    if (in.priority == 0) {
+        rank *= urgent_factor;
+    }
+    const double end_ms = in.waited_ms + in.left_chain_ms;
+    if (end_ms > useful_until * in.objective_ms) {
+        return rank * hopeless_factor;
+    }
+    return end_ms > in.objective_ms ? rank * late_factor : rank;
+}
+
+int fitting(const resources& need, const resources& room, int limit)
+{
+    std::int64_t count = limit;
+    if (need.cpu_millis > 0) {
+        count = std::min(count, room.cpu_millis / need.cpu_millis);
+    }
+    if (need.memory_mb > 0) {
+        count = std::min(count, room.memory_mb / need.memory_mb);
+    }
+    if (need.accelerators > 0) {
+        count = std::min(count, room.accelerators / need.accelerators);
+    }
+    return static_cast<int>(std::max<std::int64_t>(0, count));
+}
+
+namespace {
+
+/// Fills the candidates in the order given; returns nothing where they don't hold all tasks.
+std::vector<int> fill(const std::vector<candidate>& candidates, const std::vector<std::size_t>& order,
+                      int tasks)
+{
+    std::vector<int> counts(candidates.size(), 0);
+    for (const std::size_t i : order) {
+        const int take = std::min(tasks, candidates[i].fits);
+        counts[i] = take;
+        tasks -= take;
+    }
+    return tasks > 0 ? std::vector<int>{} : counts;
+}
+
+} // namespace
+
+std::vector<int> spread_gang(const std::vector<candidate>& candidates, int tasks, bool same_rack)
+{
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), 0);
+    // Workers with a live ticket first: the gang then starts without another call for advice.
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        const candidate& x = candidates[a];
+        const candidate& y = candidates[b];
+        if (x.preferred != y.preferred) {
+            return x.preferred;
+        }
+        if (x.ticket_good != y.ticket_good) {
+            return x.ticket_good;
+        }
+        return x.fits < y.fits; // use up the small gaps
+    });
+    if (same_rack) {
+        std::map<std::string, std::vector<std::size_t>> racks;
+        for (const std::size_t i : order) {
+            racks[candidates[i].where->entry.rack].push_back(i);
+        }
+        for (const std::pair<const std::string, std::vector<std::size_t>>& rack : racks) {
+            const std::vector<int> counts = fill(candidates, rack.second, tasks);
+            if (!counts.empty()) {
+                return counts;
+            }
+        }
+    }
+    return fill(candidates, order, tasks);
+}
+
+int pick_for_task(const std::vector<candidate>& candidates, const resources& need)
+{
+    int best = -1;
+    double best_score = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const candidate& c = candidates[i];
+        if (c.fits <= 0) {
+            continue;
+        }
+        const resources left = c.where->room() - need;
+        const resources& whole = c.where->entry.capacity;
+        const double cpu_left = static_cast<double>(left.cpu_millis) /
+                                std::max(1.0, static_cast<double>(whole.cpu_millis));
+        const double memory_left = static_cast<double>(left.memory_mb) /
+                                   std::max(1.0, static_cast<double>(whole.memory_mb));
+        const double score = (c.preferred ? 10 : 0) + (c.ticket_good ? 4 : 0) + 2 -
+                             std::max(cpu_left, memory_left);
+        if (best < 0 || score > best_score) {
+            best = static_cast<int>(i);
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_placing.cc
@@ -0,0 +1,346 @@
+// The scheduler's decisions: which step goes next, whom to ask for advice, where tasks start.
+
+#include <algorithm>
+
+#include "sesamesill/pool_scheduler.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr std::size_t max_named = 100;   ///< workers in one call for advice; the platform's bound
+constexpr std::int64_t runs_a_fence = 1000; ///< run numbers of one task that a leader may use
+
+/// Returns the capacity that a task takes from others.
+resources taken_by(const step_spec& step)
+{
+    resources taken = step.need;
+    if (step.uses_leftover) {
+        taken.cpu_millis = 0;
+    }
+    return taken;
+}
+
+bool has_label(const worker& w, const std::string& label)
+{
+    return label.empty() || std::find(w.entry.labels.begin(), w.entry.labels.end(), label) !=
+                                w.entry.labels.end();
+}
+
+int active_on(const worker& w, const task_id& step)
+{
+    int count = 0;
+    for (const std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
+        const task_id& t = r.second.task;
+        count += t.job == step.job && t.occurrence == step.occurrence && t.step == step.step ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+double scheduler::estimate_ms(const std::string& queue, const step_spec& step) const
+{
+    const auto learnt = estimates_.find(queue);
+    const double own = static_cast<double>(step.estimate.count());
+    return learnt != estimates_.end() ? expected_run_ms(learnt->second, own) : own;
+}
+
+std::vector<double> scheduler::estimates_of(const job_spec& spec) const
+{
+    std::vector<double> all;
+    for (const step_spec& s : spec.steps) {
+        all.push_back(estimate_ms(spec.queue, s));
+    }
+    return all;
+}
+
+bool scheduler::may_start(const unit& u, const job_entry& entry) const
+{
+    return (doubts_.empty() || !entry.inherited) &&
+           entry.progress.step_at(u.first.occurrence, u.first.step).waiting > 0;
+}
+
+std::vector<unit*> scheduler::ranked_units(time_point now)
+{
+    std::vector<unit*> ranked;
+    for (std::pair<const std::string, unit>& named : units_) {
+        unit& u = named.second;
+        const auto known = jobs_.find(u.first.job);
+        if (known == jobs_.end() || !may_start(u, known->second)) {
+            continue;
+        }
+        const job_progress& job = known->second.progress;
+        const queue_policy* queue = queue_of(job.spec().queue);
+        const std::vector<double> estimates = estimates_of(job.spec());
+        const job_size size = size_of(job.spec(), estimates);
+        const class_estimate& learnt = estimates_[job.spec().queue];
+        rank_inputs in;
+        in.job_work = size.core_seconds;
+        in.mean_work = learnt.mean_work;
+        in.left_work = size.core_seconds;
+        in.left_chain_ms = size.chain_ms;
+        in.waited_ms = static_cast<double>(to_millis(now - job.accepted()));
+        if (queue != nullptr) {
+            in.priority = queue->priority;
+            in.objective_ms = queue->stretch * size.chain_ms +
+                              static_cast<double>(queue->latency_target.count());
+        }
+        u.score = rank_of(in);
+        ranked.push_back(&u);
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const unit* a, const unit* b) { return a->score > b->score; });
+    return ranked;
+}
+
+std::vector<worker*> scheduler::eligible_workers(const unit& u, time_point now)
+{
+    std::vector<worker*> result;
+    const job_progress& job = jobs_.find(u.first.job)->second.progress;
+    const queue_policy* queue = queue_of(job.spec().queue);
+    if (queue == nullptr) {
+        return result;
+    }
+    const step_spec& step = job.spec().steps[static_cast<std::size_t>(u.first.step)];
+    for (std::pair<const std::string, worker>& w : workers_) {
+        if (w.second.is_open(now) && w.second.entry.service == queue->service &&
+            has_label(w.second, step.required_label) && fits(step.need, w.second.entry.capacity)) {
+            result.push_back(&w.second);
+        }
+    }
+    return result;
+}
+
+std::vector<candidate> scheduler::candidates_for(unit& u, const job_entry& entry, time_point now)
+{
+    const job_progress& job = entry.progress;
+    const step_spec& step = job.spec().steps[static_cast<std::size_t>(u.first.step)];
+    const queue_policy* queue = queue_of(job.spec().queue);
+    const bool advised = queue != nullptr && queue->advice.has_value();
+    std::vector<candidate> result;
+    for (worker* w : eligible_workers(u, now)) {
+        const auto ticket = u.approved.find(w->entry.id);
+        if (advised && ticket == u.approved.end()) {
+            continue;
+        }
+        int limit = step.tasks;
+        if (step.max_per_worker > 0) {
+            limit = std::min(limit, step.max_per_worker - active_on(*w, u.first));
+        }
+        candidate c;
+        c.where = w;
+        c.fits = limit > 0 ? fitting(taken_by(step), w->room(), limit) : 0;
+        c.ticket_good = !advised || now < ticket->second.until;
+        c.preferred = !step.preferred_rack.empty() && w->entry.rack == step.preferred_rack;
+        if (c.fits > 0) {
+            result.push_back(c);
+        }
+    }
+    return result;
+}
+
+std::int64_t scheduler::next_run(const step_record& step, int index) const
+{
+    // A predecessor may have used numbers that nobody lists any more; those of a higher fence are
+    // above all of them.
+    const std::int64_t floor = (static_cast<std::int64_t>(fence_) - 1) * runs_a_fence;
+    std::int64_t highest = floor;
+    if (index >= 0) {
+        highest = std::max(highest, step.tasks[static_cast<std::size_t>(index)].run);
+        return highest + 1;
+    }
+    for (const task_record& t : step.tasks) {
+        highest = std::max(highest, t.run);
+    }
+    return highest + 1;
+}
+
+void scheduler::start_task(unit& u, job_entry& entry, int index, worker& w, std::int64_t run,
+                           time_point now)
+{
+    job_progress& job = entry.progress;
+    const step_spec& spec = job.spec().steps[static_cast<std::size_t>(u.first.step)];
+    task_id id = u.first;
+    id.index = index;
+    const bool first_start = !job.has_begun();
+    job.started(id, w.entry.id, run, now);
+    start_order order;
+    order.worker = w.entry.id;
+    order.address = w.entry.address;
+    order.task = to_string(id);
+    order.run = run;
+    order.payload = job.spec().payload;
+    order.fence = fence_;
+    order.until_ms = w.clock_at(now) + start_validity.count();
+    if (spec.saves_progress || spec.gang) {
+        order.checkpoint = job.find(id)->checkpoint;
+    }
+    const auto ticket = u.approved.find(w.entry.id);
+    if (ticket != u.approved.end()) {
+        order.ticket = ticket->second.text;
+    }
+    run_record record;
+    record.task = id;
+    record.run = run;
+    record.taken = taken_by(spec);
+    record.ordered = now;
+    record.until_ms = order.until_ms;
+    add_run(w, std::move(record));
+    w.gone_at = std::max(w.gone_at, lease_end(now, start_validity));
+    note(decision_kind::started, id.job, w.entry.id,
+         order.task + " run " + std::to_string(run) + (first_start ? " first" : ""),
+         to_millis(now - job.accepted()));
+    starts_.push_back(std::move(order));
+}
+
+/// Sees to it that someone is asked; returns whether the step must wait for advice.
+bool scheduler::advice_needed(unit& u, const job_entry& entry)
+{
+    const queue_policy* queue = queue_of(entry.progress.spec().queue);
+    if (queue == nullptr) {
+        return true;
+    }
+    return queue->advice.has_value() && u.approved.empty() && u.denied.empty();
+}
+
+void scheduler::place_gang(unit& u, job_entry& entry, time_point now)
+{
+    job_progress& job = entry.progress;
+    const step_spec& spec = job.spec().steps[static_cast<std::size_t>(u.first.step)];
+    step_record& step = job.step_at(u.first.occurrence, u.first.step);
+    if (step.waiting < spec.tasks) {
+        return; // members of an earlier run haven't all ended
+    }
+    const std::vector<candidate> candidates = candidates_for(u, entry, now);
+    const std::vector<int> counts = spread_gang(candidates, spec.tasks, spec.same_rack);
+    if (counts.empty()) {
+        return;
+    }
+    std::vector<std::string> expired;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        if (counts[i] > 0 && !candidates[i].ticket_good) {
+            expired.push_back(candidates[i].where->entry.id);
+        }
+    }
+    if (!expired.empty()) {
+        if (!u.asking) {
+            u.ask = expired;
+        }
+        return;
+    }
+    const std::int64_t run = next_run(step, -1);
+    std::string checkpoint; // one for all: the value of any member is good for the gang
+    for (const task_record& t : step.tasks) {
+        checkpoint = t.checkpoint.empty() ? checkpoint : t.checkpoint;
+    }
+    int index = 0;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        for (int n = 0; n < counts[i]; ++n) {
+            step.tasks[static_cast<std::size_t>(index)].checkpoint = checkpoint;
+            start_task(u, entry, index++, *candidates[i].where, run, now);
+        }
+    }
+}
+
+void scheduler::place_tasks(unit& u, job_entry& entry, time_point now)
+{
+    job_progress& job = entry.progress;
+    const step_spec& spec = job.spec().steps[static_cast<std::size_t>(u.first.step)];
+    step_record& step = job.step_at(u.first.occurrence, u.first.step);
+    std::vector<candidate> candidates = candidates_for(u, entry, now);
+    std::vector<std::string> expired;
+    for (int i = 0; i < spec.tasks && !candidates.empty(); ++i) {
+        if (step.tasks[static_cast<std::size_t>(i)].phase != task_phase::waiting) {
+            continue;
+        }
+        const int pick = pick_for_task(candidates, taken_by(spec));
+        if (pick < 0) {
+            break;
+        }
+        candidate& c = candidates[static_cast<std::size_t>(pick)];
+        --c.fits;
+        if (!c.ticket_good) {
+            expired.push_back(c.where->entry.id);
+            continue;
+        }
+        start_task(u, entry, i, *c.where, next_run(step, i), now);
+    }
+    if (!expired.empty() && !u.asking) {
+        std::sort(expired.begin(), expired.end());
+        expired.erase(std::unique(expired.begin(), expired.end()), expired.end());
+        u.ask = expired;
+    }
+}
+
+void scheduler::place(time_point now)
+{
+    if (!changed_) {
+        return;
+    }
+    changed_ = false;
+    for (unit* u : ranked_units(now)) {
+        job_entry& entry = jobs_.find(u->first.job)->second;
+        if (advice_needed(*u, entry)) {
+            continue;
+        }
+        const step_spec& spec =
+            entry.progress.spec().steps[static_cast<std::size_t>(u->first.step)];
+        if (spec.gang) {
+            place_gang(*u, entry, now);
+        }
+        else {
+            place_tasks(*u, entry, now);
+        }
+    }
+}
+
+std::optional<advice_call> scheduler::next_advice(millis longest, time_point now)
+{
+    unit* best = nullptr;
+    std::vector<std::string> best_names;
+    double best_ms = 0;
+    for (std::pair<const std::string, unit>& named : units_) {
+        unit& u = named.second;
+        if (u.asking || now < u.ask_after || (best != nullptr && u.score <= best->score)) {
+            continue;
+        }
+        const auto known = jobs_.find(u.first.job);
+        const queue_policy* queue =
+            known != jobs_.end() ? queue_of(known->second.progress.spec().queue) : nullptr;
+        if (queue == nullptr || !queue->advice || !may_start(u, known->second)) {
+            continue;
+        }
+        std::vector<std::string> names = u.ask;
+        if (names.empty()) {
+            for (const worker* w : eligible_workers(u, now)) {
+                const std::string& id = w->entry.id;
+                if (u.approved.count(id) == 0 && u.denied.count(id) == 0 &&
+                    names.size() < max_named) {
+                    names.push_back(id);
+                }
+            }
+            // Newcomers alone are worth a call only where the first one left too few.
+            const bool first_call = u.approved.empty() && u.denied.empty();
+            if (!first_call && !u.approved.empty()) {
+                continue;
+            }
+        }
+        const double cost =
+            queue->advice->base_ms + queue->advice->per_worker_ms * static_cast<double>(names.size());
+        if (names.empty() || cost > static_cast<double>(longest.count())) {
+            continue;
+        }
+        best = &u;
+        best_names = std::move(names);
+        best_ms = cost;
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    best->asking = true;
+    best->ask.clear();
+    return advice_call{step_name(best->first), std::move(best_names),
+                       millis(static_cast<std::int64_t>(best_ms) + 1)};
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_progress.cc
@@ -0,0 +1,259 @@
+// Keeps a job's tasks in their phases and says what of it is worth a record.
+
+#include "sesamesill/pool_progress.h"
+
+#include <algorithm>
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr double accelerator_cores = 8; ///< an accelerator weighs as much as this many cores
+
+occurrence_record fresh_occurrence(const job_spec& spec)
+{
+    occurrence_record result;
+    for (const step_spec& s : spec.steps) {
+        step_record step;
+        step.tasks.resize(static_cast<std::size_t>(s.tasks));
+        step.waiting = s.tasks;
+        result.steps.push_back(std::move(step));
+    }
+    return result;
+}
+
+} // namespace
+
+job_progress::job_progress(job_spec spec, std::int64_t accepted_ms, time_point accepted)
+    : spec_(std::move(spec)), accepted_ms_(accepted_ms), accepted_(accepted)
+{
+    occurrences_.assign(static_cast<std::size_t>(std::max(1, spec_.occurrences)),
+                        fresh_occurrence(spec_));
+    for (occurrence_record& o : occurrences_) {
+        for (step_record& s : o.steps) {
+            s.ready_since = accepted;
+        }
+    }
+}
+
+task_record* job_progress::find(const task_id& id)
+{
+    if (id.occurrence >= occurrences() || id.step >= static_cast<int>(spec_.steps.size())) {
+        return nullptr;
+    }
+    step_record& step = step_at(id.occurrence, id.step);
+    return id.index < static_cast<int>(step.tasks.size())
+               ? &step.tasks[static_cast<std::size_t>(id.index)]
+               : nullptr;
+}
+
+bool job_progress::is_ready(int occurrence, int number) const
+{
+    const std::vector<int>& after = spec_.steps[static_cast<std::size_t>(number)].after;
+    return std::all_of(after.begin(), after.end(), [&](int earlier) {
+        const step_record& s = step_at(occurrence, earlier);
+        return s.done == static_cast<int>(s.tasks.size());
+    });
+}
+
+void job_progress::enter(step_record& step, task_record& task, task_phase phase)
+{
+    const auto counter = [&step](task_phase p) -> int& {
+        return p == task_phase::waiting ? step.waiting
+               : p == task_phase::done  ? step.done
+                                        : step.active;
+    };
+    --counter(task.phase);
+    ++counter(phase);
+    task.phase = phase;
+}
+
+void job_progress::started(const task_id& id, const std::string& worker, std::int64_t run,
+                           time_point now)
+{
+    task_record& task = *find(id);
+    enter(step_at(id.occurrence, id.step), task, task_phase::starting);
+    task.worker = worker;
+    task.run = run;
+    task.started = now;
+    task.advanced = now;
+    task.percent = 0;
+    begun_ = true;
+    update_state();
+}
+
+void job_progress::confirm(const task_id& id)
+{
+    task_record& task = *find(id);
+    if (task.phase == task_phase::starting) {
+        enter(step_at(id.occurrence, id.step), task, task_phase::running);
+    }
+}
+
+void job_progress::adopt(const task_id& id, const std::string& worker, std::int64_t run,
+                         time_point now)
+{
+    started(id, worker, run, now);
+    confirm(id);
+}
+
+void job_progress::stopping(const task_id& id)
+{
+    enter(step_at(id.occurrence, id.step), *find(id), task_phase::stopping);
+}
+
+void job_progress::release(const task_id& id)
+{
+    task_record& task = *find(id);
+    enter(step_at(id.occurrence, id.step), task, task_phase::waiting);
+    task.worker.clear();
+}
+
+void job_progress::finish(const task_id& id)
+{
+    step_record& step = step_at(id.occurrence, id.step);
+    begun_ = true;
+    if (spec_.steps[static_cast<std::size_t>(id.step)].gang) {
+        for (task_record& t : step.tasks) {
+            enter(step, t, task_phase::done);
+        }
+    }
+    else {
+        enter(step, *find(id), task_phase::done);
+    }
+    update_state();
+}
+
+bool job_progress::fail(const task_id& id, std::int64_t run, int max_attempts)
+{
+    const step_spec& spec = spec_.steps[static_cast<std::size_t>(id.step)];
+    step_record& step = step_at(id.occurrence, id.step);
+    begun_ = true;
+    int failures = 0;
+    if (spec.gang) {
+        if (run > step.last_failed_run) {
+            step.last_failed_run = run;
+            ++step.gang_failures;
+        }
+        failures = step.gang_failures;
+    }
+    else {
+        task_record& task = *find(id);
+        if (run > task.last_failed_run) {
+            task.last_failed_run = run;
+            ++task.failed;
+        }
+        failures = task.failed;
+    }
+    if (!spec.long_running && failures >= max_attempts) {
+        state_ = job_state::failed;
+        return true;
+    }
+    return false;
+}
+
+void job_progress::update_state()
+{
+    if (is_final(state_)) {
+        return;
+    }
+    bool all_done = true;
+    for (const occurrence_record& o : occurrences_) {
+        for (const step_record& s : o.steps) {
+            all_done = all_done && s.done == static_cast<int>(s.tasks.size());
+        }
+    }
+    state_ = all_done ? job_state::complete : begun_ ? job_state::running : job_state::queued;
+}
+
+Json::Value job_progress::saved() const
+{
+    Json::Value value;
+    value["state"] = std::string(name_of(state_));
+    value["begun"] = begun_;
+    for (std::size_t k = 0; k < occurrences_.size(); ++k) {
+        for (std::size_t n = 0; n < occurrences_[k].steps.size(); ++n) {
+            const step_record& step = occurrences_[k].steps[n];
+            Json::Value row;
+            for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+                const task_record& task = step.tasks[i];
+                if (task.phase == task_phase::done) {
+                    row["done"].append(static_cast<int>(i));
+                }
+                else if (task.failed > 0 || !task.checkpoint.empty()) {
+                    Json::Value left;
+                    left["index"] = static_cast<int>(i);
+                    left["failed"] = task.failed;
+                    left["last_failed_run"] = static_cast<Json::Int64>(task.last_failed_run);
+                    left["checkpoint"] = task.checkpoint;
+                    row["left"].append(left);
+                }
+            }
+            if (step.gang_failures > 0) {
+                row["gang_failures"] = step.gang_failures;
+                row["last_failed_run"] = static_cast<Json::Int64>(step.last_failed_run);
+            }
+            if (!row.isNull()) {
+                row["occurrence"] = static_cast<int>(k);
+                row["step"] = static_cast<int>(n);
+                value["steps"].append(row);
+            }
+        }
+    }
+    return value;
+}
+
+void job_progress::restore(const Json::Value& saved)
+{
+    begun_ = saved["begun"].asBool();
+    for (const Json::Value& row : saved["steps"]) {
+        task_id id{spec_.id, row["occurrence"].asInt(), row["step"].asInt(), 0};
+        if (find(id) == nullptr) {
+            continue;
+        }
+        step_record& step = step_at(id.occurrence, id.step);
+        step.gang_failures = row["gang_failures"].asInt();
+        step.last_failed_run = row["last_failed_run"].asInt64();
+        for (const Json::Value& index : row["done"]) {
+            id.index = index.asInt();
+            task_record* task = find(id);
+            if (task != nullptr && task->phase != task_phase::done) {
+                enter(step, *task, task_phase::done);
+            }
+        }
+        for (const Json::Value& left : row["left"]) {
+            id.index = left["index"].asInt();
+            task_record* task = find(id);
+            if (task != nullptr) {
+                task->failed = left["failed"].asInt();
+                task->last_failed_run = left["last_failed_run"].asInt64();
+                task->checkpoint = left["checkpoint"].asString();
+            }
+        }
+    }
+    const std::optional<job_state> state = job_state_from(saved["state"].asString());
+    if (state && is_final(*state)) {
+        state_ = *state;
+    }
+    update_state();
+}
+
+job_size size_of(const job_spec& spec, const std::vector<double>& estimates_ms)
+{
+    job_size size;
+    std::vector<double> ends(spec.steps.size(), 0);
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const step_spec& s = spec.steps[i];
+        double begin = 0;
+        for (const int earlier : s.after) {
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends[i] = begin + estimates_ms[i];
+        size.chain_ms = std::max(size.chain_ms, ends[i]);
+        const double cores = static_cast<double>(s.need.cpu_millis) / 1000.0 +
+                             accelerator_cores * static_cast<double>(s.need.accelerators);
+        size.core_seconds += cores * s.tasks * estimates_ms[i] / 1000.0;
+    }
+    return size;
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_settings.cc
@@ -0,0 +1,139 @@
+// A table of member pointers says which settings exist and how each is read.
+
+#include "sesamesill/pool_settings.h"
+
+#include <charconv>
+#include <variant>
+
+#include "ini_text.h"
+
+namespace sesamesill::pool {
+namespace {
+
+using member_pointer =
+    std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
+                 millis platform_bounds::*, double platform_bounds::*>;
+
+struct setting {
+    std::string_view section;
+    std::string_view key;
+    member_pointer member;
+    bool required;
+};
+
+const std::vector<setting> known_settings{
+    {"member", "name", &daemon_settings::name, true},
+    {"member", "data_center", &daemon_settings::data_center, true},
+    {"member", "listen", &daemon_settings::listen, true},
+    {"member", "readiness_listen", &daemon_settings::readiness_listen, true},
+    {"member", "peer_listen", &daemon_settings::peer_listen, true},
+    {"member", "metrics_listen", &daemon_settings::metrics_listen, true},
+    {"platform", "store", &daemon_settings::store, true},
+    {"platform", "advisor", &daemon_settings::advisor, false},
+    {"bounds", "max_lease_ms", &platform_bounds::max_lease, true},
+    {"bounds", "stop_timeout_ms", &platform_bounds::stop_timeout, false},
+    {"bounds", "gang_timeout_ms", &platform_bounds::gang_timeout, false},
+    {"bounds", "drain_limit_ms", &platform_bounds::drain_limit, false},
+    {"bounds", "status_kept_s", &platform_bounds::status_kept, false},
+    {"bounds", "grace_s", &platform_bounds::grace, false},
+    {"bounds", "remote_factor", &platform_bounds::remote_factor, false},
+    {"bounds", "restore_ms", &platform_bounds::restore, false},
+};
+
+std::optional<double> number_from(const std::string& text)
+{
+    double value = 0;
+    const std::from_chars_result read =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || value < 0) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+struct value_reader {
+    daemon_settings& target;
+    const ini_entry& entry;
+    std::string reason;
+
+    void operator()(std::string daemon_settings::*member)
+    {
+        target.*member = entry.value;
+        reason = entry.value.empty() ? "must not be empty" : "";
+    }
+
+    void operator()(endpoint daemon_settings::*member)
+    {
+        const std::optional<endpoint> parsed = endpoint_from(entry.value);
+        if (parsed) {
+            target.*member = *parsed;
+        }
+        else if (!entry.value.empty()) {
+            reason = "must be an IP number and a port, like 10.0.0.1:7100";
+        }
+    }
+
+    void operator()(millis platform_bounds::*member)
+    {
+        constexpr double ms_a_second = 1000;
+        const std::optional<double> value = number_from(entry.value);
+        if (!value) {
+            reason = entry.value.empty() ? "" : "must be a number";
+            return;
+        }
+        const bool in_seconds = entry.key.size() > 2 &&
+                                entry.key.compare(entry.key.size() - 3, 3, "_ms") != 0;
+        target.bounds.*member =
+            millis(static_cast<std::int64_t>(*value * (in_seconds ? ms_a_second : 1)));
+    }
+
+    void operator()(double platform_bounds::*member)
+    {
+        const std::optional<double> value = number_from(entry.value);
+        if (value) {
+            target.bounds.*member = *value;
+        }
+        else if (!entry.value.empty()) {
+            reason = "must be a number";
+        }
+    }
+};
+
+} // namespace
+
+std::optional<daemon_settings> parse_daemon_settings(std::string_view text,
+                                                     std::vector<fault>& faults)
+{
+    const std::optional<std::vector<ini_section>> sections = read_ini_text(text, faults);
+    if (!sections) {
+        return std::nullopt;
+    }
+    daemon_settings result;
+    std::vector<bool> present(known_settings.size(), false);
+    for (const ini_section& section : *sections) {
+        for (const ini_entry& entry : section.entries) {
+            for (std::size_t i = 0; i < known_settings.size(); ++i) {
+                const setting& known = known_settings[i];
+                if (known.section != section.title || known.key != entry.key) {
+                    continue;
+                }
+                present[i] = !entry.value.empty();
+                value_reader reader{result, entry, ""};
+                std::visit(reader, known.member);
+                if (!reader.reason.empty()) {
+                    faults.push_back({entry.line, section.title, entry.key, reader.reason, ""});
+                }
+            }
+        }
+    }
+    for (std::size_t i = 0; i < known_settings.size(); ++i) {
+        const setting& known = known_settings[i];
+        if (known.required && !present[i]) {
+            faults.push_back(
+                {0, std::string(known.section), std::string(known.key), "must be set", ""});
+        }
+    }
+    return faults.empty() ? std::optional<daemon_settings>(std::move(result)) : std::nullopt;
+}
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_writer.cc
@@ -0,0 +1,236 @@
+// Group commit to a log of keyed records, with appends whose answers are lost.
+
+#include "sesamesill/pool_writer.h"
+
+#include <algorithm>
+
+#include "sesamesill/log.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr std::size_t max_batch_bytes = std::size_t{1024} * 1024; ///< half of what one call takes
+constexpr millis shortest_timeout{120}; ///< a usual append takes 6 to 10 ms
+constexpr millis longest_timeout{1500}; ///< one on a slow store takes about 400
+constexpr double timeout_factor = 5;
+constexpr millis first_backoff{40};
+constexpr millis longest_backoff{300};
+
+} // namespace
+
+record_writer::record_writer(
+    event_loop& loop, record_log& log, std::uint64_t end, std::function<void()> deposed,
+    std::function<void(const std::vector<keyed_record>&, std::uint64_t)> taken)
+    : loop_(loop), log_(log), end_(end), deposed_(std::move(deposed)), taken_(std::move(taken)),
+      last_stored_(boot_clock::now())
+{
+}
+
+record_writer::~record_writer()
+{
+    *alive_ = false;
+    ended_ = true;
+    for (const entry& e : sent_) {
+        e.done(write_outcome::unknown);
+    }
+    for (const entry& e : waiting_) {
+        e.done(write_outcome::not_stored);
+    }
+}
+
+millis record_writer::failing_for(time_point now) const
+{
+    return failing_ ? millis(to_millis(now - failing_since_)) : millis(0);
+}
+
+millis record_writer::append_timeout() const
+{
+    const millis wanted(static_cast<std::int64_t>(smoothed_ms_ * timeout_factor));
+    return std::clamp(wanted, shortest_timeout, longest_timeout);
+}
+
+void record_writer::add(std::vector<keyed_record> records, millis patience,
+                        std::function<void(write_outcome)> done)
+{
+    if (ended_) {
+        done(write_outcome::not_stored);
+        return;
+    }
+    entry e;
+    e.records = std::move(records);
+    e.patient = patience == millis(0);
+    e.give_up = boot_clock::now() + patience;
+    e.done = std::move(done);
+    waiting_.push_back(std::move(e));
+    flush();
+}
+
+void record_writer::drop_impatient(time_point now)
+{
+    std::vector<entry> dropped;
+    for (auto e = waiting_.begin(); e != waiting_.end();) {
+        if (!e->patient && now >= e->give_up) {
+            dropped.push_back(std::move(*e));
+            e = waiting_.erase(e);
+        }
+        else {
+            ++e;
+        }
+    }
+    for (const entry& e : dropped) {
+        e.done(write_outcome::not_stored);
+    }
+}
+
+void record_writer::flush()
+{
+    if (in_flight_ || ended_ || !sent_.empty()) {
+        return;
+    }
+    drop_impatient(boot_clock::now());
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (count < waiting_.size() && bytes < max_batch_bytes) {
+        for (const keyed_record& r : waiting_[count].records) {
+            bytes += r.key.size() + r.value.size();
+            batch_.push_back(r);
+        }
+        ++count;
+    }
+    if (count == 0) {
+        return;
+    }
+    const auto cut = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
+    sent_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(cut));
+    waiting_.erase(waiting_.begin(), cut);
+    maybe_stored_ = false;
+    send();
+}
+
+void record_writer::send()
+{
+    in_flight_ = true;
+    sent_at_ = boot_clock::now();
+    ++appends_;
+    log_.append(batch_, end_, append_timeout(), [this, alive = alive_](const append_result& r) {
+        if (*alive) {
+            in_flight_ = false;
+            on_result(r);
+        }
+    });
+}
+
+void record_writer::retry(millis delay)
+{
+    in_flight_ = true; // holds the place of the next append
+    loop_.after(delay, [this, alive = alive_] {
+        if (*alive && !ended_) {
+            drop_impatient(boot_clock::now());
+            send();
+        }
+    });
+}
+
+void record_writer::on_result(const append_result& r)
+{
+    const time_point now = boot_clock::now();
+    const double took = static_cast<double>(to_millis(now - sent_at_));
+    if (r.verdict == append_verdict::stored) {
+        smoothed_ms_ += (took - smoothed_ms_) / 8;
+        end_ = r.end;
+        for (std::size_t i = 0; i < batch_.size(); ++i) {
+            batch_[i].offset = r.first + i;
+        }
+        settle(write_outcome::stored);
+        return;
+    }
+    if (r.verdict == append_verdict::moved) {
+        resolve();
+        return;
+    }
+    if (!failing_) {
+        failing_ = true;
+        failing_since_ = sent_at_;
+        log_event(log_level::warning, "append_failing",
+                  {{"reason", r.why.reason}, {"after_ms", static_cast<std::int64_t>(took)}});
+    }
+    maybe_stored_ = maybe_stored_ || r.verdict == append_verdict::unknown;
+    smoothed_ms_ = std::max(smoothed_ms_, std::min(took, 300.0));
+    backoff_ = std::min(longest_backoff, std::max(first_backoff, backoff_ * 2));
+    retry(backoff_);
+}
+
+/// The log doesn't end where this leader left it: by an own append whose answer was lost, or by
+/// another leader.
+void record_writer::resolve()
+{
+    in_flight_ = true;
+    log_.read(end_, millis(0), longest_timeout, [this, alive = alive_](const read_result& r) {
+        if (!*alive) {
+            return;
+        }
+        in_flight_ = false;
+        if (!r.good && !r.trimmed) {
+            retry(first_backoff);
+            return;
+        }
+        bool own = r.records.size() >= batch_.size();
+        for (std::size_t i = 0; own && i < batch_.size(); ++i) {
+            own = r.records[i].offset == end_ + i && r.records[i].key == batch_[i].key &&
+                  r.records[i].value == batch_[i].value;
+            batch_[i].offset = end_ + i;
+        }
+        if (!own) {
+            // The batch lies nowhere, and its condition can't hold any more.
+            depose(r.trimmed && maybe_stored_ ? write_outcome::unknown
+                                              : write_outcome::not_stored);
+            return;
+        }
+        end_ += batch_.size();
+        settle(write_outcome::stored);
+    });
+}
+
+void record_writer::settle(write_outcome outcome)
+{
+    const time_point now = boot_clock::now();
+    if (failing_) {
+        log_event(log_level::info, "append_regained",
+                  {{"failed_for_ms", failing_for(now).count()}});
+    }
+    failing_ = false;
+    backoff_ = millis(0);
+    last_stored_ = now;
+    std::vector<entry> done;
+    done.swap(sent_);
+    std::vector<keyed_record> batch;
+    batch.swap(batch_);
+    taken_(batch, end_);
+    const std::shared_ptr<bool> alive = alive_;
+    for (const entry& e : done) {
+        e.done(outcome);
+        if (!*alive) {
+            return;
+        }
+    }
+    flush();
+}
+
+void record_writer::depose(write_outcome outcome)
+{
+    ended_ = true;
+    std::vector<entry> lost;
+    lost.swap(sent_);
+    std::vector<entry> unsent;
+    unsent.swap(waiting_);
+    const std::function<void()> deposed = deposed_;
+    for (const entry& e : lost) {
+        e.done(outcome);
+    }
+    for (const entry& e : unsent) {
+        e.done(write_outcome::not_stored);
+    }
+    deposed();
+}
+
+} // namespace sesamesill::pool
