Count failed runs once in any order; keep the room of runs being stopped; rest the log at a handover

On a planned stop the leader kept writing, so the successor's conditional claim failed for 700 ms. Ruled out: doubts resolved too early (all workers had answered).

--- a/include/sesamesill/pool_job.h
+++ b/include/sesamesill/pool_job.h
@@ -40,6 +40,9 @@
     millis latency_target{0};      ///< of a long-running task; 0 for none
 };
 
+/// Returns the capacity that a task of the step takes from others.
+resources taken_by(const step_spec& step);
+
 struct job_spec {
     std::string id;
     std::string queue;
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -32,7 +32,8 @@
 enum class submit_verdict : std::uint8_t {
     accepted, ///< stored
     refused,  ///< not stored, never runs
-    unknown   ///< it may have been stored
+    unknown,  ///< it may have been stored
+    moved     ///< not stored; another member leads now and can be asked
 };
 
 struct submit_answer {
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,8 +30,7 @@
     task_phase phase = task_phase::waiting;
     std::int64_t run = 0; ///< highest run number used so far
     std::string worker;   ///< while it is neither waiting nor done
-    int failed = 0;       ///< runs that ended by failure
-    std::int64_t last_failed_run = 0; ///< runs up to this one are counted in `failed`
+    std::set<std::int64_t> failed_runs; ///< each counts once, in whatever order they are heard of
     std::string checkpoint;
     time_point started;
     int percent = 0;
@@ -44,8 +44,7 @@
     int waiting = 0;
     int active = 0;
     int done = 0;
-    int gang_failures = 0;            ///< runs of the whole gang that ended by failure
-    std::int64_t last_failed_run = 0; ///< of the gang, so that one run counts once
+    std::set<std::int64_t> failed_runs; ///< of the whole gang
     time_point ready_since;           ///< when the last step that it waits for was done
 };
 
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -19,6 +19,7 @@
 enum class write_outcome : std::uint8_t {
     stored,
     not_stored, ///< and never will be
+    deposed,    ///< not stored, and never will be: another leader has claimed
     unknown     ///< the leader was replaced before the store told
 };
 
@@ -39,6 +40,10 @@
     /// sent within it, `done` gets `not_stored`.
     void add(std::vector<keyed_record> records, millis patience,
              std::function<void(write_outcome)> done);
+    /// Sends nothing until `until`, so that a successor's claim meets a log at rest.
+    void rest(time_point until);
+    /// Returns whether no append is under way.
+    bool is_idle() const { return !in_flight_ && sent_.empty(); }
     /// When an append last succeeded.
     time_point last_stored() const { return last_stored_; }
     /// Returns for how long appends have been failing; 0 while they succeed.
@@ -74,6 +79,7 @@
     bool in_flight_ = false;
     bool maybe_stored_ = false; ///< an append of this batch had no answer
     bool ended_ = false;
+    time_point rest_until_;
     time_point sent_at_;
     time_point last_stored_;
     time_point failing_since_;
--- a/src/pool_job.cc
+++ b/src/pool_job.cc
@@ -136,6 +136,15 @@
 
 } // namespace
 
+resources taken_by(const step_spec& step)
+{
+    resources taken = step.need;
+    if (step.uses_leftover) {
+        taken.cpu_millis = 0;
+    }
+    return taken;
+}
+
 std::string_view name_of(job_state state)
 {
     return name_in(state_names, state);
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -28,7 +28,8 @@
 constexpr millis submit_patience{1200};  ///< a job whose record can't be sent by then is refused
 constexpr millis store_tolerance{500};   ///< failing appends before new jobs are refused
 constexpr millis handover_after{400};    ///< failing appends before another member is asked to lead
-constexpr millis handover_pause{800};
+constexpr millis handover_pause{600};
+constexpr millis handover_rest{250};     ///< a successor reads the log and claims within 20 ms
 constexpr millis order_confidence{2500}; ///< orders without a sign that the claim is still the newest
 constexpr const char* pulse_key = "pulse";
 
@@ -190,13 +191,26 @@
 void leader::check_store()
 {
     const time_point now = boot_clock::now();
-    if (writer_.failing_for(now) > handover_after && now - nominated_at_ > handover_pause) {
+    const bool failing = writer_.failing_for(now) > handover_after;
+    if (failing) {
+        handing_over_ = "the store doesn't answer this member";
+    }
+    if (handing_over_ != nullptr && now - nominated_at_ > handover_pause &&
+        (failing || writer_.is_idle())) {
         nominated_at_ = now;
-        nominate_successor("the store doesn't answer this member");
+        nominate_successor();
+    }
+}
+
+void leader::hand_over(const char* why)
+{
+    if (handing_over_ == nullptr) {
+        handing_over_ = why;
+        check_store();
     }
 }
 
-bool leader::nominate_successor(const char* why)
+void leader::nominate_successor()
 {
     const time_point now = boot_clock::now();
     const std::pair<const std::string, peer>* best = nullptr;
@@ -208,9 +222,14 @@
         }
     }
     if (best == nullptr) {
-        return false;
+        return;
+    }
+    writer_.rest(now + handover_rest);
+    log_event(log_level::info, "successor_asked",
+              {{"peer", best->first}, {"reason", std::string(handing_over_)}});
+    if (writer_.failing_for(now) == millis(0) && std::string_view(handing_over_) != planned_stop) {
+        handing_over_ = nullptr; // the store answers again
     }
-    log_event(log_level::info, "successor_asked", {{"peer", best->first}, {"reason", why}});
     Json::Value params;
     params["fence"] = static_cast<Json::UInt64>(self_.fence);
     constexpr millis nominate_timeout{500};
@@ -221,7 +240,6 @@
                                {{"peer", name}, {"reason", e.reason}});
                  }
              });
-    return true;
 }
 
 /// Without the store, heartbeats of most members that know of no later claim will do.
@@ -471,15 +489,23 @@
                         answer = {submit_verdict::refused, "the record could not be stored",
                                   store_retry};
                     }
-                    pending_submit waiting = std::move(submits_[spec.id]);
-                    submits_.erase(spec.id);
-                    for (const std::function<void(submit_answer)>& tell : waiting.waiting) {
-                        tell(answer);
+                    else if (outcome == write_outcome::deposed) {
+                        answer.verdict = submit_verdict::moved;
                     }
-                    soon();
+                    answer_submit(spec.id, answer);
                 });
 }
 
+void leader::answer_submit(const std::string& id, const submit_answer& answer)
+{
+    const pending_submit waiting = std::move(submits_[id]);
+    submits_.erase(id);
+    for (const std::function<void(submit_answer)>& tell : waiting.waiting) {
+        tell(answer);
+    }
+    soon();
+}
+
 state_answer leader::state_of(const std::string& id) const
 {
     if (submits_.count(id) > 0) {
@@ -493,7 +519,8 @@
 {
     if (submits_.count(id) > 0) {
         submits_[id].waiting.push_back([this, alive = alive_, id, done](const submit_answer& a) {
-            if (!*alive || a.verdict == submit_verdict::unknown) {
+            if (!*alive || a.verdict == submit_verdict::unknown ||
+                a.verdict == submit_verdict::moved) {
                 done({lookup::unavailable});
                 return;
             }
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -50,8 +50,8 @@
     int waiting_in(const std::string& queue) const { return scheduler_.waiting_in(queue); }
     std::uint64_t fence() const { return self_.fence; }
 
-    /// Asks the member that is best placed to claim the lead; returns whether there is one.
-    bool nominate_successor(const char* why);
+    /// Begins to hand the lead over: writes nothing for a moment and asks another member to claim.
+    void hand_over(const char* why);
 
 private:
     struct look {
@@ -79,6 +79,8 @@
     void write_records();
     void log_decisions();
     void check_store();
+    void nominate_successor();
+    void answer_submit(const std::string& id, const submit_answer& answer);
     bool may_order(time_point now) const;
 
     event_loop& loop_;
@@ -97,9 +99,12 @@
     bool writing_ = false;
     bool settling_ = false;
     time_point nominated_at_;
+    const char* handing_over_ = nullptr; ///< why a successor has to be asked
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+constexpr const char* planned_stop = "planned stop";
+
 /// Returns the Unix time in milliseconds.
 std::int64_t wall_clock_ms();
 
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -358,8 +358,13 @@
         respond_json(respond, to_json(submit_answer{submit_verdict::refused, why.reason}));
         return;
     }
-    lead->submit(*spec,
-                 [respond](const submit_answer& a) { respond_json(respond, to_json(a)); });
+    lead->submit(*spec, [respond](const submit_answer& a) {
+        if (a.verdict == submit_verdict::moved) {
+            respond_not_leading(respond);
+            return;
+        }
+        respond_json(respond, to_json(a));
+    });
 }
 
 void member::parts::serve_advise(const http_request& request, const http_respond& respond)
@@ -544,7 +549,7 @@
 {
     parts_->leaving = true;
     if (parts_->leads()) {
-        parts_->lead->nominate_successor("planned stop");
+        parts_->lead->hand_over(planned_stop);
     }
 }
 
@@ -564,7 +569,9 @@
         const time_point until = answer_by(budget);
         p.lead->submit(spec, [this, spec, until, done = std::move(done)](const submit_answer& a) {
             const millis left(to_millis(until - boot_clock::now()));
-            if (a.verdict == submit_verdict::unknown && left > retry_pause) {
+            const bool ask_successor = a.verdict == submit_verdict::unknown ||
+                                       a.verdict == submit_verdict::moved;
+            if (ask_successor && left > retry_pause) {
                 // The lead was lost meanwhile; the successor knows whether the job is stored.
                 parts_->loop.after(retry_pause,
                                    [this, spec, left, done] { submit(spec, left, done); });
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -10,16 +10,6 @@
 constexpr std::size_t max_named = 100;   ///< workers in one call for advice; the platform's bound
 constexpr std::int64_t runs_a_fence = 1000; ///< run numbers of one task that a leader may use
 
-/// Returns the capacity that a task takes from others.
-resources taken_by(const step_spec& step)
-{
-    resources taken = step.need;
-    if (step.uses_leftover) {
-        taken.cpu_millis = 0;
-    }
-    return taken;
-}
-
 bool has_label(const worker& w, const std::string& label)
 {
     return label.empty() || std::find(w.entry.labels.begin(), w.entry.labels.end(), label) !=
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -21,6 +21,24 @@
     return result;
 }
 
+Json::Value to_json(const std::set<std::int64_t>& runs)
+{
+    Json::Value value(Json::arrayValue);
+    for (const std::int64_t run : runs) {
+        value.append(static_cast<Json::Int64>(run));
+    }
+    return value;
+}
+
+std::set<std::int64_t> runs_from(const Json::Value& value)
+{
+    std::set<std::int64_t> runs;
+    for (const Json::Value& run : value) {
+        runs.insert(run.asInt64());
+    }
+    return runs;
+}
+
 } // namespace
 
 job_progress::job_progress(job_spec spec, std::int64_t accepted_ms, time_point accepted)
@@ -128,23 +146,9 @@
     const step_spec& spec = spec_.steps[static_cast<std::size_t>(id.step)];
     step_record& step = step_at(id.occurrence, id.step);
     begun_ = true;
-    int failures = 0;
-    if (spec.gang) {
-        if (run > step.last_failed_run) {
-            step.last_failed_run = run;
-            ++step.gang_failures;
-        }
-        failures = step.gang_failures;
-    }
-    else {
-        task_record& task = *find(id);
-        if (run > task.last_failed_run) {
-            task.last_failed_run = run;
-            ++task.failed;
-        }
-        failures = task.failed;
-    }
-    if (!spec.long_running && failures >= max_attempts) {
+    std::set<std::int64_t>& failures = spec.gang ? step.failed_runs : find(id)->failed_runs;
+    failures.insert(run);
+    if (!spec.long_running && static_cast<int>(failures.size()) >= max_attempts) {
         state_ = job_state::failed;
         return true;
     }
@@ -179,18 +183,16 @@
                 if (task.phase == task_phase::done) {
                     row["done"].append(static_cast<int>(i));
                 }
-                else if (task.failed > 0 || !task.checkpoint.empty()) {
+                else if (!task.failed_runs.empty() || !task.checkpoint.empty()) {
                     Json::Value left;
                     left["index"] = static_cast<int>(i);
-                    left["failed"] = task.failed;
-                    left["last_failed_run"] = static_cast<Json::Int64>(task.last_failed_run);
+                    left["failed_runs"] = to_json(task.failed_runs);
                     left["checkpoint"] = task.checkpoint;
                     row["left"].append(left);
                 }
             }
-            if (step.gang_failures > 0) {
-                row["gang_failures"] = step.gang_failures;
-                row["last_failed_run"] = static_cast<Json::Int64>(step.last_failed_run);
+            if (!step.failed_runs.empty()) {
+                row["failed_runs"] = to_json(step.failed_runs);
             }
             if (!row.isNull()) {
                 row["occurrence"] = static_cast<int>(k);
@@ -211,8 +213,7 @@
             continue;
         }
         step_record& step = step_at(id.occurrence, id.step);
-        step.gang_failures = row["gang_failures"].asInt();
-        step.last_failed_run = row["last_failed_run"].asInt64();
+        step.failed_runs = runs_from(row["failed_runs"]);
         for (const Json::Value& index : row["done"]) {
             id.index = index.asInt();
             task_record* task = find(id);
@@ -224,8 +225,7 @@
             id.index = left["index"].asInt();
             task_record* task = find(id);
             if (task != nullptr) {
-                task->failed = left["failed"].asInt();
-                task->last_failed_run = left["last_failed_run"].asInt64();
+                task->failed_runs = runs_from(left["failed_runs"]);
                 task->checkpoint = left["checkpoint"].asString();
             }
         }
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -97,6 +97,11 @@
         job_spec spec;
         spec.id = id;
         spec.queue = progress["queue"].asString();
+        for (const Json::Value& need : progress["needs"]) {
+            step_spec step;
+            step.need = {need[0].asInt64(), need[1].asInt64(), need[2].asInt64()};
+            spec.steps.push_back(step);
+        }
         job_entry entry{job_progress(spec, 0, now)};
         entry.progress.restore(progress);
         entry.final_stored = true;
@@ -614,17 +619,15 @@
         found.phase = run_phase::running;
         found.ordered = now;
         found.confirmed = now;
-        if (task != nullptr) {
-            const step_spec& spec =
-                known->second.progress.spec().steps[static_cast<std::size_t>(id->step)];
-            found.taken = spec.need;
-            if (spec.uses_leftover) {
-                found.taken.cpu_millis = 0;
-            }
-        }
+        const bool sized = known != jobs_.end() &&
+                           id->step < static_cast<int>(known->second.progress.spec().steps.size());
+        // Of what no record tells, the rest of the worker is assumed to be taken.
+        found.taken = sized ? taken_by(known->second.progress.spec()
+                                           .steps[static_cast<std::size_t>(id->step)])
+                            : w.room();
         const bool wanted = task != nullptr && task->phase == task_phase::waiting &&
                             !is_final(known->second.progress.state()) &&
-                            row.run > task->last_failed_run;
+                            task->failed_runs.count(row.run) == 0;
         add_run(w, found);
         if (!wanted) {
             note(decision_kind::stopped, id ? id->job : "", w.entry.id,
@@ -814,6 +817,15 @@
         if (is_final(entry.progress.state())) {
             saved["state"] = std::string(name_of(entry.progress.state()));
             saved["queue"] = entry.progress.spec().queue;
+            for (const step_spec& step : entry.progress.spec().steps) {
+                // A successor has to know the room of runs that are still being stopped.
+                const resources taken = taken_by(step);
+                Json::Value need;
+                need.append(static_cast<Json::Int64>(taken.cpu_millis));
+                need.append(static_cast<Json::Int64>(taken.memory_mb));
+                need.append(static_cast<Json::Int64>(taken.accelerators));
+                saved["needs"].append(need);
+            }
             saved["ended_ms"] = static_cast<Json::Int64>(wall_ms);
             entry.final_ms = wall_ms;
             batch.finals.push_back(id);
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -34,7 +34,7 @@
         e.done(write_outcome::unknown);
     }
     for (const entry& e : waiting_) {
-        e.done(write_outcome::not_stored);
+        e.done(write_outcome::deposed);
     }
 }
 
@@ -53,7 +53,7 @@
                         std::function<void(write_outcome)> done)
 {
     if (ended_) {
-        done(write_outcome::not_stored);
+        done(write_outcome::deposed);
         return;
     }
     entry e;
@@ -65,6 +65,17 @@
     flush();
 }
 
+void record_writer::rest(time_point until)
+{
+    rest_until_ = until;
+    const micros left = until - boot_clock::now();
+    loop_.after(millis(to_millis(left) + 1), [this, alive = alive_] {
+        if (*alive) {
+            flush();
+        }
+    });
+}
+
 void record_writer::drop_impatient(time_point now)
 {
     std::vector<entry> dropped;
@@ -84,7 +95,7 @@
 
 void record_writer::flush()
 {
-    if (in_flight_ || ended_ || !sent_.empty()) {
+    if (in_flight_ || ended_ || !sent_.empty() || boot_clock::now() < rest_until_) {
         return;
     }
     drop_impatient(boot_clock::now());
@@ -183,7 +194,7 @@
         if (!own) {
             // The batch lies nowhere, and its condition can't hold any more.
             depose(r.trimmed && maybe_stored_ ? write_outcome::unknown
-                                              : write_outcome::not_stored);
+                                              : write_outcome::deposed);
             return;
         }
         end_ += batch_.size();
@@ -228,7 +239,7 @@
         e.done(outcome);
     }
     for (const entry& e : unsent) {
-        e.done(write_outcome::not_stored);
+        e.done(write_outcome::deposed);
     }
     deposed();
 }
