--- /dev/null
+++ b/test/pool_fixture.h
@@ -0,0 +1,104 @@
+// A pool for tests of the scheduler: workers that obey, virtual time, and what clients see.
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sesamesill/pool_scheduler.h"
+
+namespace sesamesill::pool::testing {
+
+constexpr std::int64_t wall_start_ms = 1'700'000'000'000;
+
+inline time_point at_ms(std::int64_t ms)
+{
+    return time_point(micros(ms * 1000));
+}
+
+inline configuration config_of(std::optional<advice_terms> advice = std::nullopt, int attempts = 3)
+{
+    configuration config;
+    config.version = 1;
+    queue_policy queue;
+    queue.name = "holds";
+    queue.service = "places";
+    queue.max_attempts = attempts;
+    queue.stretch = 2;
+    queue.latency_target = millis(1000);
+    queue.advice = advice;
+    config.queues = {queue};
+    config.services = {{"places", false, false}};
+    return config;
+}
+
+inline worker_entry worker_of(const std::string& id, std::int64_t cores = 8)
+{
+    worker_entry entry;
+    entry.id = id;
+    entry.machine = "machine-" + id;
+    entry.address = {"10.0.0.1", 80};
+    entry.service = "places";
+    entry.rack = "r1-1";
+    entry.labels = {"a", "r1-1"};
+    entry.capacity = {cores * 1000, 64000, 0};
+    entry.born_ms = wall_start_ms;
+    return entry;
+}
+
+inline step_spec step_of(int tasks, std::int64_t cores, bool gang = false)
+{
+    step_spec step;
+    step.tasks = tasks;
+    step.need = {cores * 1000, 100, 0};
+    step.estimate = millis(500);
+    step.gang = gang;
+    return step;
+}
+
+inline job_spec job_of(const std::string& id, std::vector<step_spec> steps)
+{
+    job_spec spec;
+    spec.id = id;
+    spec.queue = "holds";
+    spec.payload = "text";
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+/// Answers a look at a worker.
+inline void look(scheduler& s, const std::string& worker, worker_report report, std::int64_t ms)
+{
+    report.clock_ms = ms;
+    const std::optional<hold_order> order = s.hold_for(worker, millis(0), at_ms(ms));
+    s.on_hold(*order, at_ms(ms), order_verdict::obeyed, report, at_ms(ms + 1));
+}
+
+inline ended_task end_of(std::uint64_t number, const std::string& task, std::int64_t run,
+                         end_reason how, const std::string& checkpoint = "")
+{
+    return {number, task, run, how, checkpoint};
+}
+
+/// Records all that the scheduler wants recorded into `store`, as a store that never fails.
+inline void record_all(scheduler& s, std::map<std::string, std::string>& store, std::int64_t ms)
+{
+    const record_batch batch = s.take_records(wall_start_ms + ms);
+    for (const keyed_record& r : batch.records) {
+        if (r.value.empty()) {
+            store.erase(r.key);
+        }
+        else {
+            store[r.key] = r.value;
+        }
+    }
+    s.recorded(batch, at_ms(ms));
+}
+
+/// Returns a successor that has read `store` and knows the workers, all in doubt.
+scheduler successor_of(const std::map<std::string, std::string>& store, std::uint64_t fence,
+                       const std::vector<std::string>& workers, std::int64_t ms,
+                       const configuration& config);
+
+} // namespace sesamesill::pool::testing
--- /dev/null
+++ b/test/pool_scheduler-test.cc
@@ -0,0 +1,333 @@
+// The scheduler's promises, on virtual time: room, runs, gangs, ends, and what a successor learns.
+
+#include <criterion/criterion.h>
+
+#include "pool_fixture.h"
+#include "sesamesill/rpc.h"
+
+using namespace sesamesill;
+using namespace sesamesill::pool;
+using namespace sesamesill::pool::testing;
+
+namespace sesamesill::pool::testing {
+
+scheduler successor_of(const std::map<std::string, std::string>& store, std::uint64_t fence,
+                       const std::vector<std::string>& workers, std::int64_t ms,
+                       const configuration& config)
+{
+    scheduler s(fence, {}, at_ms(ms));
+    s.configure(config);
+    for (const std::string& w : workers) {
+        s.list_worker(worker_of(w), at_ms(ms));
+    }
+    std::map<std::string, std::pair<Json::Value, Json::Value>> jobs;
+    for (const std::pair<const std::string, std::string>& r : store) {
+        const std::size_t slash = r.first.find('/');
+        const std::string id = r.first.substr(slash + 1);
+        (r.first.compare(0, 4, "job/") == 0 ? jobs[id].first : jobs[id].second) =
+            *json_from(r.second);
+    }
+    for (const std::pair<const std::string, std::pair<Json::Value, Json::Value>>& j : jobs) {
+        s.restore(j.first, j.second.first, j.second.second, wall_start_ms + ms, at_ms(ms));
+    }
+    s.restored(at_ms(ms), at_ms(ms + 9000));
+    return s;
+}
+
+} // namespace sesamesill::pool::testing
+
+namespace {
+
+constexpr const char* job = "00000000000000aa";
+
+std::string task(int index, int step = 0)
+{
+    return to_string(task_id{job, 0, step, index});
+}
+
+scheduler fresh(const std::vector<std::string>& workers, const configuration& config = config_of())
+{
+    scheduler s(1, {}, at_ms(0));
+    s.configure(config);
+    for (const std::string& w : workers) {
+        s.list_worker(worker_of(w), at_ms(0));
+        look(s, w, {}, 0);
+    }
+    return s;
+}
+
+void add_job(scheduler& s, std::map<std::string, std::string>& store, const job_spec& spec,
+             std::int64_t ms)
+{
+    const keyed_record record = scheduler::record_of(spec, wall_start_ms + ms);
+    store[record.key] = record.value;
+    s.add(spec, wall_start_ms + ms, at_ms(ms));
+}
+
+std::vector<start_order> place(scheduler& s, std::int64_t ms)
+{
+    s.tick(at_ms(ms));
+    s.place(at_ms(ms));
+    return s.take_starts();
+}
+
+void obey(scheduler& s, const std::vector<start_order>& orders, std::int64_t ms)
+{
+    for (const start_order& o : orders) {
+        s.on_start(o, order_verdict::obeyed, ms, at_ms(ms));
+    }
+}
+
+} // namespace
+
+Test(pool_scheduler, a_worker_is_never_filled_beyond_its_capacity)
+{
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(10, 3)}), 0);
+    const std::vector<start_order> orders = place(s, 1);
+    cr_assert_eq(orders.size(), 4, "two tasks of 3 cores on each worker of 8");
+    cr_assert_eq(place(s, 2).size(), 0);
+}
+
+Test(pool_scheduler, a_step_waits_for_the_steps_before_it)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    step_spec second = step_of(1, 1);
+    second.after = {0};
+    add_job(s, store, job_of(job, {step_of(2, 1), second}), 0);
+    obey(s, place(s, 1), 2);
+    worker_report report;
+    report.running = {{task(1), 1, "", 10, 0}};
+    report.ended = {end_of(1, task(0), 1, end_reason::done)};
+    look(s, "w1", report, 10);
+    cr_assert_eq(place(s, 11).size(), 0, "one task of the first step still runs");
+    report.running.clear();
+    report.ended.push_back(end_of(2, task(1), 1, end_reason::done));
+    look(s, "w1", report, 20);
+    const std::vector<start_order> orders = place(s, 21);
+    cr_assert_eq(orders.size(), 1);
+    cr_assert(orders[0].task == task(0, 1));
+}
+
+Test(pool_scheduler, a_gang_starts_whole_or_not_at_all)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(3, 3, true)}), 0);
+    cr_assert_eq(place(s, 1).size(), 0, "two of three members fit");
+    s.list_worker(worker_of("w2"), at_ms(2));
+    look(s, "w2", {}, 2);
+    const std::vector<start_order> orders = place(s, 3);
+    cr_assert_eq(orders.size(), 3);
+    for (const start_order& o : orders) {
+        cr_assert_eq(o.run, orders[0].run, "one run number for all members");
+    }
+}
+
+Test(pool_scheduler, a_lost_gang_member_stops_the_others)
+{
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(2, 6, true)}), 0);
+    const std::vector<start_order> orders = place(s, 1);
+    cr_assert_eq(orders.size(), 2);
+    obey(s, {orders[0]}, 2);
+    s.on_start(orders[1], order_verdict::unhealthy, 0, at_ms(2));
+    const std::vector<stop_order> stops = s.take_stops();
+    cr_assert_eq(stops.size(), 1);
+    cr_assert(stops[0].task == orders[0].task);
+}
+
+Test(pool_scheduler, a_start_without_an_answer_keeps_its_room_until_it_surely_never_runs)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 8)}), 0);
+    std::vector<start_order> orders = place(s, 1);
+    cr_assert_eq(orders.size(), 1);
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        s.on_start(orders[0], order_verdict::unknown, 0, at_ms(400));
+        const std::vector<start_order> again = s.take_starts();
+        if (!again.empty()) {
+            cr_assert_eq(again[0].run, 1, "a repeat is the same run");
+            orders = again;
+        }
+    }
+    const std::vector<stop_order> stops = s.take_stops();
+    cr_assert_eq(stops.size(), 1);
+    cr_assert_eq(place(s, 500).size(), 0, "it may still be carried out");
+    s.on_stop(stops[0], order_verdict::obeyed, at_ms(501));
+    look(s, "w1", {}, 510);
+    const std::vector<start_order> next = place(s, 520);
+    cr_assert_eq(next.size(), 1);
+    cr_assert_gt(next[0].run, 1, "run numbers rise");
+}
+
+Test(pool_scheduler, runs_that_are_being_stopped_still_take_room)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 8)}), 0);
+    obey(s, place(s, 1), 2);
+    cr_assert_eq(s.cancel(job, at_ms(3)), cancel_answer::cancelled);
+    add_job(s, store, job_of("00000000000000bb", {step_of(1, 1)}), 4);
+    cr_assert_eq(place(s, 5).size(), 0);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::stopped)};
+    look(s, "w1", report, 20);
+    cr_assert_eq(place(s, 21).size(), 1);
+}
+
+Test(pool_scheduler, a_successor_gives_room_to_runs_of_finished_jobs)
+{
+    // From tabara-comuna scale-1: LIMIT was broken after a handover.
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 6)}), 0);
+    obey(s, place(s, 1), 2);
+    s.cancel(job, at_ms(3));
+    record_all(s, store, 4);
+    scheduler next = successor_of(store, 50, {"w1"}, 10, config_of());
+    worker_report report;
+    report.running = {{task(0), 1, "", 10, 0}};
+    look(next, "w1", report, 11);
+    std::map<std::string, std::string> none;
+    add_job(next, none, job_of("00000000000000bb", {step_of(1, 4)}), 12);
+    cr_assert_eq(place(next, 13).size(), 0, "6 of 8 cores are taken until the run has ended");
+    cr_assert_eq(next.take_stops().size(), 1);
+}
+
+Test(pool_scheduler, a_successor_counts_each_failed_run_once_in_any_order)
+{
+    // From tabara-comuna trouble-1: BUDGET was broken, as run 3's end was read before run 2's.
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    record_all(s, store, 1);
+    scheduler next = successor_of(store, 50, {"w1", "w2"}, 10, config_of());
+    worker_report first;
+    first.ended = {end_of(4, task(0), 3, end_reason::failed)};
+    look(next, "w1", first, 11);
+    worker_report second;
+    second.ended = {end_of(1, task(0), 1, end_reason::failed),
+                    end_of(2, task(0), 2, end_reason::failed)};
+    look(next, "w2", second, 12);
+    cr_assert_eq(place(next, 13).size(), 0, "three runs have failed, of three");
+    record_all(next, store, 14);
+    cr_assert_eq(*next.shown(job), job_state::failed);
+}
+
+Test(pool_scheduler, a_failed_run_that_is_recorded_is_not_counted_again)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    obey(s, place(s, 1), 2);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::failed)};
+    look(s, "w1", report, 10);
+    record_all(s, store, 11);
+    scheduler next = successor_of(store, 50, {"w1"}, 20, config_of(std::nullopt, 2));
+    look(next, "w1", report, 21); // the predecessor didn't get to forget the end
+    cr_assert_eq(place(next, 22).size(), 1, "one run has failed, of two");
+}
+
+Test(pool_scheduler, inherited_tasks_wait_until_every_worker_is_heard_or_surely_empty)
+{
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    scheduler next = successor_of(store, 50, {"w1", "w2"}, 10, config_of());
+    look(next, "w1", {}, 11);
+    cr_assert_eq(place(next, 12).size(), 0, "w2 may run it");
+    std::map<std::string, std::string> none;
+    add_job(next, none, job_of("00000000000000bb", {step_of(1, 1)}), 13);
+    cr_assert_eq(place(next, 14).size(), 1, "a new job can't run anywhere yet");
+    look(next, "w2", {}, 15);
+    cr_assert_eq(place(next, 16).size(), 1);
+}
+
+Test(pool_scheduler, a_silent_worker_frees_its_tasks_only_after_its_lease)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    obey(s, place(s, 1), 2);
+    s.list_worker(worker_of("w2"), at_ms(3));
+    for (std::int64_t ms = 10; ms <= 6000; ms += 500) {
+        look(s, "w2", {}, ms);
+        s.hold_for("w1", millis(0), at_ms(ms)); // sent, never answered
+        cr_assert_eq(place(s, ms).size(), 0, "at %d ms", static_cast<int>(ms));
+    }
+    for (std::int64_t ms = 6500; ms <= 9000; ms += 500) {
+        look(s, "w2", {}, ms);
+        if (!place(s, ms).empty()) {
+            return;
+        }
+    }
+    cr_assert_fail("the task never started again");
+}
+
+Test(pool_scheduler, a_final_state_is_shown_only_once_it_is_stored)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    obey(s, place(s, 1), 2);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::done)};
+    look(s, "w1", report, 10);
+    cr_assert_eq(*s.shown(job), job_state::running);
+    cr_assert(s.has_unrecorded_ends("w1"));
+    record_all(s, store, 11);
+    cr_assert_eq(*s.shown(job), job_state::complete);
+    cr_assert_eq(s.hold_for("w1", millis(0), at_ms(12))->noted, 1);
+    const scheduler next = successor_of(store, 50, {}, 20, config_of());
+    cr_assert_eq(*next.shown(job), job_state::complete);
+}
+
+Test(pool_scheduler, a_step_starts_only_where_it_is_approved_and_asks_again_for_expired_tickets)
+{
+    scheduler s = fresh({"w1", "w2"}, config_of(advice_terms{5, 1, millis(1000)}));
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(3, 6)}), 0);
+    cr_assert_eq(place(s, 1).size(), 0);
+    const std::optional<advice_call> call = s.next_advice(millis(60000), at_ms(1));
+    cr_assert(call.has_value());
+    cr_assert_eq(call->workers.size(), 2);
+    advice_answer answer;
+    answer.good = true;
+    answer.valid = millis(1000);
+    answer.approved = {{"w2", "t1"}};
+    s.on_advice(*call, answer, at_ms(10));
+    std::vector<start_order> orders = place(s, 11);
+    cr_assert_eq(orders.size(), 1);
+    cr_assert(orders[0].worker == "w2");
+    cr_assert(orders[0].ticket == "t1");
+    obey(s, orders, 12);
+    worker_report report;
+    report.ended = {end_of(1, orders[0].task, orders[0].run, end_reason::done)};
+    look(s, "w2", report, 1500);
+    cr_assert_eq(place(s, 1501).size(), 0, "the ticket has expired");
+    const std::optional<advice_call> renewal = s.next_advice(millis(60000), at_ms(1502));
+    cr_assert(renewal.has_value());
+    cr_assert_eq(renewal->workers.size(), 1, "only the worker that will be used");
+}
+
+Test(pool_scheduler, a_job_that_fits_no_worker_is_refused)
+{
+    const scheduler s = fresh({"w1"});
+    const admission_answer answer = s.admit(job_of(job, {step_of(1, 9)}), at_ms(1));
+    cr_assert_eq(answer.verdict, admission::refuse);
+    cr_assert_gt(answer.retry_after.count(), 0);
+}
+
+Test(pool_scheduler, a_higher_fence_ends_the_lead)
+{
+    scheduler s = fresh({"w1"});
+    const std::optional<hold_order> order = s.hold_for("w1", millis(0), at_ms(5));
+    s.on_hold(*order, at_ms(5), order_verdict::fenced, {}, at_ms(6));
+    cr_assert(s.fenced());
+}
