Hold room back for gangs, renew their tickets in time, rank steps by value and slack

Cause: gangs found no gap: smaller tasks took each, and tickets of 2.5 s expired between calls for advice; one cohort with 6 members waited 20 s. Steps with time to spare went before ones without. Change: a gang that could start within 3 s keeps its room (at most 35% of the pool; shorter tasks may use it); rank is value for work left, discounted by slack.

--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,7 @@
 /// A worker on which some tasks of a step may run now.
 struct candidate {
     worker* where = nullptr;
+    resources room;        ///< without what is held back for gangs
     int fits = 0;          ///< tasks that there is room for
     bool ticket_good = true;
     bool preferred = false; ///< its rack holds the data
@@ -78,6 +80,24 @@
 /// Returns for each candidate how many tasks it gets, or nothing where they don't all fit.
 std::vector<int> spread_gang(const std::vector<candidate>& candidates, int tasks, bool same_rack);
 
+/// A worker that could take members of a gang, now or as its runs end.
+struct gang_option {
+    worker* where = nullptr;
+    resources room;  ///< free now
+    int limit = 0;   ///< most members there
+    std::vector<std::pair<time_point, resources>> frees; ///< expected ends and what they free
+};
+
+/// When and where a gang could start. Invariant: `counts` follows the options.
+struct gang_plan {
+    time_point ready;
+    std::vector<int> counts;
+};
+
+/// Returns the earliest time at which all members fit, or nothing where they never do.
+std::optional<gang_plan> plan_gang(const std::vector<gang_option>& options, const resources& need,
+                                   int tasks, time_point now);
+
 /// Returns the index of the candidate for one task, or -1: the data's rack first, then the fullest.
 int pick_for_task(const std::vector<candidate>& candidates, const resources& need);
 
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -118,4 +118,7 @@
 
 job_size size_of(const job_spec& spec, const std::vector<double>& estimates_ms);
 
+/// Returns the same of what isn't done yet.
+job_size left_of(const job_progress& job, const std::vector<double>& estimates_ms);
+
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -83,6 +83,12 @@
     bool empty() const { return records.empty() && ends.empty(); }
 };
 
+/// Room that waits for a gang of a higher rank; tasks that end before may use it.
+struct held_room {
+    resources amount;
+    time_point until;
+};
+
 class scheduler {
 public:
     scheduler(std::uint64_t fence, platform_bounds bounds, time_point now);
@@ -165,6 +171,11 @@
     std::vector<unit*> ranked_units(time_point now);
     bool may_start(const unit& u, const job_entry& entry) const;
     void place_gang(unit& u, job_entry& entry, time_point now);
+    void hold_back_for(unit& u, job_entry& entry, time_point now);
+    void renew_tickets(unit& u, const gang_plan& plan, const std::vector<gang_option>& options,
+                       const advice_terms& terms, time_point now);
+    std::vector<gang_option> gang_options(unit& u, const job_entry& entry, time_point now);
+    time_point expected_end(const run_record& run, time_point now) const;
     void place_tasks(unit& u, job_entry& entry, time_point now);
     bool advice_needed(unit& u, const job_entry& entry);
     std::vector<candidate> candidates_for(unit& u, const job_entry& entry, time_point now);
@@ -200,6 +211,8 @@
     std::vector<decision> decisions_;
     bool fenced_ = false;
     bool changed_ = true; ///< since the last placing
+    std::map<std::string, held_room> held_back_; ///< by worker, during one placing
+    resources held_back_total_;
 };
 
 } // namespace sesamesill::pool
--- a/src/pool_order.cc
+++ b/src/pool_order.cc
@@ -16,6 +16,8 @@
 constexpr double hopeless_factor = 0.01; ///< beyond `useful_until` it is only owed an end
 constexpr double useful_until = 3;       ///< times the objective, after which an end is worth little
 constexpr double urgent_factor = 3;      ///< of queues with priority 0
+constexpr double slack_scale_ms = 5000;  ///< about the length of a task: time to spare beyond this
+                                         ///< many milliseconds makes a step wait for others
 
 } // namespace
 
@@ -46,7 +48,11 @@
     if (end_ms > useful_until * in.objective_ms) {
         return rank * hopeless_factor;
     }
-    return end_ms > in.objective_ms ? rank * late_factor : rank;
+    if (end_ms > in.objective_ms) {
+        return rank * late_factor;
+    }
+    // Apparent tardiness cost: what has time to spare yields to what hasn't.
+    return rank * std::exp(-(in.objective_ms - end_ms) / slack_scale_ms);
 }
 
 int fitting(const resources& need, const resources& room, int limit)
@@ -112,6 +118,42 @@
     return fill(candidates, order, tasks);
 }
 
+std::optional<gang_plan> plan_gang(const std::vector<gang_option>& options, const resources& need,
+                                   int tasks, time_point now)
+{
+    struct slot {
+        time_point at;
+        std::size_t option;
+    };
+    std::vector<slot> slots;
+    for (std::size_t i = 0; i < options.size(); ++i) {
+        const gang_option& o = options[i];
+        resources room = o.room;
+        int fits_so_far = fitting(need, room, o.limit);
+        slots.insert(slots.end(), static_cast<std::size_t>(fits_so_far), {now, i});
+        for (const std::pair<time_point, resources>& freed : o.frees) {
+            room += freed.second;
+            const int fits_then = fitting(need, room, o.limit);
+            for (; fits_so_far < fits_then; ++fits_so_far) {
+                slots.push_back({std::max(now, freed.first), i});
+            }
+        }
+    }
+    if (static_cast<int>(slots.size()) < tasks) {
+        return std::nullopt;
+    }
+    std::stable_sort(slots.begin(), slots.end(),
+                     [](const slot& a, const slot& b) { return a.at < b.at; });
+    gang_plan plan;
+    plan.counts.assign(options.size(), 0);
+    for (int i = 0; i < tasks; ++i) {
+        const slot& s = slots[static_cast<std::size_t>(i)];
+        ++plan.counts[s.option];
+        plan.ready = s.at;
+    }
+    return plan;
+}
+
 int pick_for_task(const std::vector<candidate>& candidates, const resources& need)
 {
     int best = -1;
@@ -121,7 +163,7 @@
         if (c.fits <= 0) {
             continue;
         }
-        const resources left = c.where->room() - need;
+        const resources left = c.room - need;
         const resources& whole = c.where->entry.capacity;
         const double cpu_left = static_cast<double>(left.cpu_millis) /
                                 std::max(1.0, static_cast<double>(whole.cpu_millis));
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -67,8 +67,9 @@
         rank_inputs in;
         in.job_work = size.core_seconds;
         in.mean_work = learnt.mean_work;
-        in.left_work = size.core_seconds;
-        in.left_chain_ms = size.chain_ms;
+        const job_size left = left_of(job, estimates);
+        in.left_work = left.core_seconds;
+        in.left_chain_ms = left.chain_ms;
         in.waited_ms = static_cast<double>(to_millis(now - job.accepted()));
         if (queue != nullptr) {
             in.priority = queue->priority;
@@ -107,6 +108,8 @@
     const step_spec& step = job.spec().steps[static_cast<std::size_t>(u.first.step)];
     const queue_policy* queue = queue_of(job.spec().queue);
     const bool advised = queue != nullptr && queue->advice.has_value();
+    const time_point ends =
+        now + millis(static_cast<std::int64_t>(estimate_ms(job.spec().queue, step)));
     std::vector<candidate> result;
     for (worker* w : eligible_workers(u, now)) {
         const auto ticket = u.approved.find(w->entry.id);
@@ -119,7 +122,12 @@
         }
         candidate c;
         c.where = w;
-        c.fits = limit > 0 ? fitting(taken_by(step), w->room(), limit) : 0;
+        c.room = w->room();
+        const auto held = held_back_.find(w->entry.id);
+        if (held != held_back_.end() && ends > held->second.until) {
+            c.room -= held->second.amount;
+        }
+        c.fits = limit > 0 ? fitting(taken_by(step), c.room, limit) : 0;
         c.ticket_good = !advised || now < ticket->second.until;
         c.preferred = !step.preferred_rack.empty() && w->entry.rack == step.preferred_rack;
         if (c.fits > 0) {
@@ -204,6 +212,7 @@
     const std::vector<candidate> candidates = candidates_for(u, entry, now);
     const std::vector<int> counts = spread_gang(candidates, spec.tasks, spec.same_rack);
     if (counts.empty()) {
+        hold_back_for(u, entry, now);
         return;
     }
     std::vector<std::string> expired;
@@ -216,6 +225,7 @@
         if (!u.asking) {
             u.ask = expired;
         }
+        hold_back_for(u, entry, now);
         return;
     }
     const std::int64_t run = next_run(step, -1);
@@ -232,6 +242,114 @@
     }
 }
 
+/// Returns when the run is likely to end: by its progress where that is known.
+time_point scheduler::expected_end(const run_record& run, time_point now) const
+{
+    constexpr int telling_percent = 10; ///< less says little of a task's length
+    constexpr millis overdue{300};      ///< a run beyond its estimate is expected to end soon
+    constexpr millis unknown_run{1000};
+    const auto known = jobs_.find(run.task.job);
+    if (known == jobs_.end() || run.phase == run_phase::stopping ||
+        run.phase == run_phase::pinned) {
+        return now + unknown_run;
+    }
+    const job_progress& job = known->second.progress;
+    const step_spec& step = job.spec().steps[static_cast<std::size_t>(run.task.step)];
+    const task_record& task = job.step_at(run.task.occurrence, run.task.step)
+                                  .tasks[static_cast<std::size_t>(run.task.index)];
+    double length_ms = estimate_ms(job.spec().queue, step);
+    if (task.percent >= telling_percent) {
+        length_ms = static_cast<double>(to_millis(task.advanced - run.ordered)) * 100 / task.percent;
+    }
+    return std::max(now + overdue, run.ordered + millis(static_cast<std::int64_t>(length_ms)));
+}
+
+std::vector<gang_option> scheduler::gang_options(unit& u, const job_entry& entry, time_point now)
+{
+    const step_spec& step =
+        entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
+    const queue_policy* queue = queue_of(entry.progress.spec().queue);
+    std::vector<gang_option> options;
+    for (worker* w : eligible_workers(u, now)) {
+        if (queue != nullptr && queue->advice && u.approved.count(w->entry.id) == 0) {
+            continue;
+        }
+        gang_option o;
+        o.where = w;
+        o.room = w->room();
+        const auto held = held_back_.find(w->entry.id);
+        if (held != held_back_.end()) {
+            o.room -= held->second.amount;
+        }
+        o.limit = step.max_per_worker > 0 ? step.max_per_worker : step.tasks;
+        for (const std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w->runs) {
+            o.frees.emplace_back(expected_end(r.second, now), r.second.taken);
+        }
+        std::sort(o.frees.begin(), o.frees.end(),
+                  [](const std::pair<time_point, resources>& a,
+                     const std::pair<time_point, resources>& b) { return a.first < b.first; });
+        options.push_back(std::move(o));
+    }
+    return options;
+}
+
+/// Keeps room for a gang that could start soon, or smaller tasks would take each gap for ever.
+void scheduler::hold_back_for(unit& u, job_entry& entry, time_point now)
+{
+    constexpr millis horizon{3000};        ///< further ahead, estimates of ends say little
+    constexpr double most_held = 0.35;     ///< share of the pool; the rest serves what fits
+    const step_spec& step =
+        entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
+    const queue_policy* queue = queue_of(entry.progress.spec().queue);
+    const std::vector<gang_option> options = gang_options(u, entry, now);
+    const std::optional<gang_plan> plan = plan_gang(options, taken_by(step), step.tasks, now);
+    if (!plan || plan->ready > now + horizon || queue == nullptr) {
+        return;
+    }
+    resources whole;
+    for (const std::pair<const std::string, worker>& w : workers_) {
+        whole += w.second.entry.capacity;
+    }
+    const resources needed = scaled(taken_by(step), step.tasks);
+    if (dominant_share(held_back_total_ + needed, whole) > most_held) {
+        return;
+    }
+    held_back_total_ += needed;
+    for (std::size_t i = 0; i < options.size(); ++i) {
+        if (plan->counts[i] > 0) {
+            held_room& held = held_back_[options[i].where->entry.id];
+            held.amount += scaled(taken_by(step), plan->counts[i]);
+            held.until = std::max(held.until, plan->ready);
+        }
+    }
+    if (queue->advice) {
+        renew_tickets(u, *plan, options, *queue->advice, now);
+    }
+}
+
+/// Asks again, in time, for tickets that will have expired when the gang can start.
+void scheduler::renew_tickets(unit& u, const gang_plan& plan,
+                              const std::vector<gang_option>& options, const advice_terms& terms,
+                              time_point now)
+{
+    constexpr millis way{100}; ///< to the advisor and back, through another member
+    std::vector<std::string> expired;
+    for (std::size_t i = 0; i < options.size(); ++i) {
+        const std::string& id = options[i].where->entry.id;
+        const auto ticket = u.approved.find(id);
+        if (plan.counts[i] > 0 && ticket != u.approved.end() &&
+            ticket->second.until < plan.ready + way) {
+            expired.push_back(id);
+        }
+    }
+    const double takes =
+        terms.base_ms + terms.per_worker_ms * static_cast<double>(expired.size());
+    const time_point answered = now + millis(static_cast<std::int64_t>(takes)) + way;
+    if (!expired.empty() && !u.asking && answered >= plan.ready) {
+        u.ask = expired;
+    }
+}
+
 void scheduler::place_tasks(unit& u, job_entry& entry, time_point now)
 {
     job_progress& job = entry.progress;
@@ -249,6 +367,7 @@
         }
         candidate& c = candidates[static_cast<std::size_t>(pick)];
         --c.fits;
+        c.room -= taken_by(spec);
         if (!c.ticket_good) {
             expired.push_back(c.where->entry.id);
             continue;
@@ -268,6 +387,8 @@
         return;
     }
     changed_ = false;
+    held_back_.clear();
+    held_back_total_ = {};
     for (unit* u : ranked_units(now)) {
         job_entry& entry = jobs_.find(u->first.job)->second;
         if (advice_needed(*u, entry)) {
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -237,23 +237,43 @@
     update_state();
 }
 
-job_size size_of(const job_spec& spec, const std::vector<double>& estimates_ms)
+namespace {
+
+/// Adds up steps of which `tasks(step)` are to be run.
+template<typename Tasks>
+job_size add_up(const job_spec& spec, const std::vector<double>& estimates_ms, Tasks tasks)
 {
     job_size size;
     std::vector<double> ends(spec.steps.size(), 0);
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
         const step_spec& s = spec.steps[i];
+        const int count = tasks(static_cast<int>(i));
         double begin = 0;
         for (const int earlier : s.after) {
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
         }
-        ends[i] = begin + estimates_ms[i];
+        ends[i] = begin + (count > 0 ? estimates_ms[i] : 0);
         size.chain_ms = std::max(size.chain_ms, ends[i]);
         const double cores = static_cast<double>(s.need.cpu_millis) / 1000.0 +
                              accelerator_cores * static_cast<double>(s.need.accelerators);
-        size.core_seconds += cores * s.tasks * estimates_ms[i] / 1000.0;
+        size.core_seconds += cores * count * estimates_ms[i] / 1000.0;
     }
     return size;
 }
 
+} // namespace
+
+job_size size_of(const job_spec& spec, const std::vector<double>& estimates_ms)
+{
+    return add_up(spec, estimates_ms,
+                  [&](int i) { return spec.steps[static_cast<std::size_t>(i)].tasks; });
+}
+
+job_size left_of(const job_progress& job, const std::vector<double>& estimates_ms)
+{
+    return add_up(job.spec(), estimates_ms, [&](int i) {
+        return job.spec().steps[static_cast<std::size_t>(i)].tasks - job.step_at(0, i).done;
+    });
+}
+
 } // namespace sesamesill::pool
