--- a/include/sesamesill/pool_election.h
+++ b/include/sesamesill/pool_election.h
@@ -50,8 +50,9 @@
     /// Returns whether the leader has given a sign of life lately.
     bool has_live_leader(time_point now) const;
 
-    /// Above the leader's longest pause between records, a slow store's answer included.
-    static constexpr millis silence_limit{1200};
+    /// Above the leader's longest pause between records plus the reader's pause. A slow store makes
+    /// it longer, but then the leader still answers heartbeats.
+    static constexpr millis silence_limit{650};
 
 private:
     std::string incarnation_;
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -15,16 +15,18 @@
 
 constexpr millis settle_delay{2};        ///< gathers events that come together
 constexpr millis tick_period{50};
-constexpr millis start_timeout{350};     ///< a start is answered in a few milliseconds
+constexpr millis start_timeout{130};     ///< a start is answered in a few milliseconds; a repeat is
+                                         ///< the same run, so it may follow soon, each time later
 constexpr millis stop_timeout{400};
-constexpr millis look_wait{1000};        ///< an idle look lasts so long; renews the lease
-constexpr millis look_slack{700};        ///< beyond its wait
+constexpr millis idle_look_wait{1000};   ///< of a look at a worker without runs
+constexpr millis busy_look_wait{400};    ///< with runs: a look whose answer is lost hides ends so long
+constexpr millis look_slack{300};        ///< beyond its wait
 constexpr millis look_again{100};        ///< while ends wait for the store, or after a failure
 constexpr millis advice_slack{900};      ///< beyond the time that the advisor needs
 constexpr millis short_call{30};         ///< calls that the reserved caller takes
 constexpr millis any_call{60000};
 constexpr millis peer_life{1200};        ///< a member is used for so long after its heartbeat
-constexpr millis pulse_period{400};      ///< a leader with nothing to write still shows that it lives
+constexpr millis pulse_period{250};      ///< a leader with nothing to write still shows that it lives
 constexpr millis submit_patience{1200};  ///< a job whose record can't be sent by then is refused
 constexpr millis store_tolerance{500};   ///< failing appends before new jobs are refused
 constexpr millis handover_after{400};    ///< failing appends before another member is asked to lead
@@ -258,7 +260,7 @@
 void leader::send_starts()
 {
     for (start_order& order : scheduler_.take_starts()) {
-        workers_.start(order, start_timeout,
+        workers_.start(order, start_timeout * order.attempts,
                        [this, alive = alive_, order](order_verdict verdict, std::int64_t clock_ms,
                                                      const error&) {
                            if (*alive) {
@@ -307,8 +309,10 @@
                          std::any_of(w.runs.begin(), w.runs.end(), [](const auto& r) {
                              return r.second.phase == run_phase::pinned;
                          });
-    const std::optional<hold_order> order =
-        scheduler_.hold_for(id, at_once ? millis(0) : look_wait, now);
+    const millis wait = at_once         ? millis(0)
+                        : w.runs.empty() ? idle_look_wait
+                                         : busy_look_wait;
+    const std::optional<hold_order> order = scheduler_.hold_for(id, wait, now);
     if (!order) {
         return;
     }
@@ -462,7 +466,7 @@
         done({submit_verdict::accepted, "known", millis(0)});
         return;
     }
-    constexpr millis store_retry{1500};
+    constexpr millis store_retry{1000}; // a client waits about 3 s in all for its job to be taken
     if (admitted.verdict == admission::accept && writer_.failing_for(now) > store_tolerance) {
         done({submit_verdict::refused, "the store doesn't answer", store_retry});
         return;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -13,13 +13,14 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr millis heartbeat_period{250};
-constexpr millis heartbeat_timeout{600};
+constexpr millis heartbeat_period{150};
+constexpr millis heartbeat_timeout{400};
 constexpr millis election_period{20};
 constexpr millis standby_pause{150};     ///< a standby is at most this far behind the log
 constexpr millis retry_pause{60};        ///< before a request is passed on again
 constexpr millis answer_reserve{250};    ///< of a client's time, kept for the answer's way
-constexpr millis longest_try{1800};      ///< of one pass to the leader
+constexpr millis longest_try{600};       ///< of one pass: by then a lost leader is replaced; a
+                                         ///< repeat to the same leader joins the first
 constexpr millis come_back{1000};        ///< to clients, while the pool has no leader
 constexpr millis read_fresh{700};        ///< a store read this lately counts as reachable
 constexpr millis worker_memory{8000};    ///< entries that expired: longest lease and a margin
