Note ends only with the batch that records them

A cancel took its records beside the batch under way; the next batch had ends but no records and passed them. Ruled out: a lost append (the log held the progress of other jobs of that moment).

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -138,6 +138,8 @@
     /// Returns whether ends of this worker wait to be recorded.
     bool has_unrecorded_ends(const std::string& worker) const;
 
+    /// Returns what is to be recorded next; nothing while an earlier batch is under way, as its ends
+    /// aren't recorded yet.
     record_batch take_records(std::int64_t wall_ms);
     void recorded(const record_batch& batch, time_point now);
     /// Returns a batch that couldn't be stored, so that it goes into the next one.
@@ -209,6 +211,7 @@
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
     std::vector<decision> decisions_;
+    bool batch_under_way_ = false;
     bool fenced_ = false;
     bool changed_ = true; ///< since the last placing
     std::map<std::string, held_room> held_back_; ///< by worker, during one placing
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -63,6 +63,12 @@
             done({submit_verdict::unknown, "the leader changed", millis(0)});
         }
     }
+    for (const std::pair<const std::string, std::vector<std::function<void(state_answer)>>>& c :
+         cancels_) {
+        for (const std::function<void(state_answer)>& done : c.second) {
+            done({lookup::unavailable});
+        }
+    }
 }
 
 void leader::restore(const std::map<std::string, keyed_record>& records,
@@ -431,9 +437,11 @@
         writing_ = false;
         if (outcome != write_outcome::stored) {
             scheduler_.not_recorded(batch);
+            answer_cancels(batch.finals, false);
             return;
         }
         scheduler_.recorded(batch, boot_clock::now());
+        answer_cancels(batch.finals, true);
         for (const std::pair<const std::string, std::uint64_t>& end : batch.ends) {
             looks_[end.first].not_before = {};
         }
@@ -537,27 +545,28 @@
         done({lookup::not_known});
         return;
     }
-    if (answer == cancel_answer::already_final) {
-        done({lookup::found, job_state::cancelled});
+    const std::optional<job_state> shown = scheduler_.shown(id);
+    if (answer == cancel_answer::already_final && shown && is_final(*shown)) {
+        done({lookup::found, *shown});
         return;
     }
-    // The record of the batch that follows carries the cancelling; the answer waits for it.
-    record_batch batch = scheduler_.take_records(wall_clock_ms());
-    writer_.add(batch.records, millis(0),
-                [this, alive = alive_, batch, done](write_outcome outcome) {
-                    if (!*alive) {
-                        done({lookup::unavailable});
-                        return;
-                    }
-                    if (outcome == write_outcome::stored) {
-                        scheduler_.recorded(batch, boot_clock::now());
-                        done({lookup::found, job_state::cancelled});
-                        return;
-                    }
-                    scheduler_.not_recorded(batch);
-                    done({lookup::unavailable});
-                });
+    cancels_[id].push_back(std::move(done)); // answered with the batch that records it
     soon();
 }
 
+void leader::answer_cancels(const std::vector<std::string>& finals, bool stored)
+{
+    for (const std::string& id : finals) {
+        const auto waiting = cancels_.find(id);
+        if (waiting == cancels_.end()) {
+            continue;
+        }
+        const std::vector<std::function<void(state_answer)>> answers = std::move(waiting->second);
+        cancels_.erase(waiting);
+        for (const std::function<void(state_answer)>& answer : answers) {
+            answer(stored ? state_answer{lookup::found, job_state::cancelled} : state_answer{});
+        }
+    }
+}
+
 } // namespace sesamesill::pool
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -80,6 +80,7 @@
     void log_decisions();
     void check_store();
     void nominate_successor();
+    void answer_cancels(const std::vector<std::string>& finals, bool stored);
     void answer_submit(const std::string& id, const submit_answer& answer);
     bool may_order(time_point now) const;
 
@@ -95,6 +96,7 @@
     std::map<std::string, peer> peers_;
     std::map<std::string, look> looks_;
     std::map<std::string, pending_submit> submits_; ///< jobs whose record is being stored
+    std::map<std::string, std::vector<std::function<void(state_answer)>>> cancels_; ///< by job
     std::map<std::string, caller> callers_;         ///< members that call the advisor, by name
     bool writing_ = false;
     bool settling_ = false;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -807,6 +807,9 @@
 record_batch scheduler::take_records(std::int64_t wall_ms)
 {
     record_batch batch;
+    if (batch_under_way_) {
+        return batch;
+    }
     for (const std::string& id : dirty_) {
         const auto known = jobs_.find(id);
         if (known == jobs_.end()) {
@@ -850,11 +853,13 @@
         }
         j = old ? jobs_.erase(j) : std::next(j);
     }
+    batch_under_way_ = !batch.empty();
     return batch;
 }
 
 void scheduler::recorded(const record_batch& batch, time_point /*now*/)
 {
+    batch_under_way_ = false;
     for (const std::string& id : batch.finals) {
         const auto known = jobs_.find(id);
         if (known != jobs_.end()) {
@@ -871,6 +876,7 @@
 
 void scheduler::not_recorded(const record_batch& batch)
 {
+    batch_under_way_ = false;
     for (const keyed_record& r : batch.records) {
         const std::optional<std::string> id = job_of_progress_key(r.key);
         if (id && jobs_.count(*id) > 0) {
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -331,3 +331,27 @@
     s.on_hold(*order, at_ms(5), order_verdict::fenced, {}, at_ms(6));
     cr_assert(s.fenced());
 }
+
+Test(pool_scheduler, ends_are_noted_only_with_the_batch_that_records_them)
+{
+    // From talitaja-graafik trouble-1, seed 355923086739: TWICE. A batch was under way when a second
+    // one, without records, was taken: it passed the ends of the first as recorded.
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(2, 1)}), 0);
+    obey(s, place(s, 1), 2);
+    worker_report report;
+    report.running = {{task(1), 1, "", 10, 0}};
+    report.ended = {end_of(1, task(0), 1, end_reason::done)};
+    look(s, "w1", report, 10);
+    const record_batch first = s.take_records(wall_start_ms);
+    cr_assert_eq(first.ends.at("w1"), 1);
+    const record_batch second = s.take_records(wall_start_ms);
+    cr_assert(second.empty());
+    s.not_recorded(first);
+    cr_assert(s.has_unrecorded_ends("w1"));
+    const record_batch again = s.take_records(wall_start_ms);
+    cr_assert_eq(again.records.size(), 1);
+    s.recorded(again, at_ms(20));
+    cr_assert_not(s.has_unrecorded_ends("w1"));
+}
