Tell members who leads; hand the lead only to one that reads the store; ask the next leader about unknown submits

Change: heartbeats carry peers and leader, a new leader announces itself, misdirected members ask the others; a successor must have read the store since it failed here; an unknown outcome is asked again within the client's time.

--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -29,7 +29,8 @@
 constexpr millis pulse_period{250};      ///< a leader with nothing to write still shows that it lives
 constexpr millis submit_patience{1200};  ///< a job whose record can't be sent by then is refused
 constexpr millis store_tolerance{500};   ///< failing appends before new jobs are refused
-constexpr millis handover_after{400};    ///< failing appends before another member is asked to lead
+constexpr millis handover_after{250};    ///< failing appends before another member is asked to lead
+constexpr millis peer_read_life{600};    ///< a member that read the store so lately reaches it
 constexpr millis handover_pause{600};
 constexpr millis handover_rest{250};     ///< a successor reads the log and claims within 20 ms
 constexpr millis order_confidence{2500}; ///< orders without a sign that the claim is still the newest
@@ -221,15 +222,19 @@
 void leader::nominate_successor()
 {
     const time_point now = boot_clock::now();
+    // Where the store fails for this member, a successor has to have read it since.
+    const millis failing = writer_.failing_for(now);
+    const time_point read_after = now - (failing > millis(0) ? failing : peer_read_life);
     const std::pair<const std::string, peer>* best = nullptr;
     for (const std::pair<const std::string, peer>& p : peers_) {
-        const bool usable =
-            now - p.second.heard < peer_life && p.second.store_good && !p.second.leaving;
-        if (usable && (best == nullptr || p.second.heard > best->second.heard)) {
+        const bool usable = now - p.second.heard < peer_life && !p.second.leaving &&
+                            p.second.store_read > read_after;
+        if (usable && (best == nullptr || p.second.store_read > best->second.store_read)) {
             best = &p;
         }
     }
     if (best == nullptr) {
+        nominated_at_ = {}; // looks again at the next tick
         return;
     }
     writer_.rest(now + handover_rest);
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -19,7 +19,7 @@
 struct peer {
     endpoint address;
     time_point heard;
-    bool store_good = false;  ///< it reads the store
+    time_point store_read;    ///< when it last read the store
     std::uint64_t fence = 0;  ///< of the newest claim that it knows
     bool leaving = false;     ///< a planned stop has begun
 };
@@ -43,6 +43,7 @@
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
     void on_peer(const std::string& name, const peer& seen);
+    const std::map<std::string, peer>& peers() const { return peers_; }
 
     void submit(const job_spec& spec, std::function<void(submit_answer)> done);
     state_answer state_of(const std::string& id) const;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -16,13 +16,12 @@
 constexpr millis heartbeat_period{150};
 constexpr millis heartbeat_timeout{400};
 constexpr millis election_period{20};
-constexpr millis standby_pause{150};     ///< a standby is at most this far behind the log
+constexpr millis standby_pause{200};     ///< a standby is at most this far behind the log
 constexpr millis retry_pause{60};        ///< before a request is passed on again
 constexpr millis answer_reserve{250};    ///< of a client's time, kept for the answer's way
 constexpr millis longest_try{600};       ///< of one pass: by then a lost leader is replaced; a
                                          ///< repeat to the same leader joins the first
 constexpr millis come_back{1000};        ///< to clients, while the pool has no leader
-constexpr millis read_fresh{700};        ///< a store read this lately counts as reachable
 constexpr millis worker_memory{8000};    ///< entries that expired: longest lease and a margin
 constexpr std::uint32_t max_claim_delay_ms = 90; ///< spreads the claims of six members
 
@@ -44,6 +43,7 @@
     std::string body;
     time_point until;
     bool maybe_done = false; ///< some try had no answer
+    std::function<void(millis left)> here; ///< serves it where this member has come to lead
     std::function<void(std::optional<Json::Value>, bool maybe_done)> done;
 };
 
@@ -62,6 +62,7 @@
     election vote;
     keyed_follower follower;
     configuration config;
+    std::map<std::string, endpoint> known_peers; ///< from heartbeats, or from the leader
     std::map<std::string, worker_entry> known_workers;
     std::map<std::string, forgotten_worker> forgotten_workers;
     std::unique_ptr<leader> lead;
@@ -79,7 +80,10 @@
     void append_claim();
     void take_lead(std::uint64_t claim_offset);
     void lose_lead();
-    bool store_good() const;
+    void learn_leader(const Json::Value& value);
+    void learn_peers(const Json::Value& addresses);
+    void ask_peers_for_leader();
+    void announce(const leader_record& self);
     bool leads() const { return lead != nullptr; }
 
     void pass_on(std::shared_ptr<passing> request);
@@ -102,10 +106,70 @@
 {
 }
 
-bool member::parts::store_good() const
+namespace {
+
+Json::Value to_json(const leader_record& leader)
 {
-    const time_point now = boot_clock::now();
-    return leads() || now - follower.last_read() < read_fresh;
+    Json::Value value;
+    value["name"] = leader.name;
+    value["incarnation"] = leader.incarnation;
+    value["address"] = to_string(leader.address);
+    value["fence"] = static_cast<Json::UInt64>(leader.fence);
+    return value;
+}
+
+} // namespace
+
+/// Takes word of a leader from another member: one that is cut off from the store passes requests
+/// on all the same. A claim of one's own rests on the log alone.
+void member::parts::learn_leader(const Json::Value& value)
+{
+    if (!value.isObject() || !value["fence"].isUInt64() || value["fence"].asUInt64() == 0) {
+        return;
+    }
+    const std::optional<leader_record> named =
+        leader_from(to_text(value), value["fence"].asUInt64() - 1);
+    if (named && (!vote.leader() || vote.leader()->fence < named->fence)) {
+        vote.on_leader(*named, boot_clock::now());
+        log_event(log_level::info, "leader_told",
+                  {{"peer", named->name}, {"fence", static_cast<std::int64_t>(named->fence)}});
+    }
+}
+
+void member::parts::learn_peers(const Json::Value& addresses)
+{
+    if (!addresses.isObject()) {
+        return;
+    }
+    for (const std::string& name : addresses.getMemberNames()) {
+        const std::optional<endpoint> address = endpoint_from(addresses[name].asString());
+        if (address && name != settings.name) {
+            known_peers[name] = *address;
+        }
+    }
+}
+
+void member::parts::ask_peers_for_leader()
+{
+    for (const std::pair<const std::string, endpoint>& p : known_peers) {
+        call_rpc(peers, p.second, "leader", Json::Value(Json::objectValue),
+                 heartbeat_timeout,
+                 [this](const std::optional<Json::Value>& answer, const error&) {
+                     if (answer) { // a peer that doesn't answer is one of several asked
+                         learn_leader(*answer);
+                     }
+                 });
+    }
+}
+
+void member::parts::announce(const leader_record& self)
+{
+    for (const std::pair<const std::string, endpoint>& p : known_peers) {
+        call_rpc(peers, p.second, "leader", to_json(self), heartbeat_timeout,
+                 [](const std::optional<Json::Value>&, const error&) {
+                     // The log tells those that this doesn't reach.
+                 });
+    }
 }
 
 void member::parts::on_record(const keyed_record& record)
@@ -147,7 +211,8 @@
     Json::Value params;
     params["name"] = settings.name;
     params["address"] = to_string(settings.peer_listen);
-    params["store_good"] = store_good();
+    params["read_age_ms"] =
+        static_cast<Json::Int64>(to_millis(boot_clock::now() - follower.last_read()));
     params["leaving"] = leaving;
     params["fence"] = static_cast<Json::UInt64>(vote.leader()->fence);
     call_rpc(peers, vote.leader()->address, "heartbeat", params, heartbeat_timeout,
@@ -158,11 +223,20 @@
                  if (!vote.leader() || vote.leader()->incarnation != asked) {
                      return;
                  }
+                 if (answer) {
+                     learn_peers((*answer)["peers"]);
+                     learn_leader((*answer)["leader"]);
+                 }
+                 if (vote.leader()->incarnation != asked) {
+                     return;
+                 }
                  if (answer && (*answer)["incarnation"].asString() == asked &&
                      (*answer)["leads"].asBool()) {
                      vote.on_contact(now);
+                     return;
                  }
-                 else if (answer || why.code == error_code::unavailable) {
+                 ask_peers_for_leader();
+                 if (answer || why.code == error_code::unavailable) {
                      vote.on_leader_gone(now);
                  }
              });
@@ -249,6 +323,7 @@
     for (const std::pair<const std::string, forgotten_worker>& w : forgotten_workers) {
         lead->unlist_worker(w.first);
     }
+    announce(self);
 }
 
 void member::parts::lose_lead()
@@ -271,12 +346,20 @@
         peer seen;
         seen.address = *address;
         seen.heard = boot_clock::now();
-        seen.store_good = params["store_good"].asBool();
+        seen.store_read = seen.heard - millis(params["read_age_ms"].asInt64());
         seen.leaving = params["leaving"].asBool();
         seen.fence = params["fence"].asUInt64();
         lead->on_peer(params["name"].asString(), seen);
     }
+    known_peers[params["name"].asString()] = *address;
     Json::Value answer;
+    answer["peers"][settings.name] = to_string(settings.peer_listen);
+    for (const std::pair<const std::string, endpoint>& p : known_peers) {
+        answer["peers"][p.first] = to_string(p.second);
+    }
+    if (vote.leader()) {
+        answer["leader"] = to_json(*vote.leader());
+    }
     answer["incarnation"] = incarnation;
     // A claim under way counts as leading: its record is ahead of the answer.
     answer["leads"] = leads() || claiming;
@@ -324,7 +407,8 @@
     return {found == static_cast<int>(lookup::found) ? lookup::found : lookup::not_known, *state};
 }
 
-constexpr int not_leading = 421; ///< HTTP: misdirected request
+constexpr int not_leading = 421;     ///< HTTP: misdirected request
+constexpr int outcome_unknown = 504; ///< HTTP: gateway time-out
 
 void respond_json(const http_respond& respond, const Json::Value& value)
 {
@@ -364,6 +448,12 @@
             respond_not_leading(respond);
             return;
         }
+        if (a.verdict == submit_verdict::unknown) {
+            http_reply reply; // the sender asks the next leader, which reads the log
+            reply.status = outcome_unknown;
+            respond(std::move(reply));
+            return;
+        }
         respond_json(respond, to_json(a));
     });
 }
@@ -401,6 +491,11 @@
 {
     rpc.add("heartbeat",
             [this](const Json::Value& params, error& why) { return on_heartbeat(params, why); });
+    rpc.add("leader", [this](const Json::Value& params, error&) {
+        learn_leader(params);
+        return std::optional<Json::Value>(vote.leader() ? to_json(*vote.leader())
+                                                        : Json::Value(Json::objectValue));
+    });
     rpc.add("succeed", [this](const Json::Value& params, error&) {
         const bool newest = vote.leader() && vote.leader()->fence <= params["fence"].asUInt64();
         if (newest && !leaving) {
@@ -462,6 +557,10 @@
         request->done(std::nullopt, request->maybe_done);
         return;
     }
+    if (leads()) {
+        request->here(left + answer_reserve);
+        return;
+    }
     const auto again = [this, request] {
         loop.after(retry_pause, [this, request] { pass_on(request); });
     };
@@ -567,15 +666,16 @@
 {
     parts& p = *parts_;
     if (p.leads()) {
-        const time_point until = answer_by(budget);
+        const time_point until = boot_clock::now() + budget;
         p.lead->submit(spec, [this, spec, until, done = std::move(done)](const submit_answer& a) {
             const millis left(to_millis(until - boot_clock::now()));
             const bool ask_successor = a.verdict == submit_verdict::unknown ||
                                        a.verdict == submit_verdict::moved;
-            if (ask_successor && left > retry_pause) {
+            if (ask_successor && left > answer_reserve + retry_pause) {
                 // The lead was lost meanwhile; the successor knows whether the job is stored.
-                parts_->loop.after(retry_pause,
-                                   [this, spec, left, done] { submit(spec, left, done); });
+                parts_->loop.after(retry_pause, [this, spec, left, done] {
+                    submit(spec, left - retry_pause, done);
+                });
                 return;
             }
             done(a);
@@ -587,8 +687,8 @@
     request->path = "/pool/submit";
     request->body = to_text(pool::to_json(spec));
     request->until = answer_by(budget);
-    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer,
-                                             bool maybe_done) {
+    request->here = [this, spec, done](millis left) { submit(spec, left, done); };
+    request->done = [done](const std::optional<Json::Value>& answer, bool maybe_done) {
         if (answer) {
             done(submit_answer_from(*answer));
             return;
@@ -610,7 +710,8 @@
     request->method = "GET";
     request->path = "/pool/state?id=" + id;
     request->until = answer_by(budget);
-    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer, bool) {
+    request->here = [this, id, done](millis left) { state_of(id, left, done); };
+    request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? state_answer_from(*answer) : state_answer{});
     };
     p.pass_on(request);
@@ -627,7 +728,8 @@
     request->method = "POST";
     request->path = "/pool/cancel?id=" + id;
     request->until = answer_by(budget);
-    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer, bool) {
+    request->here = [this, id, done](millis left) { cancel(id, left, done); };
+    request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? state_answer_from(*answer) : state_answer{});
     };
     p.pass_on(request);
@@ -645,7 +747,8 @@
     request->method = "GET";
     request->path = "/pool/waiting?queue=" + queue;
     request->until = answer_by(budget);
-    request->done = [done = std::move(done)](const std::optional<Json::Value>& answer, bool) {
+    request->here = [this, queue, done](millis left) { waiting_in(queue, left, done); };
+    request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()}
                     : waiting_answer{});
     };
