Write bounded logs to standard output that wait for no reader; count decisions; time queues

Cause: lines went to standard error, blocking, one write each; a request's answer left no line where it was taken. The full-pipe test pushes 10 MB into a pipe of 64 KiB.

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -33,6 +33,7 @@
 constexpr millis directory_pause{300};            ///< workers that drain get nothing new after 2 s
 constexpr millis farewell{1800};                  ///< before the end of the grace: last answers
 constexpr millis farewell_period{50};
+constexpr millis log_period{20};                  ///< lines below a warning are gathered so long
 constexpr millis serve_while_leaving{2500};       ///< the balancer notices within about 2 s
 
 std::optional<pool::daemon_settings> read_settings(const std::string& path)
@@ -199,13 +200,14 @@
         std::cout << path << ": good\n";
         return 0;
     }
-    start_log(settings->name, log_level::info);
+    start_bounded_log(settings->name, log_level::info);
     log_event(log_level::info, "starting", {{"version", SESAMESILL_VERSION}});
     event_loop loop;
     daemon_parts parts(loop, *settings);
     error why;
     if (!parts.start(why)) {
         log_error("start_failed", why);
+        flush_log();
         return 1;
     }
     loop.on_signal(SIGTERM, [&parts] { parts.leave(); });
@@ -214,6 +216,8 @@
         const bool good = read_settings(path).has_value();
         log_event(log_level::info, "reload", {{"good", good ? "yes" : "no"}});
     });
+    loop.every(log_period, flush_log);
     loop.run();
+    flush_log();
     return 0;
 }
--- a/include/sesamesill/log.h
+++ b/include/sesamesill/log.h
@@ -22,6 +22,14 @@
 /// Sets up the sink on standard error; `process` goes into each line.
 void start_log(std::string_view process, log_level lowest);
 
+/// Sets up a bounded sink on standard output that never waits for a reader. Lines of one event
+/// beyond `max_lines_a_second` are left out and counted. Lines below a warning are written by
+/// `flush_log`.
+void start_bounded_log(std::string_view process, log_level lowest);
+void flush_log();
+
+constexpr int max_lines_a_second = 1000; ///< of one event: above the busiest day's task starts
+
 /// Writes one line with time, level, event and the fields.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -36,6 +36,8 @@
     moved     ///< not stored; another member leads now and can be asked
 };
 
+std::string_view name_of(submit_verdict verdict);
+
 struct submit_answer {
     submit_verdict verdict = submit_verdict::unknown;
     std::string reason;
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -31,6 +31,7 @@
     refused,
     advised,
     advice_failed,
+    begun, ///< the first start of a job
     started,
     start_failed,
     ended,
@@ -54,6 +55,7 @@
 struct decision {
     decision_kind kind = decision_kind::accepted;
     std::string job;    ///< empty where it concerns a worker only
+    std::string queue;  ///< of the job
     std::string worker; ///< empty where it concerns a job only
     std::string detail;
     std::int64_t age_ms = 0; ///< of the input that decided it
--- a/src/log.cc
+++ b/src/log.cc
@@ -4,14 +4,23 @@
 
 #include <chrono>
 #include <iostream>
+#include <map>
+#include <memory>
+
+#include <unistd.h>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <json/json.h>
 
+#include "log_ring.h"
+#include "sesamesill/clock.h"
 #include "sesamesill/names.h"
 
 namespace sesamesill {
@@ -22,7 +31,32 @@
                                                 {log_level::warning, "warning"},
                                                 {log_level::error, "error"}}};
 
+constexpr std::size_t ring_bytes = std::size_t{512} * 1024; ///< a second of the busiest day
+
+/// Counts the lines of one event within a second.
+struct line_budget {
+    time_point second;
+    int written = 0;
+    std::int64_t left_out = 0;
+};
+
+/// Takes formatted lines from Boost.Log.
+struct ring_backend
+    : boost::log::sinks::basic_formatted_sink_backend<char,
+                                                      boost::log::sinks::concurrent_feeding> {
+    explicit ring_backend(std::shared_ptr<log_ring> to) : ring(std::move(to)) {}
+
+    void consume(const boost::log::record_view& /*record*/, const string_type& line)
+    {
+        ring->push(line);
+    }
+
+    std::shared_ptr<log_ring> ring;
+};
+
 struct log_state {
+    std::shared_ptr<log_ring> ring; ///< null where lines go to standard error
+    std::map<std::string, line_budget, std::less<>> budgets;
     std::string process = "sesamesill";
     log_level lowest = log_level::info;
     boost::log::sources::severity_logger<boost::log::trivial::severity_level> logger;
@@ -60,17 +94,73 @@
                                 boost::log::keywords::auto_flush = true);
 }
 
+void start_bounded_log(std::string_view process, log_level lowest)
+{
+    log_state& state = current_log();
+    state.process = std::string(process);
+    state.lowest = lowest;
+    state.ring = std::make_shared<log_ring>(STDOUT_FILENO, ring_bytes);
+    using sink = boost::log::sinks::unlocked_sink<ring_backend>;
+    const boost::shared_ptr<sink> frontend =
+        boost::make_shared<sink>(boost::make_shared<ring_backend>(state.ring));
+    frontend->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(frontend);
+}
+
+void flush_log()
+{
+    if (current_log().ring != nullptr) {
+        current_log().ring->flush();
+    }
+}
+
+namespace {
+
+/// Returns whether one more line of the event may be written; `missed` gets the count of those
+/// that were left out before.
+bool within_budget(std::string_view event, std::int64_t& missed)
+{
+    log_state& state = current_log();
+    if (state.ring == nullptr) {
+        return true;
+    }
+    constexpr millis second{1000};
+    auto budget = state.budgets.find(event);
+    if (budget == state.budgets.end()) {
+        budget = state.budgets.emplace(std::string(event), line_budget{}).first;
+    }
+    const time_point now = boot_clock::now();
+    if (now - budget->second.second > second) {
+        missed = budget->second.left_out;
+        budget->second = {now, 0, 0};
+    }
+    if (++budget->second.written > max_lines_a_second) {
+        ++budget->second.left_out;
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (level < current_log().lowest) {
+    std::int64_t missed = 0;
+    if (level < current_log().lowest || !within_budget(event, missed)) {
         return;
     }
     Json::Value line;
     line["event"] = std::string(event);
+    if (missed > 0) {
+        line["left_out_before"] = static_cast<Json::Int64>(missed);
+    }
     for (const log_field& f : fields) {
         std::visit([&](const auto& v) { line[std::string(f.key)] = Json::Value(v); }, f.value);
     }
     write(level, line);
+    if (level >= log_level::warning) {
+        flush_log();
+    }
 }
 
 void log_error(std::string_view event, const error& e)
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -35,6 +35,7 @@
 constexpr millis handover_rest{250};     ///< a successor reads the log and claims within 20 ms
 constexpr millis order_confidence{2500}; ///< orders without a sign that the claim is still the newest
 constexpr const char* pulse_key = "pulse";
+constexpr double ms_a_second = 1000;
 
 } // namespace
 
@@ -457,8 +458,24 @@
 void leader::log_decisions()
 {
     for (const decision& d : scheduler_.take_decisions()) {
-        log_event(log_level::info, name_of(d.kind),
+        const std::string kind(name_of(d.kind));
+        process_metrics().counter("sesamesill_pool_decisions_total", "Decisions of the leader",
+                                  {{"kind", kind}})++;
+        if (d.kind == decision_kind::begun) {
+            process_metrics()
+                .distribution("sesamesill_pool_first_start_seconds",
+                              "From acceptance to a job's first start", {{"queue", d.queue}})
+                .observe(static_cast<double>(d.age_ms) / ms_a_second);
+        }
+        if (d.kind == decision_kind::finished) {
+            process_metrics()
+                .distribution("sesamesill_pool_job_seconds", "From acceptance to a job's end",
+                              {{"queue", d.queue}})
+                .observe(static_cast<double>(d.age_ms) / ms_a_second);
+        }
+        log_event(log_level::info, kind,
                   {{"job", d.job},
+                   {"queue", d.queue},
                    {"worker", d.worker},
                    {"detail", d.detail},
                    {"age_ms", d.age_ms},
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -8,6 +8,7 @@
 #include "pool_keys.h"
 #include "pool_leader.h"
 #include "sesamesill/log.h"
+#include "sesamesill/names.h"
 #include "sesamesill/rpc.h"
 
 namespace sesamesill::pool {
@@ -25,6 +26,11 @@
 constexpr millis worker_memory{8000};    ///< entries that expired: longest lease and a margin
 constexpr std::uint32_t max_claim_delay_ms = 90; ///< spreads the claims of six members
 
+constexpr name_table<submit_verdict, 4> verdict_names{{{submit_verdict::accepted, "accepted"},
+                                                       {submit_verdict::refused, "refused"},
+                                                       {submit_verdict::unknown, "unknown"},
+                                                       {submit_verdict::moved, "moved"}}};
+
 std::string random_text()
 {
     std::random_device device;
@@ -49,6 +55,11 @@
 
 } // namespace
 
+std::string_view name_of(submit_verdict verdict)
+{
+    return name_in(verdict_names, verdict);
+}
+
 struct member::parts {
     event_loop& loop;
     member_settings settings;
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -185,9 +185,8 @@
     record.until_ms = order.until_ms;
     add_run(w, std::move(record));
     w.gone_at = std::max(w.gone_at, lease_end(now, start_validity));
-    note(decision_kind::started, id.job, w.entry.id,
-         order.task + " run " + std::to_string(run) + (first_start ? " first" : ""),
-         to_millis(now - job.accepted()));
+    note(first_start ? decision_kind::begun : decision_kind::started, id.job, w.entry.id,
+         order.task + " run " + std::to_string(run), to_millis(now - job.accepted()));
     starts_.push_back(std::move(order));
 }
 
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -11,11 +11,12 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 19> decision_names{
+constexpr name_table<decision_kind, 20> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
      {decision_kind::advice_failed, "advice_failed"},
+     {decision_kind::begun, "job_begun"},
      {decision_kind::started, "task_started"},
      {decision_kind::start_failed, "start_failed"},
      {decision_kind::ended, "task_ended"},
@@ -39,6 +40,19 @@
                                                {end_reason::broken, "broken"},
                                                {end_reason::alone, "alone"}}};
 
+constexpr name_table<order_verdict, 11> verdict_names{
+    {{order_verdict::obeyed, "obeyed"},
+     {order_verdict::fenced, "fenced"},
+     {order_verdict::superseded, "superseded"},
+     {order_verdict::late, "late"},
+     {order_verdict::no_room, "no_room"},
+     {order_verdict::no_ticket, "no_ticket"},
+     {order_verdict::unhealthy, "unhealthy"},
+     {order_verdict::replaced, "replaced"},
+     {order_verdict::invalid, "invalid"},
+     {order_verdict::not_sent, "not_sent"},
+     {order_verdict::unknown, "unknown"}}};
+
 constexpr millis lease_length{5000};     ///< within the platform's longest lease
 constexpr int start_attempts = 3;        ///< sends of one start before it is stopped instead
 constexpr millis stop_resend{500};       ///< a stop without an answer is repeated
@@ -60,7 +74,10 @@
 void scheduler::note(decision_kind kind, const std::string& job, const std::string& worker,
                      std::string detail, std::int64_t age_ms)
 {
-    decisions_.push_back({kind, job, worker, std::move(detail), age_ms});
+    const auto known = jobs_.find(job);
+    const std::string queue =
+        known != jobs_.end() ? known->second.progress.spec().queue : std::string();
+    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms});
 }
 
 void scheduler::configure(const configuration& config)
@@ -412,7 +429,8 @@
         return;
     }
     note(decision_kind::start_failed, run.task.job, order.worker,
-         order.task + ": " + std::to_string(static_cast<int>(verdict)), to_millis(now - run.ordered));
+         order.task + ": " + std::string(name_in(verdict_names, verdict)),
+         to_millis(now - run.ordered));
     if (run.phase != run_phase::starting) {
         return; // being stopped, or listed by its worker in the meantime
     }
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "sesamesill/log.h"
+#include "sesamesill/metrics.h"
 
 namespace sesamesill::pool {
 namespace {
@@ -146,6 +147,10 @@
 {
     const time_point now = boot_clock::now();
     const double took = static_cast<double>(to_millis(now - sent_at_));
+    process_metrics()
+        .distribution("sesamesill_pool_append_seconds", "Appends to the store",
+                      {{"stored", r.verdict == append_verdict::stored ? "yes" : "no"}})
+        .observe(took / 1000);
     if (r.verdict == append_verdict::stored) {
         smoothed_ms_ += (took - smoothed_ms_) / 8;
         end_ = r.end;
--- /dev/null
+++ b/test/log_ring-test.cc
@@ -0,0 +1,71 @@
+// The log's buffer before a descriptor that nobody reads.
+
+#include <string>
+
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "log_ring.h"
+
+using namespace sesamesill;
+
+namespace {
+
+struct pipe_pair {
+    int ends[2] = {-1, -1};
+
+    pipe_pair() { cr_assert_eq(pipe(ends), 0); }
+    ~pipe_pair()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+    pipe_pair(const pipe_pair&) = delete;
+    pipe_pair& operator=(const pipe_pair&) = delete;
+    pipe_pair(pipe_pair&&) = delete;
+    pipe_pair& operator=(pipe_pair&&) = delete;
+
+    std::string read_some() const
+    {
+        std::string text(std::size_t{1024} * 1024, '\0');
+        fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        const ssize_t n = read(ends[0], text.data(), text.size());
+        text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return text;
+    }
+};
+
+} // namespace
+
+Test(log_ring, writes_lines_in_order)
+{
+    const pipe_pair p;
+    log_ring ring(p.ends[1], 1000);
+    cr_assert(ring.push("one"));
+    cr_assert(ring.push("two"));
+    ring.flush();
+    cr_assert(p.read_some() == "one\ntwo\n");
+}
+
+Test(log_ring, a_full_pipe_never_blocks_and_what_was_left_out_is_told, .timeout = 10)
+{
+    const pipe_pair p;
+    constexpr std::size_t capacity = 4096;
+    log_ring ring(p.ends[1], capacity);
+    const std::string line(100, 'x');
+    for (int i = 0; i < 100000; ++i) { // ten megabytes into a pipe of 64 KiB: blocks if anything does
+        ring.push(line);
+        ring.flush();
+    }
+    cr_assert_gt(ring.left_out(), 90000U);
+    cr_assert_leq(ring.size(), capacity);
+    std::string all;
+    for (int i = 0; i < 4; ++i) {
+        all += p.read_some();
+        ring.flush();
+    }
+    all += p.read_some();
+    const std::string told = "\"count\":" + std::to_string(ring.left_out()) + "}";
+    cr_assert_neq(all.find(told), std::string::npos);
+}
