--- /dev/null
+++ b/test/platform-test.cc
@@ -0,0 +1,171 @@
+// The adapter's formats: what the platform writes is read, and garbage is named and left.
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+#include "directory.h"
+#include "front.h"
+#include "sesamesill/pool_settings.h"
+#include "store.h"
+#include "workers.h"
+
+using namespace sesamesill;
+using namespace sesamesill::platform;
+
+namespace {
+
+constexpr const char* entry_text =
+    R"({"Service":"s1","Addr":"10.128.0.9:8080","Zone":"z1","Version":"v1","Slots":8,"State":"ready",)"
+    R"("Machine":"m1","Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1-3"],"born":17,"Seq":4})";
+
+constexpr const char* configuration_text =
+    R"({"Version":7,"Routes":[{"Name":"r1","Host":"h.example","PathPrefix":"/a/","TargetLatencyMs":250,)"
+    R"("Priority":0,"Service":"s1","MaxAttempts":3,"Stretch":1.5,"Advice":{"DecideMs":7.0,"PerWorkerMs":0.1,"ValidMs":2500}},)"
+    R"({"Name":"r2","Host":"h.example","PathPrefix":"/a/b/","Service":"s1"}],"Services":[{"Name":"s1","AdmissionCheck":false}]})";
+
+constexpr const char* job_text =
+    R"({"Spec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstMs":900,"Affinity":"r1-3"},)"
+    R"({"Count":20,"Cpu":2000,"After":[0],"SavesProgress":true,"Gang":true,"AntiAffinity":2}]})";
+
+constexpr const char* report_text =
+    R"({"ClockMs":482113,"born":5,"Running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41,1.5]],)"
+    R"("EndedRuns":[[58,"5c0e7a21d94b36f8.0.1.9",1,"broken",""]]})";
+
+/// Returns `text` with some bytes changed, cut or doubled.
+std::string mutated(std::string text, std::mt19937& random)
+{
+    const std::size_t changes = 1 + random() % 4;
+    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+        const std::size_t at = random() % text.size();
+        switch (random() % 4) {
+        case 0:
+            text[at] = static_cast<char>(random() % 256);
+            break;
+        case 1:
+            text.erase(at, 1 + random() % 8);
+            break;
+        case 2:
+            text.insert(at, text.substr(random() % text.size(), random() % 8));
+            break;
+        default:
+            text.resize(at);
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+Test(platform, a_worker_entry_is_decoded)
+{
+    error why;
+    const std::optional<pool::worker_entry> entry = decode_worker("i-1", entry_text, why);
+    cr_assert(entry.has_value());
+    cr_assert(entry->rack == "r1-3");
+    cr_assert(entry->machine == "m1");
+    cr_assert_eq(entry->capacity.cpu_millis, 16000);
+    cr_assert_eq(entry->born_ms, 17);
+    cr_assert_not(entry->draining);
+}
+
+Test(platform, entries_of_other_writers_name_no_worker)
+{
+    for (const char* text : {"", "{}", "[1]", "\xff\xfe", R"({"Service":"s1","Addr":"x","State":"ready"})",
+                             R"({"Service":5,"Addr":"10.0.0.1:80","State":"ready","Capacity":{}})",
+                             R"({"Service":"s","Addr":"10.0.0.1:80","State":"odd","Capacity":{}})"}) {
+        error why;
+        cr_assert_not(decode_worker("i-1", text, why).has_value(), "%s", text);
+        cr_assert_not(why.reason.empty());
+    }
+}
+
+Test(platform, the_configuration_is_decoded_and_the_longest_prefix_wins)
+{
+    error why;
+    const std::optional<pool::configuration> config = decode_configuration(configuration_text, why);
+    cr_assert(config.has_value());
+    cr_assert_eq(config->version, 7);
+    cr_assert(config->queues[0].advice.has_value());
+    cr_assert_not(config->queues[1].advice.has_value());
+    cr_assert(find_queue(*config, "h.example:80", "/a/b/x")->name == "r2");
+    cr_assert(find_queue(*config, "h.example", "/a/x")->name == "r1");
+    cr_assert_null(find_queue(*config, "h.example", "/c/x"));
+    cr_assert_null(find_queue(*config, "other.example", "/a/x"));
+}
+
+Test(platform, a_job_is_decoded_and_impossible_ones_are_named)
+{
+    error why;
+    const std::optional<pool::job_spec> job = decode_job(job_text, why);
+    cr_assert(job.has_value());
+    cr_assert_eq(job->steps[1].tasks, 20);
+    cr_assert(job->steps[1].gang);
+    cr_assert_eq(job->steps[1].max_per_worker, 2);
+    cr_assert(job->steps[0].preferred_rack == "r1-3");
+    for (const char* text :
+         {"", "[]", R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})", R"({"Steps":[{"After":[0]}]})",
+          R"({"Steps":[{"Count":"four"}]})", R"({"Steps":[{"Cpu":-1}]})", R"({"Steps":7})"}) {
+        cr_assert_not(decode_job(text, why).has_value(), "%s", text);
+        cr_assert_not(why.reason.empty(), "%s", text);
+    }
+}
+
+Test(platform, a_report_is_decoded)
+{
+    error why;
+    const std::optional<pool::worker_report> report = decode_report(report_text, why);
+    cr_assert(report.has_value());
+    cr_assert_eq(report->running[0].percent, 41);
+    cr_assert_eq(report->ended[0].number, 58);
+    cr_assert_eq(report->ended[0].how, pool::end_reason::broken);
+}
+
+Test(platform, records_survive_the_store_format)
+{
+    const std::string body = std::string("\0\0\0\0\0\0\0\x09", 8) + std::string(8, '\0') +
+                             encode_records({{"key", "value", 0}, {"gone", "", 0}});
+    const std::optional<pool::read_result> read = decode_read(body, 7);
+    cr_assert(read.has_value());
+    cr_assert_eq(read->end, 9);
+    cr_assert_eq(read->records.size(), 2);
+    cr_assert(read->records[0].value == "value");
+    cr_assert_eq(read->records[1].offset, 8);
+    cr_assert(read->records[1].value.empty());
+    const std::optional<pool::newest_result> newest = decode_newest(
+        R"({"items":[{"Key":"config","Value":"eyJhIjoxfQ==","Offset":4}],"HasMore":true,"End":6})");
+    cr_assert(newest.has_value());
+    cr_assert(newest->records[0].value == R"({"a":1})");
+    cr_assert(newest->more);
+}
+
+Test(platform, mutated_inputs_never_crash_a_reader)
+{
+    std::mt19937 random(20261204);
+    const std::string body = std::string(16, '\0') + encode_records({{"key", "value", 0}});
+    for (int i = 0; i < 20000; ++i) {
+        error why;
+        decode_worker("i-1", mutated(entry_text, random), why);
+        decode_configuration(mutated(configuration_text, random), why);
+        decode_job(mutated(job_text, random), why);
+        decode_report(mutated(report_text, random), why);
+        decode_read(mutated(body, random), 0);
+        decode_newest(mutated(R"({"items":[{"Key":"c","Value":"eyJh","Offset":4}],"End":6})", random));
+        pool::task_id_from(mutated("5c0e7a21d94b36f8.0.1.17", random));
+    }
+}
+
+Test(platform, settings_are_checked)
+{
+    const std::string good = "[member]\nname = e1\ndata_center = d\nlisten = 10.0.0.1:80\n"
+                             "readiness_listen = 10.0.0.1:81\npeer_listen = 10.0.0.1:82\n"
+                             "metrics_listen = 10.0.0.1:83\n[platform]\nstore = 10.0.0.2:80\n"
+                             "[bounds]\nmax_lease_ms = 6000\ngrace_s = 6\nadded_later = 1\n";
+    std::vector<fault> faults;
+    const std::optional<pool::daemon_settings> settings = pool::parse_daemon_settings(good, faults);
+    cr_assert(settings.has_value());
+    cr_assert_eq(settings->bounds.grace.count(), 6000);
+    cr_assert_not(pool::parse_daemon_settings("[member]\nname = e1\nlisten = here\n", faults));
+    cr_assert_geq(faults.size(), 2);
+}
--- /dev/null
+++ b/test/pool_log-test.cc
@@ -0,0 +1,244 @@
+// The follower and the writer over a log that fails in each way that the platform's store can.
+
+#include <deque>
+
+#include <criterion/criterion.h>
+
+#include "sesamesill/pool_follower.h"
+#include "sesamesill/pool_writer.h"
+
+using namespace sesamesill;
+using namespace sesamesill::pool;
+
+namespace {
+
+/// A store in memory. Faults are taken from the front, one for each append.
+class fake_log : public record_log {
+public:
+    enum class fault { none, lost_answer, lost_request, refused, late };
+
+    explicit fake_log(event_loop& loop) : loop_(loop) {}
+
+    void append(const std::vector<keyed_record>& added, std::uint64_t at, millis timeout,
+                std::function<void(append_result)> done) override
+    {
+        ++appends;
+        fault now = fault::none;
+        if (!faults.empty()) {
+            now = faults.front();
+            faults.pop_front();
+        }
+        append_result r;
+        if (now == fault::refused) {
+            r.verdict = append_verdict::refused;
+        }
+        else if (now == fault::lost_request) {
+            r.verdict = append_verdict::unknown;
+        }
+        else if (now == fault::late) {
+            loop_.after(timeout * 2, [this, added, at] { store(added, at); });
+            r.verdict = append_verdict::unknown;
+        }
+        else {
+            r = store(added, at);
+            if (now == fault::lost_answer) {
+                r = {};
+            }
+        }
+        loop_.after(millis(2), [r, done = std::move(done)] { done(r); });
+    }
+
+    void read(std::uint64_t from, millis /*wait*/, millis /*timeout*/,
+              std::function<void(read_result)> done) override
+    {
+        read_result r;
+        r.end = records.size();
+        r.trimmed = from < kept_from;
+        r.good = !r.trimmed && !down;
+        for (std::uint64_t i = from; r.good && i < records.size(); ++i) {
+            r.records.push_back(records[i]);
+        }
+        loop_.after(millis(1), [r, done = std::move(done)] { done(r); });
+    }
+
+    void newest(const std::string& after, millis /*timeout*/,
+                std::function<void(newest_result)> done) override
+    {
+        constexpr std::size_t page = 2;
+        std::map<std::string, keyed_record> latest;
+        for (const keyed_record& r : records) {
+            latest[r.key] = r;
+        }
+        newest_result result;
+        result.good = !down;
+        result.end = records.size();
+        for (auto r = latest.upper_bound(after); r != latest.end(); ++r) {
+            if (r->second.value.empty()) {
+                continue;
+            }
+            if (result.records.size() == page) {
+                result.more = true;
+                break;
+            }
+            result.records.push_back(r->second);
+        }
+        loop_.after(millis(1), [result, done = std::move(done)] { done(result); });
+    }
+
+    append_result store(const std::vector<keyed_record>& added, std::uint64_t at)
+    {
+        append_result r;
+        r.end = records.size();
+        if (at != records.size()) {
+            r.verdict = append_verdict::moved;
+            return r;
+        }
+        r.verdict = append_verdict::stored;
+        r.first = at;
+        for (keyed_record record : added) {
+            record.offset = records.size();
+            records.push_back(record);
+        }
+        r.end = records.size();
+        return r;
+    }
+
+    std::vector<keyed_record> records;
+    std::deque<fault> faults;
+    std::uint64_t kept_from = 0;
+    bool down = false;
+    int appends = 0;
+
+private:
+    event_loop& loop_;
+};
+
+struct writer_case {
+    event_loop loop;
+    fake_log log{loop};
+    bool deposed = false;
+    std::vector<write_outcome> outcomes;
+    record_writer writer{loop, log, 0, [this] { deposed = true; },
+                         [](const std::vector<keyed_record>&, std::uint64_t) {}};
+
+    void add(const std::string& key)
+    {
+        writer.add({{key, "v", 0}}, millis(0),
+                   [this](write_outcome o) { outcomes.push_back(o); });
+    }
+
+    void run(millis length)
+    {
+        loop.after(length, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+} // namespace
+
+Test(pool_log, records_that_come_during_an_append_share_the_next)
+{
+    writer_case c;
+    for (int i = 0; i < 10; ++i) {
+        c.add("k" + std::to_string(i));
+    }
+    c.run(millis(50));
+    cr_assert_eq(c.outcomes.size(), 10);
+    cr_assert_eq(c.log.appends, 2);
+    cr_assert_eq(c.log.records.size(), 10);
+}
+
+Test(pool_log, an_append_whose_answer_is_lost_is_found_and_stored_once)
+{
+    writer_case c;
+    c.log.faults = {fake_log::fault::lost_answer};
+    c.add("a");
+    c.run(millis(200));
+    cr_assert_eq(c.outcomes.size(), 1);
+    cr_assert_eq(c.outcomes[0], write_outcome::stored);
+    cr_assert_eq(c.log.records.size(), 1);
+}
+
+Test(pool_log, an_append_that_arrives_late_is_stored_once)
+{
+    writer_case c;
+    c.log.faults = {fake_log::fault::late};
+    c.add("a");
+    c.run(millis(600));
+    cr_assert_eq(c.log.records.size(), 1);
+    cr_assert_eq(c.outcomes[0], write_outcome::stored);
+}
+
+Test(pool_log, a_leader_that_was_replaced_cannot_write)
+{
+    writer_case c;
+    c.log.records.push_back({"leader", "another", 0});
+    c.add("a");
+    c.add("b");
+    c.run(millis(200));
+    cr_assert(c.deposed);
+    cr_assert_eq(c.log.records.size(), 1);
+    cr_assert_eq(c.outcomes.size(), 2);
+    cr_assert_eq(c.outcomes[0], write_outcome::deposed);
+    cr_assert_eq(c.outcomes[1], write_outcome::deposed);
+}
+
+Test(pool_log, an_impatient_record_that_was_never_sent_is_given_up)
+{
+    writer_case c;
+    c.log.faults = std::deque<fake_log::fault>(40, fake_log::fault::refused);
+    c.add("a");
+    bool given_up = false;
+    c.writer.add({{"b", "v", 0}}, millis(100),
+                 [&](write_outcome o) { given_up = o == write_outcome::not_stored; });
+    c.run(millis(500));
+    cr_assert(given_up);
+    cr_assert_gt(c.writer.failing_for(boot_clock::now()).count(), 0);
+}
+
+Test(pool_log, a_resting_writer_leaves_the_log_alone)
+{
+    writer_case c;
+    c.writer.rest(boot_clock::now() + millis(100));
+    c.add("a");
+    c.run(millis(50));
+    cr_assert_eq(c.log.appends, 0);
+    c.run(millis(150));
+    cr_assert_eq(c.log.records.size(), 1);
+}
+
+Test(pool_log, a_follower_loads_pages_then_follows_and_reloads_what_was_trimmed)
+{
+    event_loop loop;
+    fake_log log(loop);
+    for (int i = 0; i < 5; ++i) {
+        log.store({{"k" + std::to_string(i), "v", 0}}, log.records.size());
+    }
+    std::vector<std::string> gone;
+    keyed_follower follower(loop, log, "test", {millis(0), millis(10)},
+                            [&](const keyed_record& r) {
+                                if (r.value.empty()) {
+                                    gone.push_back(r.key);
+                                }
+                            });
+    follower.start();
+    loop.after(millis(60), [&] {
+        cr_assert_eq(follower.values().size(), 5);
+        log.store({{"k0", "", 0}}, log.records.size());
+        log.store({{"k9", "v", 0}}, log.records.size());
+    });
+    loop.after(millis(120), [&] {
+        cr_assert_eq(follower.values().size(), 5);
+        cr_assert_eq(gone.size(), 1);
+        log.down = true;
+        log.store({{"k1", "", 0}}, log.records.size());
+        log.store({{"k8", "v", 0}}, log.records.size());
+        log.kept_from = log.records.size();
+    });
+    loop.after(millis(300), [&] { log.down = false; });
+    loop.after(millis(1500), [&] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(follower.values().count("k8"), 1);
+    cr_assert_eq(follower.values().count("k1"), 0, "dropped while nobody could read");
+    cr_assert_eq(gone.size(), 2);
+}
