Make a pass of the scheduler cheap; let a member with more processor lead; pace heartbeats and reads by members

Change: ranks are refreshed each 500 ms, steps that fit nowhere are passed over, at most 8 plans for gangs a pass, passes take a quarter of the time; the workers with most room are named, 4 a task and 16 more.

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -31,6 +31,9 @@
 constexpr millis configuration_wait{2000};        ///< a read waits so long for a new version
 constexpr millis configuration_pause{20};         ///< between reads, against a busy loop
 constexpr millis directory_pause{300};            ///< workers that drain get nothing new after 2 s
+constexpr millis standby_directory_pause{1000};
+constexpr millis standby_directory_pause_a_member{100}; ///< some 10 reads a second in all
+constexpr millis directory_check{100};
 constexpr millis farewell{1800};                  ///< before the end of the grace: last answers
 constexpr millis farewell_period{50};
 constexpr millis log_period{20};                  ///< lines below a warning are gathered so long
@@ -64,7 +67,8 @@
           directory_(client_, settings.store, platform::wire::directory_topic),
           executors_(client_), advice_(client_, settings.advisor),
           member_(loop,
-                  {settings.name, settings.data_center, settings.peer_listen, settings.bounds},
+                  {settings.name, settings.data_center, settings.peer_listen,
+                   settings.processor_share, settings.bounds},
                   records_, executors_, advice_),
           front_(loop, member_, {}), metrics_(loop),
           declared_follower_(loop, declared_, "declared",
@@ -87,6 +91,7 @@
             !metrics_.listen(settings_.metrics_listen, why)) {
             return false;
         }
+        loop_.every(directory_check, [this] { pace_directory(); });
         declared_follower_.start();
         directory_follower_.start();
         return true;
@@ -120,6 +125,20 @@
     }
 
 private:
+    /// The leader needs the directory; the others only keep it at hand.
+    void pace_directory()
+    {
+        const bool leads = member_.is_leader();
+        const millis idle = std::max(
+            standby_directory_pause,
+            standby_directory_pause_a_member * static_cast<std::int64_t>(member_.members()));
+        directory_follower_.set_pace({millis(0), leads ? directory_pause : idle});
+        if (leads && !led_) {
+            directory_follower_.read_now();
+        }
+        led_ = leads;
+    }
+
     void on_declared(const pool::keyed_record& record)
     {
         if (record.key != platform::wire::configuration_key || record.value.empty()) {
@@ -173,6 +192,7 @@
     pool::keyed_follower declared_follower_;
     pool::keyed_follower directory_follower_;
     std::int64_t version_ = 0;
+    bool led_ = false;
     bool leaving_ = false;
     time_point leave_until_;
 };
--- a/include/sesamesill/pool_election.h
+++ b/include/sesamesill/pool_election.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,10 @@
     /// `delay` spreads the claims of several members; it differs between them.
     election(std::string incarnation, millis delay, time_point now);
 
+    /// Puts the member's claims off by `delay` from now on.
+    void set_delay(millis delay) { delay_ = delay; }
+    /// Suspects a leader after this long a silence; at least `silence_limit`.
+    void set_patience(millis patience) { patience_ = std::max(silence_limit, patience); }
     void on_leader(const leader_record& leader, time_point now);
     /// The leader answered this member.
     void on_contact(time_point now);
@@ -57,6 +62,7 @@
 private:
     std::string incarnation_;
     millis delay_;
+    millis patience_ = silence_limit;
     std::optional<leader_record> leader_;
     time_point last_sign_;
     std::optional<time_point> gone_since_;
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -33,7 +33,10 @@
     keyed_follower& operator=(keyed_follower&&) = delete;
 
     void start();
+    /// Changes the pace from the next read on.
     void set_pace(follow_pace pace) { pace_ = pace; }
+    /// Reads now, where no read is under way.
+    void read_now() { pump(); }
     /// Stops reading while another part appends and calls `take`.
     void pause() { paused_ = true; }
     void resume();
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -26,6 +26,7 @@
     std::string name;
     std::string data_center;
     endpoint peer_listen; ///< for other members
+    double processor_share = 1; ///< of a core
     platform_bounds bounds;
 };
 
@@ -80,6 +81,8 @@
     /// Returns whether requests can be served: the configuration, the log and a leader are known.
     bool ready() const;
     bool is_leader() const;
+    /// Returns how many members are known, this one included.
+    std::size_t members() const;
     /// Begins a planned stop: hands the lead over and takes no further one.
     void leave();
 
--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -24,6 +24,17 @@
     time_point until; ///< not used later than this
 };
 
+/// Inputs of a step's rank.
+struct rank_inputs {
+    int priority = 0;
+    double job_work = 0;    ///< core-seconds of the whole job
+    double mean_work = 0;   ///< of the queue's jobs
+    double left_work = 0;   ///< core-seconds that are still to be done
+    double left_chain_ms = 0;
+    double waited_ms = 0;   ///< since the job was accepted
+    double objective_ms = 0;
+};
+
 /// A step that waits for room. What an advisor once said of a worker stays true; only its ticket
 /// expires.
 struct unit {
@@ -32,8 +43,12 @@
     std::map<std::string, bool> denied;
     bool asking = false;          ///< a call for advice is under way
     time_point ask_after;         ///< no call before
+    time_point asked;             ///< when the last call was begun
     std::vector<std::string> ask; ///< workers to be named in the next call; empty for none
     double score = 0;
+    rank_inputs rank;             ///< all but the time waited, as of `ranked`
+    double run_ms = 0;            ///< expected, of one task
+    time_point ranked;            ///< when the two were last worked out
 };
 
 /// What has been learnt of a queue's tasks.
@@ -51,17 +66,6 @@
 /// own mean weighs more.
 double expected_run_ms(const class_estimate& learnt, double estimate_ms);
 
-/// Inputs of a step's rank.
-struct rank_inputs {
-    int priority = 0;
-    double job_work = 0;    ///< core-seconds of the whole job
-    double mean_work = 0;   ///< of the queue's jobs
-    double left_work = 0;   ///< core-seconds that are still to be done
-    double left_chain_ms = 0;
-    double waited_ms = 0;   ///< since the job was accepted
-    double objective_ms = 0;
-};
-
 /// Returns the step's rank; higher goes first.
 double rank_of(const rank_inputs& in);
 
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -169,19 +169,26 @@
               std::string detail, std::int64_t age_ms = 0);
     void open_units(job_entry& entry, time_point now);
     void close_units(const std::string& job);
-    std::vector<worker*> eligible_workers(const unit& u, time_point now);
+    void refresh(unit& u, const job_entry& entry, time_point now);
+    bool is_eligible(const worker& w, const step_spec& step, const queue_policy& queue,
+                     time_point now) const;
+    std::vector<worker*> workers_for(const unit& u, const step_spec& step,
+                                     const queue_policy& queue, time_point now);
+    std::vector<std::string> workers_to_ask(const unit& u, const step_spec& step,
+                                            const queue_policy& queue, time_point now) const;
+    void measure_room(time_point now);
+    bool may_fit(const resources& need) const;
     double estimate_ms(const std::string& queue, const step_spec& step) const;
     std::vector<double> estimates_of(const job_spec& spec) const;
     std::vector<unit*> ranked_units(time_point now);
     bool may_start(const unit& u, const job_entry& entry) const;
     void place_gang(unit& u, job_entry& entry, time_point now);
-    void hold_back_for(unit& u, job_entry& entry, time_point now);
+    void hold_back_for(unit& u, const job_entry& entry, time_point now);
     void renew_tickets(unit& u, const gang_plan& plan, const std::vector<gang_option>& options,
                        const advice_terms& terms, time_point now);
     std::vector<gang_option> gang_options(unit& u, const job_entry& entry, time_point now);
     time_point expected_end(const run_record& run, time_point now) const;
     void place_tasks(unit& u, job_entry& entry, time_point now);
-    bool advice_needed(unit& u, const job_entry& entry);
     std::vector<candidate> candidates_for(unit& u, const job_entry& entry, time_point now);
     void start_task(unit& u, job_entry& entry, int index, worker& w, std::int64_t run,
                     time_point now);
@@ -218,6 +225,9 @@
     bool changed_ = true; ///< since the last placing
     std::map<std::string, held_room> held_back_; ///< by worker, during one placing
     resources held_back_total_;
+    resources largest_room_;  ///< upper bound in each dimension, during one placing
+    resources whole_;         ///< capacity of all workers that are open
+    int gang_plans_ = 0;      ///< made during one placing
 };
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_settings.h
+++ b/include/sesamesill/pool_settings.h
@@ -21,6 +21,7 @@
     endpoint metrics_listen;
     endpoint store;
     endpoint advisor;
+    double processor_share = 1; ///< of a core that this member may use
     platform_bounds bounds;
 };
 
--- a/src/pool_election.cc
+++ b/src/pool_election.cc
@@ -92,12 +92,12 @@
     if (!leader_ || gone_since_) {
         return now >= (gone_since_ ? *gone_since_ : last_sign_) + delay_;
     }
-    return now >= last_sign_ + silence_limit + delay_;
+    return now >= last_sign_ + patience_ + delay_;
 }
 
 bool election::has_live_leader(time_point now) const
 {
-    return leader_ && (is_own() || (!gone_since_ && now < last_sign_ + silence_limit));
+    return leader_ && (is_own() || (!gone_since_ && now < last_sign_ + patience_));
 }
 
 } // namespace sesamesill::pool
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -15,12 +15,15 @@
 
 constexpr millis settle_delay{2};        ///< gathers events that come together
 constexpr millis tick_period{50};
+constexpr int place_rest = 3;            ///< placing takes at most a quarter of the time
 constexpr millis start_timeout{130};     ///< a start is answered in a few milliseconds; a repeat is
                                          ///< the same run, so it may follow soon, each time later
 constexpr millis stop_timeout{400};
 constexpr millis idle_look_wait{1000};   ///< of a look at a worker without runs
 constexpr millis busy_look_wait{400};    ///< with runs: a look whose answer is lost hides ends so long
 constexpr millis look_slack{300};        ///< beyond its wait
+constexpr std::size_t many_workers = 100; ///< from here on looks at one worker are spaced
+constexpr millis look_spacing{40};       ///< gathers the ends of a large pool; they come that later
 constexpr millis look_again{100};        ///< while ends wait for the store, or after a failure
 constexpr millis advice_slack{900};      ///< beyond the time that the advisor needs
 constexpr millis short_call{30};         ///< calls that the reserved caller takes
@@ -108,6 +111,7 @@
     const time_point doubt_until =
         lease_end(now + order_confidence, settings_.bounds.max_lease);
     scheduler_.restored(now, doubt_until);
+    leading_since_ = now;
     log_event(log_level::info, "leading",
               {{"fence", static_cast<std::int64_t>(self_.fence)},
                {"jobs", static_cast<std::int64_t>(jobs.size())},
@@ -162,7 +166,11 @@
         return;
     }
     if (may_order(now)) {
-        scheduler_.place(now);
+        if (now >= place_after_) {
+            scheduler_.place(now);
+            const time_point placed = boot_clock::now();
+            place_after_ = placed + place_rest * (placed - now);
+        }
         ask_advice();
     }
     send_starts();
@@ -194,6 +202,7 @@
                     });
     }
     check_store();
+    look_for_larger_member(now);
     soon();
 }
 
@@ -220,9 +229,8 @@
     }
 }
 
-void leader::nominate_successor()
+const std::pair<const std::string, peer>* leader::best_successor(time_point now) const
 {
-    const time_point now = boot_clock::now();
     // Where the store fails for this member, a successor has to have read it since.
     const millis failing = writer_.failing_for(now);
     const time_point read_after = now - (failing > millis(0) ? failing : peer_read_life);
@@ -230,10 +238,36 @@
     for (const std::pair<const std::string, peer>& p : peers_) {
         const bool usable = now - p.second.heard < peer_life && !p.second.leaving &&
                             p.second.store_read > read_after;
-        if (usable && (best == nullptr || p.second.store_read > best->second.store_read)) {
+        const bool better =
+            best == nullptr || p.second.processor_share > best->second.processor_share ||
+            (p.second.processor_share == best->second.processor_share &&
+             p.second.store_read > best->second.store_read);
+        if (usable && better) {
             best = &p;
         }
     }
+    return best;
+}
+
+/// Scheduling is the largest load of all members: the lead goes to where there is room for it.
+void leader::look_for_larger_member(time_point now)
+{
+    constexpr millis settling{1000};    ///< heartbeats of most members have come by then
+    constexpr double worth_moving = 1.5; ///< times this member's processor
+    if (handing_over_ != nullptr || now - leading_since_ < settling) {
+        return;
+    }
+    const std::pair<const std::string, peer>* best = best_successor(now);
+    if (best != nullptr &&
+        best->second.processor_share >= worth_moving * settings_.processor_share) {
+        hand_over("another member has more processor");
+    }
+}
+
+void leader::nominate_successor()
+{
+    const time_point now = boot_clock::now();
+    const std::pair<const std::string, peer>* best = best_successor(now);
     if (best == nullptr) {
         nominated_at_ = {}; // looks again at the next tick
         return;
@@ -242,7 +276,8 @@
     log_event(log_level::info, "successor_asked",
               {{"peer", best->first}, {"reason", std::string(handing_over_)}});
     if (writer_.failing_for(now) == millis(0) && std::string_view(handing_over_) != planned_stop) {
-        handing_over_ = nullptr; // the store answers again
+        handing_over_ = nullptr; // asked once; the reason may be gone
+        leading_since_ = now;
     }
     Json::Value params;
     params["fence"] = static_cast<Json::UInt64>(self_.fence);
@@ -340,6 +375,9 @@
                       done.under_way = false;
                       done.missed = verdict == order_verdict::obeyed ? 0 : done.missed + 1;
                       scheduler_.on_hold(order, sent, verdict, report, answered);
+                      if (scheduler_.workers().size() > many_workers) {
+                          done.not_before = answered + look_spacing;
+                      }
                       if (verdict != order_verdict::obeyed ||
                           scheduler_.has_unrecorded_ends(order.worker) ||
                           order.wait == millis(0)) {
@@ -448,8 +486,10 @@
         }
         scheduler_.recorded(batch, boot_clock::now());
         answer_cancels(batch.finals, true);
-        for (const std::pair<const std::string, std::uint64_t>& end : batch.ends) {
-            looks_[end.first].not_before = {};
+        if (scheduler_.workers().size() <= many_workers) {
+            for (const std::pair<const std::string, std::uint64_t>& end : batch.ends) {
+                looks_[end.first].not_before = {};
+            }
         }
         soon();
     });
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -22,6 +22,7 @@
     time_point store_read;    ///< when it last read the store
     std::uint64_t fence = 0;  ///< of the newest claim that it knows
     bool leaving = false;     ///< a planned stop has begun
+    double processor_share = 1;
 };
 
 class leader {
@@ -80,6 +81,8 @@
     void write_records();
     void log_decisions();
     void check_store();
+    const std::pair<const std::string, peer>* best_successor(time_point now) const;
+    void look_for_larger_member(time_point now);
     void nominate_successor();
     void answer_cancels(const std::vector<std::string>& finals, bool stored);
     void answer_submit(const std::string& id, const submit_answer& answer);
@@ -101,6 +104,8 @@
     std::map<std::string, caller> callers_;         ///< members that call the advisor, by name
     bool writing_ = false;
     bool settling_ = false;
+    time_point place_after_;
+    time_point leading_since_;
     time_point nominated_at_;
     const char* handing_over_ = nullptr; ///< why a successor has to be asked
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr millis heartbeat_period{150};
+constexpr millis heartbeat_period_a_member{12}; ///< some 80 heartbeats a second at the leader
+constexpr millis standby_pause_a_member{33};    ///< some 30 reads of the log a second in all
 constexpr millis heartbeat_timeout{400};
 constexpr millis election_period{20};
 constexpr millis standby_pause{200};     ///< a standby is at most this far behind the log
@@ -24,7 +26,8 @@
                                          ///< repeat to the same leader joins the first
 constexpr millis come_back{1000};        ///< to clients, while the pool has no leader
 constexpr millis worker_memory{8000};    ///< entries that expired: longest lease and a margin
-constexpr std::uint32_t max_claim_delay_ms = 90; ///< spreads the claims of six members
+constexpr std::uint32_t max_claim_delay_ms = 60; ///< spreads the claims of like members
+constexpr millis smaller_member_delay{60};       ///< leaves the claim to a member with more processor
 
 constexpr name_table<submit_verdict, 4> verdict_names{{{submit_verdict::accepted, "accepted"},
                                                        {submit_verdict::refused, "refused"},
@@ -37,6 +40,11 @@
     return std::to_string(device()) + "-" + std::to_string(device());
 }
 
+struct known_peer {
+    endpoint address;
+    double processor_share = 1;
+};
+
 struct forgotten_worker {
     worker_entry entry;
     time_point since;
@@ -73,7 +81,7 @@
     election vote;
     keyed_follower follower;
     configuration config;
-    std::map<std::string, endpoint> known_peers; ///< from heartbeats, or from the leader
+    std::map<std::string, known_peer> known_peers; ///< from heartbeats, or from the leader
     std::map<std::string, worker_entry> known_workers;
     std::map<std::string, forgotten_worker> forgotten_workers;
     std::unique_ptr<leader> lead;
@@ -86,6 +94,7 @@
     bool start(error& why);
     void on_record(const keyed_record& record);
     void heartbeat();
+    void heartbeat_later();
     void elect();
     void claim();
     void append_claim();
@@ -153,17 +162,24 @@
         return;
     }
     for (const std::string& name : addresses.getMemberNames()) {
-        const std::optional<endpoint> address = endpoint_from(addresses[name].asString());
+        const std::optional<endpoint> address = endpoint_from(addresses[name][0].asString());
         if (address && name != settings.name) {
-            known_peers[name] = *address;
+            known_peers[name] = {*address, addresses[name][1].asDouble()};
         }
     }
+    const bool smaller = std::any_of(
+        known_peers.begin(), known_peers.end(),
+        [this](const std::pair<const std::string, known_peer>& p) {
+            return p.second.processor_share > settings.processor_share;
+        });
+    const millis spread(std::hash<std::string>{}(settings.name) % max_claim_delay_ms);
+    vote.set_delay(spread + (smaller ? smaller_member_delay : millis(0)));
 }
 
 void member::parts::ask_peers_for_leader()
 {
-    for (const std::pair<const std::string, endpoint>& p : known_peers) {
-        call_rpc(peers, p.second, "leader", Json::Value(Json::objectValue),
+    for (const std::pair<const std::string, known_peer>& p : known_peers) {
+        call_rpc(peers, p.second.address, "leader", Json::Value(Json::objectValue),
                  heartbeat_timeout,
                  [this](const std::optional<Json::Value>& answer, const error&) {
                      if (answer) { // a peer that doesn't answer is one of several asked
@@ -175,8 +191,8 @@
 
 void member::parts::announce(const leader_record& self)
 {
-    for (const std::pair<const std::string, endpoint>& p : known_peers) {
-        call_rpc(peers, p.second, "leader", to_json(self), heartbeat_timeout,
+    for (const std::pair<const std::string, known_peer>& p : known_peers) {
+        call_rpc(peers, p.second.address, "leader", to_json(self), heartbeat_timeout,
                  [](const std::optional<Json::Value>&, const error&) {
                      // The log tells those that this doesn't reach.
                  });
@@ -208,11 +224,25 @@
         return false;
     }
     follower.start();
-    loop.every(heartbeat_period, [this] { heartbeat(); });
+    heartbeat_later();
     loop.every(election_period, [this] { elect(); });
     return true;
 }
 
+/// Keeps what the leader and the store get from all members together within bounds.
+void member::parts::heartbeat_later()
+{
+    const std::int64_t count = static_cast<std::int64_t>(known_peers.size()) + 1;
+    const millis period = std::max(heartbeat_period, heartbeat_period_a_member * count);
+    constexpr int missed_heartbeats = 2;
+    vote.set_patience(missed_heartbeats * period + heartbeat_timeout / 2);
+    follower.set_pace({millis(0), std::max(standby_pause, standby_pause_a_member * count)});
+    loop.after(period, [this] {
+        heartbeat();
+        heartbeat_later();
+    });
+}
+
 void member::parts::heartbeat()
 {
     if (leads() || !vote.leader() || vote.is_own() || beating) {
@@ -225,6 +255,8 @@
     params["read_age_ms"] =
         static_cast<Json::Int64>(to_millis(boot_clock::now() - follower.last_read()));
     params["leaving"] = leaving;
+    params["peers_known"] = static_cast<Json::UInt64>(known_peers.size());
+    params["processor_share"] = settings.processor_share;
     params["fence"] = static_cast<Json::UInt64>(vote.leader()->fence);
     call_rpc(peers, vote.leader()->address, "heartbeat", params, heartbeat_timeout,
              [this, asked = vote.leader()->incarnation](const std::optional<Json::Value>& answer,
@@ -359,14 +391,23 @@
         seen.heard = boot_clock::now();
         seen.store_read = seen.heard - millis(params["read_age_ms"].asInt64());
         seen.leaving = params["leaving"].asBool();
+        seen.processor_share = params["processor_share"].asDouble();
         seen.fence = params["fence"].asUInt64();
         lead->on_peer(params["name"].asString(), seen);
     }
-    known_peers[params["name"].asString()] = *address;
+    known_peers[params["name"].asString()] = {*address, params["processor_share"].asDouble()};
     Json::Value answer;
-    answer["peers"][settings.name] = to_string(settings.peer_listen);
-    for (const std::pair<const std::string, endpoint>& p : known_peers) {
-        answer["peers"][p.first] = to_string(p.second);
+    const auto add_peer = [&answer](const std::string& name, const known_peer& p) {
+        Json::Value row;
+        row.append(to_string(p.address));
+        row.append(p.processor_share);
+        answer["peers"][name] = row;
+    };
+    add_peer(settings.name, {settings.peer_listen, settings.processor_share});
+    if (params["peers_known"].asUInt64() != known_peers.size()) {
+        for (const std::pair<const std::string, known_peer>& p : known_peers) {
+            add_peer(p.first, p.second);
+        }
     }
     if (vote.leader()) {
         answer["leader"] = to_json(*vote.leader());
@@ -650,6 +691,11 @@
     return parts_->leads();
 }
 
+std::size_t member::members() const
+{
+    return parts_->known_peers.size() + 1;
+}
+
 bool member::ready() const
 {
     return !parts_->leaving && parts_->config.version > 0 && parts_->follower.is_loaded() &&
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -50,6 +50,31 @@
            entry.progress.step_at(u.first.occurrence, u.first.step).waiting > 0;
 }
 
+/// Works out what the step's rank rests on; it changes slowly.
+void scheduler::refresh(unit& u, const job_entry& entry, time_point now)
+{
+    constexpr millis refresh_period{500};
+    if (u.ranked != time_point() && now - u.ranked < refresh_period) {
+        return;
+    }
+    u.ranked = now;
+    const job_progress& job = entry.progress;
+    const queue_policy* queue = queue_of(job.spec().queue);
+    const std::vector<double> estimates = estimates_of(job.spec());
+    const job_size size = size_of(job.spec(), estimates);
+    const job_size left = left_of(job, estimates);
+    u.run_ms = estimates[static_cast<std::size_t>(u.first.step)];
+    u.rank.job_work = size.core_seconds;
+    u.rank.mean_work = estimates_[job.spec().queue].mean_work;
+    u.rank.left_work = left.core_seconds;
+    u.rank.left_chain_ms = left.chain_ms;
+    if (queue != nullptr) {
+        u.rank.priority = queue->priority;
+        u.rank.objective_ms =
+            queue->stretch * size.chain_ms + static_cast<double>(queue->latency_target.count());
+    }
+}
+
 std::vector<unit*> scheduler::ranked_units(time_point now)
 {
     std::vector<unit*> ranked;
@@ -59,24 +84,10 @@
         if (known == jobs_.end() || !may_start(u, known->second)) {
             continue;
         }
-        const job_progress& job = known->second.progress;
-        const queue_policy* queue = queue_of(job.spec().queue);
-        const std::vector<double> estimates = estimates_of(job.spec());
-        const job_size size = size_of(job.spec(), estimates);
-        const class_estimate& learnt = estimates_[job.spec().queue];
-        rank_inputs in;
-        in.job_work = size.core_seconds;
-        in.mean_work = learnt.mean_work;
-        const job_size left = left_of(job, estimates);
-        in.left_work = left.core_seconds;
-        in.left_chain_ms = left.chain_ms;
-        in.waited_ms = static_cast<double>(to_millis(now - job.accepted()));
-        if (queue != nullptr) {
-            in.priority = queue->priority;
-            in.objective_ms = queue->stretch * size.chain_ms +
-                              static_cast<double>(queue->latency_target.count());
-        }
-        u.score = rank_of(in);
+        refresh(u, known->second, now);
+        u.rank.waited_ms =
+            static_cast<double>(to_millis(now - known->second.progress.accepted()));
+        u.score = rank_of(u.rank);
         ranked.push_back(&u);
     }
     std::sort(ranked.begin(), ranked.end(),
@@ -84,38 +95,70 @@
     return ranked;
 }
 
-std::vector<worker*> scheduler::eligible_workers(const unit& u, time_point now)
+bool scheduler::is_eligible(const worker& w, const step_spec& step, const queue_policy& queue,
+                            time_point now) const
+{
+    return w.is_open(now) && w.entry.service == queue.service &&
+           has_label(w, step.required_label) && fits(step.need, w.entry.capacity);
+}
+
+/// Returns the workers that may run the step: those approved, or all where nobody has to approve.
+std::vector<worker*> scheduler::workers_for(const unit& u, const step_spec& step,
+                                            const queue_policy& queue, time_point now)
 {
     std::vector<worker*> result;
-    const job_progress& job = jobs_.find(u.first.job)->second.progress;
-    const queue_policy* queue = queue_of(job.spec().queue);
-    if (queue == nullptr) {
+    if (queue.advice) {
+        for (const std::pair<const std::string, ticket>& t : u.approved) {
+            worker* w = find_worker(t.first);
+            if (w != nullptr && is_eligible(*w, step, queue, now)) {
+                result.push_back(w);
+            }
+        }
         return result;
     }
-    const step_spec& step = job.spec().steps[static_cast<std::size_t>(u.first.step)];
     for (std::pair<const std::string, worker>& w : workers_) {
-        if (w.second.is_open(now) && w.second.entry.service == queue->service &&
-            has_label(w.second, step.required_label) && fits(step.need, w.second.entry.capacity)) {
+        if (is_eligible(w.second, step, queue, now)) {
             result.push_back(&w.second);
         }
     }
     return result;
 }
 
+/// Takes the measure of the free room, so that steps that fit nowhere cost nothing.
+void scheduler::measure_room(time_point now)
+{
+    largest_room_ = {};
+    whole_ = {};
+    for (const std::pair<const std::string, worker>& w : workers_) {
+        if (!w.second.is_open(now)) {
+            continue;
+        }
+        const resources room = w.second.room();
+        largest_room_.cpu_millis = std::max(largest_room_.cpu_millis, room.cpu_millis);
+        largest_room_.memory_mb = std::max(largest_room_.memory_mb, room.memory_mb);
+        largest_room_.accelerators = std::max(largest_room_.accelerators, room.accelerators);
+        whole_ += w.second.entry.capacity;
+    }
+}
+
+bool scheduler::may_fit(const resources& need) const
+{
+    return fits(need, largest_room_);
+}
+
 std::vector<candidate> scheduler::candidates_for(unit& u, const job_entry& entry, time_point now)
 {
+    std::vector<candidate> result;
     const job_progress& job = entry.progress;
     const step_spec& step = job.spec().steps[static_cast<std::size_t>(u.first.step)];
     const queue_policy* queue = queue_of(job.spec().queue);
-    const bool advised = queue != nullptr && queue->advice.has_value();
-    const time_point ends =
-        now + millis(static_cast<std::int64_t>(estimate_ms(job.spec().queue, step)));
-    std::vector<candidate> result;
-    for (worker* w : eligible_workers(u, now)) {
+    if (queue == nullptr) {
+        return result;
+    }
+    const bool advised = queue->advice.has_value();
+    const time_point ends = now + millis(static_cast<std::int64_t>(u.run_ms));
+    for (worker* w : workers_for(u, step, *queue, now)) {
         const auto ticket = u.approved.find(w->entry.id);
-        if (advised && ticket == u.approved.end()) {
-            continue;
-        }
         int limit = step.tasks;
         if (step.max_per_worker > 0) {
             limit = std::min(limit, step.max_per_worker - active_on(*w, u.first));
@@ -190,16 +233,6 @@
     starts_.push_back(std::move(order));
 }
 
-/// Sees to it that someone is asked; returns whether the step must wait for advice.
-bool scheduler::advice_needed(unit& u, const job_entry& entry)
-{
-    const queue_policy* queue = queue_of(entry.progress.spec().queue);
-    if (queue == nullptr) {
-        return true;
-    }
-    return queue->advice.has_value() && u.approved.empty() && u.denied.empty();
-}
-
 void scheduler::place_gang(unit& u, job_entry& entry, time_point now)
 {
     job_progress& job = entry.progress;
@@ -208,6 +241,10 @@
     if (step.waiting < spec.tasks) {
         return; // members of an earlier run haven't all ended
     }
+    if (!may_fit(taken_by(spec))) {
+        hold_back_for(u, entry, now);
+        return;
+    }
     const std::vector<candidate> candidates = candidates_for(u, entry, now);
     const std::vector<int> counts = spread_gang(candidates, spec.tasks, spec.same_rack);
     if (counts.empty()) {
@@ -269,10 +306,10 @@
         entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
     const queue_policy* queue = queue_of(entry.progress.spec().queue);
     std::vector<gang_option> options;
-    for (worker* w : eligible_workers(u, now)) {
-        if (queue != nullptr && queue->advice && u.approved.count(w->entry.id) == 0) {
-            continue;
-        }
+    if (queue == nullptr) {
+        return options;
+    }
+    for (worker* w : workers_for(u, step, *queue, now)) {
         gang_option o;
         o.where = w;
         o.room = w->room();
@@ -293,8 +330,12 @@
 }
 
 /// Keeps room for a gang that could start soon, or smaller tasks would take each gap for ever.
-void scheduler::hold_back_for(unit& u, job_entry& entry, time_point now)
+void scheduler::hold_back_for(unit& u, const job_entry& entry, time_point now)
 {
+    constexpr int most_plans = 8; ///< in one placing; each looks at all runs of its workers
+    if (++gang_plans_ > most_plans) {
+        return;
+    }
     constexpr millis horizon{3000};        ///< further ahead, estimates of ends say little
     constexpr double most_held = 0.35;     ///< share of the pool; the rest serves what fits
     const step_spec& step =
@@ -305,12 +346,8 @@
     if (!plan || plan->ready > now + horizon || queue == nullptr) {
         return;
     }
-    resources whole;
-    for (const std::pair<const std::string, worker>& w : workers_) {
-        whole += w.second.entry.capacity;
-    }
     const resources needed = scaled(taken_by(step), step.tasks);
-    if (dominant_share(held_back_total_ + needed, whole) > most_held) {
+    if (dominant_share(held_back_total_ + needed, whole_) > most_held) {
         return;
     }
     held_back_total_ += needed;
@@ -388,69 +425,93 @@
     changed_ = false;
     held_back_.clear();
     held_back_total_ = {};
+    gang_plans_ = 0;
+    measure_room(now);
     for (unit* u : ranked_units(now)) {
         job_entry& entry = jobs_.find(u->first.job)->second;
-        if (advice_needed(*u, entry)) {
-            continue;
-        }
         const step_spec& spec =
             entry.progress.spec().steps[static_cast<std::size_t>(u->first.step)];
         if (spec.gang) {
             place_gang(*u, entry, now);
         }
-        else {
+        else if (may_fit(taken_by(spec))) {
             place_tasks(*u, entry, now);
         }
     }
 }
 
+/// Returns the workers to be named in a call for advice: those with the most room, as many as the
+/// step is likely to need where a third is approved.
+std::vector<std::string> scheduler::workers_to_ask(const unit& u, const step_spec& step,
+                                                   const queue_policy& queue,
+                                                   time_point now) const
+{
+    constexpr std::size_t asked_a_task = 4;
+    constexpr std::size_t asked_at_least = 16;
+    std::vector<std::pair<std::int64_t, const std::string*>> found;
+    for (const std::pair<const std::string, worker>& w : workers_) {
+        if (u.approved.count(w.first) == 0 && u.denied.count(w.first) == 0 &&
+            is_eligible(w.second, step, queue, now)) {
+            found.emplace_back(-w.second.room().cpu_millis, &w.first);
+        }
+    }
+    const std::size_t wanted =
+        std::min(max_named, asked_at_least + asked_a_task * static_cast<std::size_t>(step.tasks));
+    if (found.size() > wanted) {
+        std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(wanted),
+                          found.end());
+        found.resize(wanted);
+    }
+    std::vector<std::string> names;
+    for (const std::pair<std::int64_t, const std::string*>& f : found) {
+        names.push_back(*f.second);
+    }
+    return names;
+}
+
 std::optional<advice_call> scheduler::next_advice(millis longest, time_point now)
 {
+    constexpr millis ask_more_after{800}; ///< a step that still waits then asks about other workers
     unit* best = nullptr;
-    std::vector<std::string> best_names;
-    double best_ms = 0;
+    const queue_policy* best_queue = nullptr;
+    const step_spec* best_step = nullptr;
     for (std::pair<const std::string, unit>& named : units_) {
         unit& u = named.second;
-        if (u.asking || now < u.ask_after || (best != nullptr && u.score <= best->score)) {
+        const bool first_call = u.approved.empty() && u.denied.empty();
+        const bool wants = !u.ask.empty() || first_call || now - u.asked > ask_more_after;
+        if (u.asking || !wants || now < u.ask_after ||
+            (best != nullptr && u.score <= best->score)) {
             continue;
         }
         const auto known = jobs_.find(u.first.job);
         const queue_policy* queue =
             known != jobs_.end() ? queue_of(known->second.progress.spec().queue) : nullptr;
-        if (queue == nullptr || !queue->advice || !may_start(u, known->second)) {
-            continue;
-        }
-        std::vector<std::string> names = u.ask;
-        if (names.empty()) {
-            for (const worker* w : eligible_workers(u, now)) {
-                const std::string& id = w->entry.id;
-                if (u.approved.count(id) == 0 && u.denied.count(id) == 0 &&
-                    names.size() < max_named) {
-                    names.push_back(id);
-                }
-            }
-            // Newcomers alone are worth a call only where the first one left too few.
-            const bool first_call = u.approved.empty() && u.denied.empty();
-            if (!first_call && !u.approved.empty()) {
-                continue;
-            }
-        }
-        const double cost =
-            queue->advice->base_ms + queue->advice->per_worker_ms * static_cast<double>(names.size());
-        if (names.empty() || cost > static_cast<double>(longest.count())) {
+        if (queue == nullptr || !queue->advice || !may_start(u, known->second) ||
+            queue->advice->base_ms > static_cast<double>(longest.count())) {
             continue;
         }
         best = &u;
-        best_names = std::move(names);
-        best_ms = cost;
+        best_queue = queue;
+        best_step = &known->second.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
     }
     if (best == nullptr) {
         return std::nullopt;
     }
+    best->asked = now;
+    std::vector<std::string> names;
+    names.swap(best->ask);
+    if (names.empty()) {
+        names = workers_to_ask(*best, *best_step, *best_queue, now);
+    }
+    if (names.empty()) {
+        best->ask_after = now + ask_more_after; // all have been asked about
+        return std::nullopt;
+    }
     best->asking = true;
-    best->ask.clear();
-    return advice_call{step_name(best->first), std::move(best_names),
-                       millis(static_cast<std::int64_t>(best_ms) + 1)};
+    const double takes = best_queue->advice->base_ms +
+                         best_queue->advice->per_worker_ms * static_cast<double>(names.size());
+    return advice_call{step_name(best->first), std::move(names),
+                       millis(static_cast<std::int64_t>(takes) + 1)};
 }
 
 } // namespace sesamesill::pool
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -12,7 +12,7 @@
 
 using member_pointer =
     std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
-                 millis platform_bounds::*, double platform_bounds::*>;
+                 double daemon_settings::*, millis platform_bounds::*, double platform_bounds::*>;
 
 struct setting {
     std::string_view section;
@@ -28,6 +28,7 @@
     {"member", "readiness_listen", &daemon_settings::readiness_listen, true},
     {"member", "peer_listen", &daemon_settings::peer_listen, true},
     {"member", "metrics_listen", &daemon_settings::metrics_listen, true},
+    {"member", "processor_share", &daemon_settings::processor_share, false},
     {"platform", "store", &daemon_settings::store, true},
     {"platform", "advisor", &daemon_settings::advisor, false},
     {"bounds", "max_lease_ms", &platform_bounds::max_lease, true},
@@ -87,13 +88,14 @@
             millis(static_cast<std::int64_t>(*value * (in_seconds ? ms_a_second : 1)));
     }
 
-    void operator()(double platform_bounds::*member)
+    void operator()(double daemon_settings::*member) { read(target.*member); }
+    void operator()(double platform_bounds::*member) { read(target.bounds.*member); }
+
+    void read(double& to)
     {
         const std::optional<double> value = number_from(entry.value);
-        if (value) {
-            target.bounds.*member = *value;
-        }
-        else if (!entry.value.empty()) {
+        to = value.value_or(to);
+        if (!value && !entry.value.empty()) {
             reason = "must be a number";
         }
     }
