--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -27,17 +27,17 @@
 using namespace sesamesill;
 
 constexpr int exit_bad_settings = 2;
-constexpr std::size_t idle_connections = 16;      ///< kept to each peer
-constexpr millis configuration_wait{2000};        ///< a read waits so long for a new version
-constexpr millis configuration_pause{20};         ///< between reads, against a busy loop
-constexpr millis directory_pause{300};            ///< workers that drain get nothing new after 2 s
+constexpr std::size_t idle_connections = 16; ///< kept to each peer
+constexpr millis configuration_wait{2000};   ///< a read waits so long for a new version
+constexpr millis configuration_pause{20};    ///< between reads, against a busy loop
+constexpr millis directory_pause{300};       ///< workers that drain get nothing new after 2 s
 constexpr millis standby_directory_pause{1000};
 constexpr millis standby_directory_pause_a_member{100}; ///< some 10 reads a second in all
 constexpr millis directory_check{100};
-constexpr millis farewell{1800};                  ///< before the end of the grace: last answers
+constexpr millis farewell{1800}; ///< before the end of the grace: last answers
 constexpr millis farewell_period{50};
-constexpr millis log_period{20};                  ///< lines below a warning are gathered so long
-constexpr millis serve_while_leaving{2500};       ///< the balancer notices within about 2 s
+constexpr millis log_period{20};            ///< lines below a warning are gathered so long
+constexpr millis serve_while_leaving{2500}; ///< the balancer notices within about 2 s
 
 std::optional<pool::daemon_settings> read_settings(const std::string& path)
 {
@@ -49,8 +49,7 @@
     std::stringstream text;
     text << file.rdbuf();
     std::vector<fault> faults;
-    std::optional<pool::daemon_settings> settings =
-        pool::parse_daemon_settings(text.str(), faults);
+    std::optional<pool::daemon_settings> settings = pool::parse_daemon_settings(text.str(), faults);
     for (const fault& f : faults) {
         std::cerr << path << ": " << to_string(f) << '\n';
     }
@@ -64,15 +63,14 @@
         : loop_(loop), settings_(settings), client_(loop, settings.name, idle_connections),
           records_(client_, settings.store, platform::wire::pool_topic),
           declared_(client_, settings.store, platform::wire::operator_topic),
-          directory_(client_, settings.store, platform::wire::directory_topic),
-          executors_(client_), advice_(client_, settings.advisor),
+          directory_(client_, settings.store, platform::wire::directory_topic), executors_(client_),
+          advice_(client_, settings.advisor),
           member_(loop,
                   {settings.name, settings.data_center, settings.peer_listen,
                    settings.processor_share, settings.bounds},
                   records_, executors_, advice_),
           front_(loop, member_, {}), metrics_(loop),
-          declared_follower_(loop, declared_, "declared",
-                             {configuration_wait, configuration_pause},
+          declared_follower_(loop, declared_, "declared", {configuration_wait, configuration_pause},
                              [this](const pool::keyed_record& r) { on_declared(r); }),
           directory_follower_(loop, directory_, "directory", {millis(0), directory_pause},
                               [this](const pool::keyed_record& r) { on_directory(r); })
@@ -87,7 +85,8 @@
 
     bool start(error& why)
     {
-        if (!member_.start(why) || !front_.listen(settings_.listen, settings_.readiness_listen, why) ||
+        if (!member_.start(why) ||
+            !front_.listen(settings_.listen, settings_.readiness_listen, why) ||
             !metrics_.listen(settings_.metrics_listen, why)) {
             return false;
         }
@@ -129,9 +128,9 @@
     void pace_directory()
     {
         const bool leads = member_.is_leader();
-        const millis idle = std::max(
-            standby_directory_pause,
-            standby_directory_pause_a_member * static_cast<std::int64_t>(member_.members()));
+        const millis idle =
+            std::max(standby_directory_pause, standby_directory_pause_a_member *
+                                                  static_cast<std::int64_t>(member_.members()));
         directory_follower_.set_pace({millis(0), leads ? directory_pause : idle});
         if (leads && !led_) {
             directory_follower_.read_now();
@@ -155,9 +154,9 @@
             return; // never back
         }
         version_ = config->version;
-        log_event(log_level::info, "configuration",
-                  {{"version", version_},
-                   {"queues", static_cast<std::int64_t>(config->queues.size())}});
+        log_event(
+            log_level::info, "configuration",
+            {{"version", version_}, {"queues", static_cast<std::int64_t>(config->queues.size())}});
         front_.configure(*config);
         member_.configure(*config);
     }
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -17,7 +17,7 @@
 
 /// How eagerly a log is followed.
 struct follow_pace {
-    millis wait{0};   ///< how long the store may hold a read until a record comes
+    millis wait{0};    ///< how long the store may hold a read until a record comes
     millis pause{250}; ///< between reads
 };
 
--- a/include/sesamesill/pool_job.h
+++ b/include/sesamesill/pool_job.h
@@ -23,21 +23,21 @@
 /// A set of equal tasks.
 struct step_spec {
     int tasks = 1;
-    resources need;                ///< of one task
-    millis estimate{0};            ///< the client's guess of a task's run time
-    std::vector<int> after;        ///< earlier steps that must be done first
-    bool saves_progress = false;   ///< a task resumes from its last checkpoint
-    bool gang = false;             ///< all tasks start together, or none
-    bool same_rack = false;        ///< slower when spread over racks
-    bool speculative = false;      ///< copies of a task may run at the same time
-    bool long_running = false;     ///< restarted however it ends, until the job is cancelled
-    bool uses_leftover = false;    ///< runs on capacity that others leave idle
-    std::string required_label;    ///< of the worker; empty for any
-    std::string preferred_rack;    ///< where its data is; empty for none
-    std::string image;             ///< tasks of one image behave alike
-    int max_per_worker = 0;        ///< 0 for no limit
-    int max_unavailable = 0;       ///< long-running tasks that may be stopped at the same time
-    millis latency_target{0};      ///< of a long-running task; 0 for none
+    resources need;              ///< of one task
+    millis estimate{0};          ///< the client's guess of a task's run time
+    std::vector<int> after;      ///< earlier steps that must be done first
+    bool saves_progress = false; ///< a task resumes from its last checkpoint
+    bool gang = false;           ///< all tasks start together, or none
+    bool same_rack = false;      ///< slower when spread over racks
+    bool speculative = false;    ///< copies of a task may run at the same time
+    bool long_running = false;   ///< restarted however it ends, until the job is cancelled
+    bool uses_leftover = false;  ///< runs on capacity that others leave idle
+    std::string required_label;  ///< of the worker; empty for any
+    std::string preferred_rack;  ///< where its data is; empty for none
+    std::string image;           ///< tasks of one image behave alike
+    int max_per_worker = 0;      ///< 0 for no limit
+    int max_unavailable = 0;     ///< long-running tasks that may be stopped at the same time
+    millis latency_target{0};    ///< of a long-running task; 0 for none
 };
 
 /// Returns the capacity that a task of the step takes from others.
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -25,7 +25,7 @@
 struct member_settings {
     std::string name;
     std::string data_center;
-    endpoint peer_listen; ///< for other members
+    endpoint peer_listen;       ///< for other members
     double processor_share = 1; ///< of a core
     platform_bounds bounds;
 };
--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -1,8 +1,8 @@
 // Which step goes next, and on which workers. Pure functions over plain values.
 //
 // The load it is made for: a pool that is nearly full on an ordinary day and offered twice its size
-// in bursts, by jobs whose sizes differ a hundredfold, under advisors that let a step run on a third
-// of the workers only.
+// in bursts, by jobs whose sizes differ a hundredfold, under advisors that let a step run on a
+// third of the workers only.
 
 #pragma once
 
@@ -27,11 +27,11 @@
 /// Inputs of a step's rank.
 struct rank_inputs {
     int priority = 0;
-    double job_work = 0;    ///< core-seconds of the whole job
-    double mean_work = 0;   ///< of the queue's jobs
-    double left_work = 0;   ///< core-seconds that are still to be done
+    double job_work = 0;  ///< core-seconds of the whole job
+    double mean_work = 0; ///< of the queue's jobs
+    double left_work = 0; ///< core-seconds that are still to be done
     double left_chain_ms = 0;
-    double waited_ms = 0;   ///< since the job was accepted
+    double waited_ms = 0; ///< since the job was accepted
     double objective_ms = 0;
 };
 
@@ -46,15 +46,15 @@
     time_point asked;             ///< when the last call was begun
     std::vector<std::string> ask; ///< workers to be named in the next call; empty for none
     double score = 0;
-    rank_inputs rank;             ///< all but the time waited, as of `ranked`
-    double run_ms = 0;            ///< expected, of one task
-    time_point ranked;            ///< when the two were last worked out
+    rank_inputs rank;  ///< all but the time waited, as of `ranked`
+    double run_ms = 0; ///< expected, of one task
+    time_point ranked; ///< when the two were last worked out
 };
 
 /// What has been learnt of a queue's tasks.
 struct class_estimate {
-    double mean_run_ms = 0;       ///< of runs that were done
-    double mean_work = 0;         ///< core-seconds of a job
+    double mean_run_ms = 0; ///< of runs that were done
+    double mean_work = 0;   ///< core-seconds of a job
     std::uint64_t runs = 0;
     std::uint64_t jobs = 0;
 };
@@ -72,8 +72,8 @@
 /// A worker on which some tasks of a step may run now.
 struct candidate {
     worker* where = nullptr;
-    resources room;        ///< without what is held back for gangs
-    int fits = 0;          ///< tasks that there is room for
+    resources room; ///< without what is held back for gangs
+    int fits = 0;   ///< tasks that there is room for
     bool ticket_good = true;
     bool preferred = false; ///< its rack holds the data
 };
@@ -87,8 +87,8 @@
 /// A worker that could take members of a gang, now or as its runs end.
 struct gang_option {
     worker* where = nullptr;
-    resources room;  ///< free now
-    int limit = 0;   ///< most members there
+    resources room;                                      ///< free now
+    int limit = 0;                                       ///< most members there
     std::vector<std::pair<time_point, resources>> frees; ///< expected ends and what they free
 };
 
--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -41,15 +41,15 @@
 
 struct read_result {
     bool good = false;
-    bool trimmed = false;     ///< the records asked for are gone; start again from the newest
-    std::uint64_t end = 0;    ///< next offset of the log
+    bool trimmed = false;  ///< the records asked for are gone; start again from the newest
+    std::uint64_t end = 0; ///< next offset of the log
     std::vector<keyed_record> records;
     error why;
 };
 
 struct newest_result {
     bool good = false;
-    bool more = false;        ///< ask again, after the last key
+    bool more = false; ///< ask again, after the last key
     std::uint64_t end = 0;
     std::vector<keyed_record> records;
     error why;
@@ -126,16 +126,16 @@
 
 enum class order_verdict : std::uint8_t {
     obeyed,
-    fenced,      ///< another leader has given orders with a higher fence
-    superseded,  ///< a run with this number or a higher one has ended there
-    late,        ///< its expiry lies in the past
+    fenced,     ///< another leader has given orders with a higher fence
+    superseded, ///< a run with this number or a higher one has ended there
+    late,       ///< its expiry lies in the past
     no_room,
-    no_ticket,   ///< the ticket is unknown or has expired
-    unhealthy,   ///< nothing was done
-    replaced,    ///< another incarnation answers at this address
-    invalid,     ///< the worker can't read the order
-    not_sent,    ///< no connection: nothing was done
-    unknown      ///< no answer: it may have been obeyed, or may yet be
+    no_ticket, ///< the ticket is unknown or has expired
+    unhealthy, ///< nothing was done
+    replaced,  ///< another incarnation answers at this address
+    invalid,   ///< the worker can't read the order
+    not_sent,  ///< no connection: nothing was done
+    unknown    ///< no answer: it may have been obeyed, or may yet be
 };
 
 struct start_order {
@@ -163,9 +163,9 @@
     std::string worker;
     endpoint address;
     std::uint64_t fence = 0;
-    std::uint64_t noted = 0;                ///< ends up to this number are recorded
-    std::optional<std::int64_t> until_ms;   ///< on the worker's clock: the lease's new end
-    millis wait{0};                         ///< how long the worker may wait for an end
+    std::uint64_t noted = 0;              ///< ends up to this number are recorded
+    std::optional<std::int64_t> until_ms; ///< on the worker's clock: the lease's new end
+    millis wait{0};                       ///< how long the worker may wait for an end
 };
 
 using order_done = std::function<void(order_verdict, std::int64_t clock_ms, const error&)>;
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -28,8 +28,8 @@
 
 struct task_record {
     task_phase phase = task_phase::waiting;
-    std::int64_t run = 0; ///< highest run number used so far
-    std::string worker;   ///< while it is neither waiting nor done
+    std::int64_t run = 0;               ///< highest run number used so far
+    std::string worker;                 ///< while it is neither waiting nor done
     std::set<std::int64_t> failed_runs; ///< each counts once, in whatever order they are heard of
     std::string checkpoint;
     time_point started;
@@ -45,7 +45,7 @@
     int active = 0;
     int done = 0;
     std::set<std::int64_t> failed_runs; ///< of the whole gang
-    time_point ready_since;           ///< when the last step that it waits for was done
+    time_point ready_since;             ///< when the last step that it waits for was done
 };
 
 struct occurrence_record {
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -140,8 +140,8 @@
     /// Returns whether ends of this worker wait to be recorded.
     bool has_unrecorded_ends(const std::string& worker) const;
 
-    /// Returns what is to be recorded next; nothing while an earlier batch is under way, as its ends
-    /// aren't recorded yet.
+    /// Returns what is to be recorded next; nothing while an earlier batch is under way, as its
+    /// ends aren't recorded yet.
     record_batch take_records(std::int64_t wall_ms);
     void recorded(const record_batch& batch, time_point now);
     /// Returns a batch that couldn't be stored, so that it goes into the next one.
@@ -211,10 +211,10 @@
     configuration config_;
     std::map<std::string, worker> workers_;
     std::map<std::string, job_entry> jobs_;
-    std::map<std::string, unit> units_;     ///< ready steps that aren't done, by name
-    std::set<std::string> dirty_;           ///< jobs whose progress has to be recorded
-    std::set<std::string> dropped_;         ///< records that are no longer needed
-    std::set<std::string> doubts_;          ///< workers that may run what nobody lists
+    std::map<std::string, unit> units_; ///< ready steps that aren't done, by name
+    std::set<std::string> dirty_;       ///< jobs whose progress has to be recorded
+    std::set<std::string> dropped_;     ///< records that are no longer needed
+    std::set<std::string> doubts_;      ///< workers that may run what nobody lists
     time_point doubt_until_;
     std::map<std::string, class_estimate> estimates_; ///< by queue
     std::vector<start_order> starts_;
@@ -222,12 +222,12 @@
     std::vector<decision> decisions_;
     bool batch_under_way_ = false;
     bool fenced_ = false;
-    bool changed_ = true; ///< since the last placing
+    bool changed_ = true;                        ///< since the last placing
     std::map<std::string, held_room> held_back_; ///< by worker, during one placing
     resources held_back_total_;
-    resources largest_room_;  ///< upper bound in each dimension, during one placing
-    resources whole_;         ///< capacity of all workers that are open
-    int gang_plans_ = 0;      ///< made during one placing
+    resources largest_room_; ///< upper bound in each dimension, during one placing
+    resources whole_;        ///< capacity of all workers that are open
+    int gang_plans_ = 0;     ///< made during one placing
 };
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -27,11 +27,11 @@
     std::int64_t run = 0;
     resources taken;
     run_phase phase = run_phase::starting;
-    bool discard = false;  ///< its task is over, or has another run
+    bool discard = false; ///< its task is over, or has another run
     time_point ordered;
     std::optional<time_point> confirmed; ///< when its worker was first known to run it
-    time_point pinned_at;  ///< while `pinned`
-    std::int64_t until_ms = 0; ///< expiry of the start, on the worker's clock
+    time_point pinned_at;                ///< while `pinned`
+    std::int64_t until_ms = 0;           ///< expiry of the start, on the worker's clock
 };
 
 /// Recent failures of a worker. Runs that fail on workers where others succeed are the job's fault;
@@ -56,7 +56,7 @@
     time_point clock_read; ///< when `clock_ms` was taken
     time_point lease_sent; ///< when the last order that carries a lease was sent
     time_point last_answer;
-    time_point gone_at;    ///< no run of it lives beyond this
+    time_point gone_at; ///< no run of it lives beyond this
     worker_health health;
 
     /// Returns the worker's clock, estimated low.
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -74,8 +74,8 @@
     std::function<void()> deposed_;
     std::function<void(const std::vector<keyed_record>&, std::uint64_t)> taken_;
     std::vector<entry> waiting_;
-    std::vector<entry> sent_;           ///< the batch under way; unchanged until it is settled
-    std::vector<keyed_record> batch_;   ///< its records
+    std::vector<entry> sent_;         ///< the batch under way; unchanged until it is settled
+    std::vector<keyed_record> batch_; ///< its records
     bool in_flight_ = false;
     bool maybe_stored_ = false; ///< an append of this batch had no answer
     bool ended_ = false;
--- a/src/log.cc
+++ b/src/log.cc
@@ -42,8 +42,7 @@
 
 /// Takes formatted lines from Boost.Log.
 struct ring_backend
-    : boost::log::sinks::basic_formatted_sink_backend<char,
-                                                      boost::log::sinks::concurrent_feeding> {
+    : boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
     explicit ring_backend(std::shared_ptr<log_ring> to) : ring(std::move(to)) {}
 
     void consume(const boost::log::record_view& /*record*/, const string_type& line)
--- a/src/log_ring.h
+++ b/src/log_ring.h
@@ -1,5 +1,6 @@
-// A buffer of log lines of fixed size before a descriptor that nobody may read. Writing never waits:
-// what doesn't fit is left out and counted, and the count is written as soon as there is room.
+// A buffer of log lines of fixed size before a descriptor that nobody may read. Writing never
+// waits: what doesn't fit is left out and counted, and the count is written as soon as there is
+// room.
 
 #pragma once
 
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -9,7 +9,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr millis read_timeout{900};   ///< beyond the store's wait; it answers in 4 ms, slow in 250
+constexpr millis read_timeout{900}; ///< beyond the store's wait; it answers in 4 ms, slow in 250
 constexpr millis first_backoff{100};
 constexpr millis longest_backoff{500}; ///< the configuration must be in force 2 s after an outage
 
--- a/src/pool_job.cc
+++ b/src/pool_job.cc
@@ -53,7 +53,8 @@
     }
     for (const int earlier : step.after) {
         if (earlier < 0 || earlier >= number) {
-            return "step " + std::to_string(number) + ": waits for a step that isn't an earlier one";
+            return "step " + std::to_string(number) +
+                   ": waits for a step that isn't an earlier one";
         }
     }
     return {};
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -13,30 +13,31 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr millis settle_delay{2};        ///< gathers events that come together
+constexpr millis settle_delay{2}; ///< gathers events that come together
 constexpr millis tick_period{50};
-constexpr int place_rest = 3;            ///< placing takes at most a quarter of the time
-constexpr millis start_timeout{130};     ///< a start is answered in a few milliseconds; a repeat is
-                                         ///< the same run, so it may follow soon, each time later
+constexpr int place_rest = 3;        ///< placing takes at most a quarter of the time
+constexpr millis start_timeout{130}; ///< a start is answered in a few milliseconds; a repeat is
+                                     ///< the same run, so it may follow soon, each time later
 constexpr millis stop_timeout{400};
-constexpr millis idle_look_wait{1000};   ///< of a look at a worker without runs
-constexpr millis busy_look_wait{400};    ///< with runs: a look whose answer is lost hides ends so long
-constexpr millis look_slack{300};        ///< beyond its wait
+constexpr millis idle_look_wait{1000}; ///< of a look at a worker without runs
+constexpr millis busy_look_wait{400}; ///< with runs: a look whose answer is lost hides ends so long
+constexpr millis look_slack{300};     ///< beyond its wait
 constexpr std::size_t many_workers = 100; ///< from here on looks at one worker are spaced
-constexpr millis look_spacing{40};       ///< gathers the ends of a large pool; they come that later
-constexpr millis look_again{100};        ///< while ends wait for the store, or after a failure
-constexpr millis advice_slack{900};      ///< beyond the time that the advisor needs
-constexpr millis short_call{30};         ///< calls that the reserved caller takes
+constexpr millis look_spacing{40};  ///< gathers the ends of a large pool; they come that later
+constexpr millis look_again{100};   ///< while ends wait for the store, or after a failure
+constexpr millis advice_slack{900}; ///< beyond the time that the advisor needs
+constexpr millis short_call{30};    ///< calls that the reserved caller takes
 constexpr millis any_call{60000};
-constexpr millis peer_life{1200};        ///< a member is used for so long after its heartbeat
-constexpr millis pulse_period{250};      ///< a leader with nothing to write still shows that it lives
-constexpr millis submit_patience{1200};  ///< a job whose record can't be sent by then is refused
-constexpr millis store_tolerance{500};   ///< failing appends before new jobs are refused
-constexpr millis handover_after{250};    ///< failing appends before another member is asked to lead
-constexpr millis peer_read_life{600};    ///< a member that read the store so lately reaches it
+constexpr millis peer_life{1200};   ///< a member is used for so long after its heartbeat
+constexpr millis pulse_period{250}; ///< a leader with nothing to write still shows that it lives
+constexpr millis submit_patience{1200}; ///< a job whose record can't be sent by then is refused
+constexpr millis store_tolerance{500};  ///< failing appends before new jobs are refused
+constexpr millis handover_after{250};   ///< failing appends before another member is asked to lead
+constexpr millis peer_read_life{600};   ///< a member that read the store so lately reaches it
 constexpr millis handover_pause{600};
-constexpr millis handover_rest{250};     ///< a successor reads the log and claims within 20 ms
-constexpr millis order_confidence{2500}; ///< orders without a sign that the claim is still the newest
+constexpr millis handover_rest{250}; ///< a successor reads the log and claims within 20 ms
+constexpr millis order_confidence{
+    2500}; ///< orders without a sign that the claim is still the newest
 constexpr const char* pulse_key = "pulse";
 constexpr double ms_a_second = 1000;
 
@@ -108,8 +109,7 @@
     for (const std::pair<const std::string, std::pair<Json::Value, Json::Value>>& j : jobs) {
         scheduler_.restore(j.first, j.second.first, j.second.second, wall, now);
     }
-    const time_point doubt_until =
-        lease_end(now + order_confidence, settings_.bounds.max_lease);
+    const time_point doubt_until = lease_end(now + order_confidence, settings_.bounds.max_lease);
     scheduler_.restored(now, doubt_until);
     leading_since_ = now;
     log_event(log_level::info, "leading",
@@ -238,10 +238,10 @@
     for (const std::pair<const std::string, peer>& p : peers_) {
         const bool usable = now - p.second.heard < peer_life && !p.second.leaving &&
                             p.second.store_read > read_after;
-        const bool better =
-            best == nullptr || p.second.processor_share > best->second.processor_share ||
-            (p.second.processor_share == best->second.processor_share &&
-             p.second.store_read > best->second.store_read);
+        const bool better = best == nullptr ||
+                            p.second.processor_share > best->second.processor_share ||
+                            (p.second.processor_share == best->second.processor_share &&
+                             p.second.store_read > best->second.store_read);
         if (usable && better) {
             best = &p;
         }
@@ -252,7 +252,7 @@
 /// Scheduling is the largest load of all members: the lead goes to where there is room for it.
 void leader::look_for_larger_member(time_point now)
 {
-    constexpr millis settling{1000};    ///< heartbeats of most members have come by then
+    constexpr millis settling{1000};     ///< heartbeats of most members have come by then
     constexpr double worth_moving = 1.5; ///< times this member's processor
     if (handing_over_ != nullptr || now - leading_since_ < settling) {
         return;
@@ -321,15 +321,15 @@
 void leader::send_stops()
 {
     for (const stop_order& order : scheduler_.take_stops()) {
-        workers_.stop(order, stop_timeout,
-                      [this, alive = alive_, order](order_verdict verdict, std::int64_t,
-                                                    const error&) {
-                          if (*alive) {
-                              scheduler_.on_stop(order, verdict, boot_clock::now());
-                              looks_[order.worker].not_before = {};
-                              soon();
-                          }
-                      });
+        workers_.stop(
+            order, stop_timeout,
+            [this, alive = alive_, order](order_verdict verdict, std::int64_t, const error&) {
+                if (*alive) {
+                    scheduler_.on_stop(order, verdict, boot_clock::now());
+                    looks_[order.worker].not_before = {};
+                    soon();
+                }
+            });
     }
 }
 
@@ -356,17 +356,15 @@
                          std::any_of(w.runs.begin(), w.runs.end(), [](const auto& r) {
                              return r.second.phase == run_phase::pinned;
                          });
-    const millis wait = at_once         ? millis(0)
-                        : w.runs.empty() ? idle_look_wait
-                                         : busy_look_wait;
+    const millis wait = at_once ? millis(0) : w.runs.empty() ? idle_look_wait : busy_look_wait;
     const std::optional<hold_order> order = scheduler_.hold_for(id, wait, now);
     if (!order) {
         return;
     }
     l.under_way = true;
     workers_.hold(*order, order->wait + look_slack,
-                  [this, alive = alive_, order = *order, sent = now](
-                      order_verdict verdict, const worker_report& report, const error&) {
+                  [this, alive = alive_, order = *order,
+                   sent = now](order_verdict verdict, const worker_report& report, const error&) {
                       if (!*alive) {
                           return;
                       }
@@ -379,8 +377,7 @@
                           done.not_before = answered + look_spacing;
                       }
                       if (verdict != order_verdict::obeyed ||
-                          scheduler_.has_unrecorded_ends(order.worker) ||
-                          order.wait == millis(0)) {
+                          scheduler_.has_unrecorded_ends(order.worker) || order.wait == millis(0)) {
                           done.not_before = answered + look_again;
                       }
                       soon();
@@ -449,8 +446,7 @@
                               answer.good = true;
                               answer.valid = millis((*value)["valid_ms"].asInt64());
                               for (const Json::Value& row : (*value)["approved"]) {
-                                  answer.approved.push_back(
-                                      {row[0].asString(), row[1].asString()});
+                                  answer.approved.push_back({row[0].asString(), row[1].asString()});
                               }
                           }
                           else if (value) {
@@ -549,25 +545,25 @@
     }
     const std::int64_t wall = wall_clock_ms();
     submits_[spec.id].waiting.push_back(std::move(done));
-    writer_.add({scheduler::record_of(spec, wall)}, submit_patience,
-                [this, alive = alive_, spec, wall](write_outcome outcome) {
-                    if (!*alive) {
-                        return;
-                    }
-                    submit_answer answer;
-                    if (outcome == write_outcome::stored) {
-                        scheduler_.add(spec, wall, boot_clock::now());
-                        answer.verdict = submit_verdict::accepted;
-                    }
-                    else if (outcome == write_outcome::not_stored) {
-                        answer = {submit_verdict::refused, "the record could not be stored",
-                                  store_retry};
-                    }
-                    else if (outcome == write_outcome::deposed) {
-                        answer.verdict = submit_verdict::moved;
-                    }
-                    answer_submit(spec.id, answer);
-                });
+    writer_.add(
+        {scheduler::record_of(spec, wall)}, submit_patience,
+        [this, alive = alive_, spec, wall](write_outcome outcome) {
+            if (!*alive) {
+                return;
+            }
+            submit_answer answer;
+            if (outcome == write_outcome::stored) {
+                scheduler_.add(spec, wall, boot_clock::now());
+                answer.verdict = submit_verdict::accepted;
+            }
+            else if (outcome == write_outcome::not_stored) {
+                answer = {submit_verdict::refused, "the record could not be stored", store_retry};
+            }
+            else if (outcome == write_outcome::deposed) {
+                answer.verdict = submit_verdict::moved;
+            }
+            answer_submit(spec.id, answer);
+        });
 }
 
 void leader::answer_submit(const std::string& id, const submit_answer& answer)
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -19,9 +19,9 @@
 struct peer {
     endpoint address;
     time_point heard;
-    time_point store_read;    ///< when it last read the store
-    std::uint64_t fence = 0;  ///< of the newest claim that it knows
-    bool leaving = false;     ///< a planned stop has begun
+    time_point store_read;   ///< when it last read the store
+    std::uint64_t fence = 0; ///< of the newest claim that it knows
+    bool leaving = false;    ///< a planned stop has begun
     double processor_share = 1;
 };
 
@@ -101,7 +101,7 @@
     std::map<std::string, look> looks_;
     std::map<std::string, pending_submit> submits_; ///< jobs whose record is being stored
     std::map<std::string, std::vector<std::function<void(state_answer)>>> cancels_; ///< by job
-    std::map<std::string, caller> callers_;         ///< members that call the advisor, by name
+    std::map<std::string, caller> callers_; ///< members that call the advisor, by name
     bool writing_ = false;
     bool settling_ = false;
     time_point place_after_;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -19,15 +19,15 @@
 constexpr millis standby_pause_a_member{33};    ///< some 30 reads of the log a second in all
 constexpr millis heartbeat_timeout{400};
 constexpr millis election_period{20};
-constexpr millis standby_pause{200};     ///< a standby is at most this far behind the log
-constexpr millis retry_pause{60};        ///< before a request is passed on again
-constexpr millis answer_reserve{250};    ///< of a client's time, kept for the answer's way
-constexpr millis longest_try{600};       ///< of one pass: by then a lost leader is replaced; a
-                                         ///< repeat to the same leader joins the first
-constexpr millis come_back{1000};        ///< to clients, while the pool has no leader
-constexpr millis worker_memory{8000};    ///< entries that expired: longest lease and a margin
+constexpr millis standby_pause{200};  ///< a standby is at most this far behind the log
+constexpr millis retry_pause{60};     ///< before a request is passed on again
+constexpr millis answer_reserve{250}; ///< of a client's time, kept for the answer's way
+constexpr millis longest_try{600};    ///< of one pass: by then a lost leader is replaced; a
+                                      ///< repeat to the same leader joins the first
+constexpr millis come_back{1000};     ///< to clients, while the pool has no leader
+constexpr millis worker_memory{8000}; ///< entries that expired: longest lease and a margin
 constexpr std::uint32_t max_claim_delay_ms = 60; ///< spreads the claims of like members
-constexpr millis smaller_member_delay{60};       ///< leaves the claim to a member with more processor
+constexpr millis smaller_member_delay{60}; ///< leaves the claim to a member with more processor
 
 constexpr name_table<submit_verdict, 4> verdict_names{{{submit_verdict::accepted, "accepted"},
                                                        {submit_verdict::refused, "refused"},
@@ -56,7 +56,7 @@
     std::string method;
     std::string body;
     time_point until;
-    bool maybe_done = false; ///< some try had no answer
+    bool maybe_done = false;               ///< some try had no answer
     std::function<void(millis left)> here; ///< serves it where this member has come to lead
     std::function<void(std::optional<Json::Value>, bool maybe_done)> done;
 };
@@ -118,8 +118,7 @@
                      advisor& a)
     : loop(l), settings(std::move(s)), log(records), workers(w), advice(a),
       peers(l, settings.name, 16), peer_server(l),
-      vote(incarnation,
-           millis(std::hash<std::string>{}(settings.name) % max_claim_delay_ms),
+      vote(incarnation, millis(std::hash<std::string>{}(settings.name) % max_claim_delay_ms),
            boot_clock::now()),
       follower(l, records, "pool", {millis(0), standby_pause},
                [this](const keyed_record& r) { on_record(r); })
@@ -167,11 +166,10 @@
             known_peers[name] = {*address, addresses[name][1].asDouble()};
         }
     }
-    const bool smaller = std::any_of(
-        known_peers.begin(), known_peers.end(),
-        [this](const std::pair<const std::string, known_peer>& p) {
-            return p.second.processor_share > settings.processor_share;
-        });
+    const bool smaller = std::any_of(known_peers.begin(), known_peers.end(),
+                                     [this](const std::pair<const std::string, known_peer>& p) {
+                                         return p.second.processor_share > settings.processor_share;
+                                     });
     const millis spread(std::hash<std::string>{}(settings.name) % max_claim_delay_ms);
     vote.set_delay(spread + (smaller ? smaller_member_delay : millis(0)));
 }
@@ -180,8 +178,7 @@
 {
     for (const std::pair<const std::string, known_peer>& p : known_peers) {
         call_rpc(peers, p.second.address, "leader", Json::Value(Json::objectValue),
-                 heartbeat_timeout,
-                 [this](const std::optional<Json::Value>& answer, const error&) {
+                 heartbeat_timeout, [this](const std::optional<Json::Value>& answer, const error&) {
                      if (answer) { // a peer that doesn't answer is one of several asked
                          learn_leader(*answer);
                      }
@@ -555,12 +552,12 @@
         }
         return std::optional<Json::Value>(Json::Value(newest && !leaving));
     });
-    peer_server.route("POST", "/rpc", [this](const http_request& request,
-                                             const http_respond& respond) {
-        http_reply reply;
-        reply.body = rpc.handle(request.body);
-        respond(std::move(reply));
-    });
+    peer_server.route("POST", "/rpc",
+                      [this](const http_request& request, const http_respond& respond) {
+                          http_reply reply;
+                          reply.body = rpc.handle(request.body);
+                          respond(std::move(reply));
+                      });
     peer_server.route("POST", "/pool/advise",
                       [this](const http_request& request, const http_respond& respond) {
                           serve_advise(request, respond);
@@ -574,31 +571,29 @@
             handler(request, respond);
         };
     };
-    peer_server.route("POST", "/pool/submit",
-                      leading_only([this](const http_request& request,
-                                          const http_respond& respond) {
-                          serve_submit(request, respond);
-                      }));
-    peer_server.route("GET", "/pool/state",
-                      leading_only([this](const http_request& request,
-                                          const http_respond& respond) {
-                          respond_json(respond,
-                                       to_json(lead->state_of(query_value(request, "id"))));
-                      }));
+    peer_server.route(
+        "POST", "/pool/submit",
+        leading_only([this](const http_request& request, const http_respond& respond) {
+            serve_submit(request, respond);
+        }));
+    peer_server.route(
+        "GET", "/pool/state",
+        leading_only([this](const http_request& request, const http_respond& respond) {
+            respond_json(respond, to_json(lead->state_of(query_value(request, "id"))));
+        }));
     peer_server.route(
         "POST", "/pool/cancel",
         leading_only([this](const http_request& request, const http_respond& respond) {
-            lead->cancel(query_value(request, "id"), [respond](const state_answer& a) {
-                respond_json(respond, to_json(a));
-            });
+            lead->cancel(query_value(request, "id"),
+                         [respond](const state_answer& a) { respond_json(respond, to_json(a)); });
+        }));
+    peer_server.route(
+        "GET", "/pool/waiting",
+        leading_only([this](const http_request& request, const http_respond& respond) {
+            Json::Value value;
+            value["count"] = lead->waiting_in(query_value(request, "queue"));
+            respond_json(respond, value);
         }));
-    peer_server.route("GET", "/pool/waiting",
-                      leading_only([this](const http_request& request,
-                                          const http_respond& respond) {
-                          Json::Value value;
-                          value["count"] = lead->waiting_in(query_value(request, "queue"));
-                          respond_json(respond, value);
-                      }));
 }
 
 void member::parts::pass_on(std::shared_ptr<passing> request)
@@ -632,19 +627,18 @@
                        request->done(json_from(reply->body), request->maybe_done);
                        return;
                    }
-                   const bool not_done = reply ? reply->status == not_leading
-                                               : why.code == error_code::unavailable;
+                   const bool not_done =
+                       reply ? reply->status == not_leading : why.code == error_code::unavailable;
                    request->maybe_done = request->maybe_done || !not_done;
-                   if (!reply && not_done && vote.leader() &&
-                       vote.leader()->incarnation == asked) {
+                   if (!reply && not_done && vote.leader() && vote.leader()->incarnation == asked) {
                        vote.on_leader_gone(boot_clock::now());
                    }
                    again();
                });
 }
 
-member::member(event_loop& loop, member_settings settings, record_log& log,
-               worker_gateway& workers, advisor& advice)
+member::member(event_loop& loop, member_settings settings, record_log& log, worker_gateway& workers,
+               advisor& advice)
     : parts_(std::make_unique<parts>(loop, std::move(settings), log, workers, advice))
 {
 }
@@ -726,8 +720,8 @@
         const time_point until = boot_clock::now() + budget;
         p.lead->submit(spec, [this, spec, until, done = std::move(done)](const submit_answer& a) {
             const millis left(to_millis(until - boot_clock::now()));
-            const bool ask_successor = a.verdict == submit_verdict::unknown ||
-                                       a.verdict == submit_verdict::moved;
+            const bool ask_successor =
+                a.verdict == submit_verdict::unknown || a.verdict == submit_verdict::moved;
             if (ask_successor && left > answer_reserve + retry_pause) {
                 // The lead was lost meanwhile; the successor knows whether the job is stored.
                 parts_->loop.after(retry_pause, [this, spec, left, done] {
@@ -806,8 +800,7 @@
     request->until = answer_by(budget);
     request->here = [this, queue, done](millis left) { waiting_in(queue, left, done); };
     request->done = [done](const std::optional<Json::Value>& answer, bool) {
-        done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()}
-                    : waiting_answer{});
+        done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()} : waiting_answer{});
     };
     p.pass_on(request);
 }
--- a/src/pool_order.cc
+++ b/src/pool_order.cc
@@ -14,10 +14,10 @@
 constexpr double fixed_share = 0.3;      ///< of a job's value that doesn't depend on its size
 constexpr double late_factor = 0.2;      ///< value of a job that misses its objective
 constexpr double hopeless_factor = 0.01; ///< beyond `useful_until` it is only owed an end
-constexpr double useful_until = 3;       ///< times the objective, after which an end is worth little
-constexpr double urgent_factor = 3;      ///< of queues with priority 0
-constexpr double slack_scale_ms = 5000;  ///< about the length of a task: time to spare beyond this
-                                         ///< many milliseconds makes a step wait for others
+constexpr double useful_until = 3;      ///< times the objective, after which an end is worth little
+constexpr double urgent_factor = 3;     ///< of queues with priority 0
+constexpr double slack_scale_ms = 5000; ///< about the length of a task: time to spare beyond this
+                                        ///< many milliseconds makes a step wait for others
 
 } // namespace
 
@@ -73,8 +73,8 @@
 namespace {
 
 /// Fills the candidates in the order given; returns nothing where they don't hold all tasks.
-std::vector<int> fill(const std::vector<candidate>& candidates, const std::vector<std::size_t>& order,
-                      int tasks)
+std::vector<int> fill(const std::vector<candidate>& candidates,
+                      const std::vector<std::size_t>& order, int tasks)
 {
     std::vector<int> counts(candidates.size(), 0);
     for (const std::size_t i : order) {
@@ -169,8 +169,8 @@
                                 std::max(1.0, static_cast<double>(whole.cpu_millis));
         const double memory_left = static_cast<double>(left.memory_mb) /
                                    std::max(1.0, static_cast<double>(whole.memory_mb));
-        const double score = (c.preferred ? 10 : 0) + (c.ticket_good ? 4 : 0) + 2 -
-                             std::max(cpu_left, memory_left);
+        const double score =
+            (c.preferred ? 10 : 0) + (c.ticket_good ? 4 : 0) + 2 - std::max(cpu_left, memory_left);
         if (best < 0 || score > best_score) {
             best = static_cast<int>(i);
             best_score = score;
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -7,13 +7,13 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr std::size_t max_named = 100;   ///< workers in one call for advice; the platform's bound
+constexpr std::size_t max_named = 100; ///< workers in one call for advice; the platform's bound
 constexpr std::int64_t runs_a_fence = 1000; ///< run numbers of one task that a leader may use
 
 bool has_label(const worker& w, const std::string& label)
 {
-    return label.empty() || std::find(w.entry.labels.begin(), w.entry.labels.end(), label) !=
-                                w.entry.labels.end();
+    return label.empty() ||
+           std::find(w.entry.labels.begin(), w.entry.labels.end(), label) != w.entry.labels.end();
 }
 
 int active_on(const worker& w, const task_id& step)
@@ -21,7 +21,8 @@
     int count = 0;
     for (const std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
         const task_id& t = r.second.task;
-        count += t.job == step.job && t.occurrence == step.occurrence && t.step == step.step ? 1 : 0;
+        count +=
+            t.job == step.job && t.occurrence == step.occurrence && t.step == step.step ? 1 : 0;
     }
     return count;
 }
@@ -85,8 +86,7 @@
             continue;
         }
         refresh(u, known->second, now);
-        u.rank.waited_ms =
-            static_cast<double>(to_millis(now - known->second.progress.accepted()));
+        u.rank.waited_ms = static_cast<double>(to_millis(now - known->second.progress.accepted()));
         u.score = rank_of(u.rank);
         ranked.push_back(&u);
     }
@@ -295,15 +295,15 @@
                                   .tasks[static_cast<std::size_t>(run.task.index)];
     double length_ms = estimate_ms(job.spec().queue, step);
     if (task.percent >= telling_percent) {
-        length_ms = static_cast<double>(to_millis(task.advanced - run.ordered)) * 100 / task.percent;
+        length_ms =
+            static_cast<double>(to_millis(task.advanced - run.ordered)) * 100 / task.percent;
     }
     return std::max(now + overdue, run.ordered + millis(static_cast<std::int64_t>(length_ms)));
 }
 
 std::vector<gang_option> scheduler::gang_options(unit& u, const job_entry& entry, time_point now)
 {
-    const step_spec& step =
-        entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
+    const step_spec& step = entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
     const queue_policy* queue = queue_of(entry.progress.spec().queue);
     std::vector<gang_option> options;
     if (queue == nullptr) {
@@ -336,10 +336,9 @@
     if (++gang_plans_ > most_plans) {
         return;
     }
-    constexpr millis horizon{3000};        ///< further ahead, estimates of ends say little
-    constexpr double most_held = 0.35;     ///< share of the pool; the rest serves what fits
-    const step_spec& step =
-        entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
+    constexpr millis horizon{3000};    ///< further ahead, estimates of ends say little
+    constexpr double most_held = 0.35; ///< share of the pool; the rest serves what fits
+    const step_spec& step = entry.progress.spec().steps[static_cast<std::size_t>(u.first.step)];
     const queue_policy* queue = queue_of(entry.progress.spec().queue);
     const std::vector<gang_option> options = gang_options(u, entry, now);
     const std::optional<gang_plan> plan = plan_gang(options, taken_by(step), step.tasks, now);
@@ -378,8 +377,7 @@
             expired.push_back(id);
         }
     }
-    const double takes =
-        terms.base_ms + terms.per_worker_ms * static_cast<double>(expired.size());
+    const double takes = terms.base_ms + terms.per_worker_ms * static_cast<double>(expired.size());
     const time_point answered = now + millis(static_cast<std::int64_t>(takes)) + way;
     if (!expired.empty() && !u.asking && answered >= plan.ready) {
         u.ask = expired;
@@ -443,8 +441,7 @@
 /// Returns the workers to be named in a call for advice: those with the most room, as many as the
 /// step is likely to need where a third is approved.
 std::vector<std::string> scheduler::workers_to_ask(const unit& u, const step_spec& step,
-                                                   const queue_policy& queue,
-                                                   time_point now) const
+                                                   const queue_policy& queue, time_point now) const
 {
     constexpr std::size_t asked_a_task = 4;
     constexpr std::size_t asked_at_least = 16;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -40,18 +40,17 @@
                                                {end_reason::broken, "broken"},
                                                {end_reason::alone, "alone"}}};
 
-constexpr name_table<order_verdict, 11> verdict_names{
-    {{order_verdict::obeyed, "obeyed"},
-     {order_verdict::fenced, "fenced"},
-     {order_verdict::superseded, "superseded"},
-     {order_verdict::late, "late"},
-     {order_verdict::no_room, "no_room"},
-     {order_verdict::no_ticket, "no_ticket"},
-     {order_verdict::unhealthy, "unhealthy"},
-     {order_verdict::replaced, "replaced"},
-     {order_verdict::invalid, "invalid"},
-     {order_verdict::not_sent, "not_sent"},
-     {order_verdict::unknown, "unknown"}}};
+constexpr name_table<order_verdict, 11> verdict_names{{{order_verdict::obeyed, "obeyed"},
+                                                       {order_verdict::fenced, "fenced"},
+                                                       {order_verdict::superseded, "superseded"},
+                                                       {order_verdict::late, "late"},
+                                                       {order_verdict::no_room, "no_room"},
+                                                       {order_verdict::no_ticket, "no_ticket"},
+                                                       {order_verdict::unhealthy, "unhealthy"},
+                                                       {order_verdict::replaced, "replaced"},
+                                                       {order_verdict::invalid, "invalid"},
+                                                       {order_verdict::not_sent, "not_sent"},
+                                                       {order_verdict::unknown, "unknown"}}};
 
 constexpr millis lease_length{5000};     ///< within the platform's longest lease
 constexpr int start_attempts = 3;        ///< sends of one start before it is stopped instead
@@ -244,8 +243,7 @@
     if (jobs_.count(spec.id) > 0) {
         return;
     }
-    const auto added =
-        jobs_.emplace(spec.id, job_entry{job_progress(spec, wall_ms, now)}).first;
+    const auto added = jobs_.emplace(spec.id, job_entry{job_progress(spec, wall_ms, now)}).first;
     class_estimate& learnt = estimates_[spec.queue];
     learn(learnt.mean_work, learnt.jobs, size_of(spec, estimates_of(spec)).core_seconds);
     open_units(added->second, now);
@@ -640,9 +638,10 @@
         const bool sized = known != jobs_.end() &&
                            id->step < static_cast<int>(known->second.progress.spec().steps.size());
         // Of what no record tells, the rest of the worker is assumed to be taken.
-        found.taken = sized ? taken_by(known->second.progress.spec()
-                                           .steps[static_cast<std::size_t>(id->step)])
-                            : w.room();
+        found.taken =
+            sized
+                ? taken_by(known->second.progress.spec().steps[static_cast<std::size_t>(id->step)])
+                : w.room();
         const bool wanted = task != nullptr && task->phase == task_phase::waiting &&
                             !is_final(known->second.progress.state()) &&
                             task->failed_runs.count(row.run) == 0;
@@ -728,8 +727,8 @@
 
 void scheduler::on_advice(const advice_call& call, const advice_answer& answer, time_point now)
 {
-    constexpr millis retry_pause{100};    ///< the advisor refuses only while its queue is full
-    constexpr millis ticket_margin{250};  ///< covers the way of the answer and of the start
+    constexpr millis retry_pause{100};   ///< the advisor refuses only while its queue is full
+    constexpr millis ticket_margin{250}; ///< covers the way of the answer and of the start
     const auto known = units_.find(call.step);
     if (known == units_.end()) {
         return;
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -82,8 +82,8 @@
             reason = entry.value.empty() ? "" : "must be a number";
             return;
         }
-        const bool in_seconds = entry.key.size() > 2 &&
-                                entry.key.compare(entry.key.size() - 3, 3, "_ms") != 0;
+        const bool in_seconds =
+            entry.key.size() > 2 && entry.key.compare(entry.key.size() - 3, 3, "_ms") != 0;
         target.bounds.*member =
             millis(static_cast<std::int64_t>(*value * (in_seconds ? ms_a_second : 1)));
     }
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -198,8 +198,7 @@
         }
         if (!own) {
             // The batch lies nowhere, and its condition can't hold any more.
-            depose(r.trimmed && maybe_stored_ ? write_outcome::unknown
-                                              : write_outcome::deposed);
+            depose(r.trimmed && maybe_stored_ ? write_outcome::unknown : write_outcome::deposed);
             return;
         }
         end_ += batch_.size();
--- a/test/log_ring-test.cc
+++ b/test/log_ring-test.cc
@@ -54,7 +54,8 @@
     constexpr std::size_t capacity = 4096;
     log_ring ring(p.ends[1], capacity);
     const std::string line(100, 'x');
-    for (int i = 0; i < 100000; ++i) { // ten megabytes into a pipe of 64 KiB: blocks if anything does
+    for (int i = 0; i < 100000;
+         ++i) { // ten megabytes into a pipe of 64 KiB: blocks if anything does
         ring.push(line);
         ring.flush();
     }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -72,9 +72,10 @@
 
 Test(platform, entries_of_other_writers_name_no_worker)
 {
-    for (const char* text : {"", "{}", "[1]", "\xff\xfe", R"({"Service":"s1","Addr":"x","State":"ready"})",
-                             R"({"Service":5,"Addr":"10.0.0.1:80","State":"ready","Capacity":{}})",
-                             R"({"Service":"s","Addr":"10.0.0.1:80","State":"odd","Capacity":{}})"}) {
+    for (const char* text :
+         {"", "{}", "[1]", "\xff\xfe", R"({"Service":"s1","Addr":"x","State":"ready"})",
+          R"({"Service":5,"Addr":"10.0.0.1:80","State":"ready","Capacity":{}})",
+          R"({"Service":"s","Addr":"10.0.0.1:80","State":"odd","Capacity":{}})"}) {
         error why;
         cr_assert_not(decode_worker("i-1", text, why).has_value(), "%s", text);
         cr_assert_not(why.reason.empty());
@@ -151,7 +152,8 @@
         decode_job(mutated(job_text, random), why);
         decode_report(mutated(report_text, random), why);
         decode_read(mutated(body, random), 0);
-        decode_newest(mutated(R"({"items":[{"Key":"c","Value":"eyJh","Offset":4}],"End":6})", random));
+        decode_newest(
+            mutated(R"({"items":[{"Key":"c","Value":"eyJh","Offset":4}],"End":6})", random));
         pool::task_id_from(mutated("5c0e7a21d94b36f8.0.1.17", random));
     }
 }
--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -123,8 +123,7 @@
 
     void add(const std::string& key)
     {
-        writer.add({{key, "v", 0}}, millis(0),
-                   [this](write_outcome o) { outcomes.push_back(o); });
+        writer.add({{key, "v", 0}}, millis(0), [this](write_outcome o) { outcomes.push_back(o); });
     }
 
     void run(millis length)
@@ -215,12 +214,11 @@
         log.store({{"k" + std::to_string(i), "v", 0}}, log.records.size());
     }
     std::vector<std::string> gone;
-    keyed_follower follower(loop, log, "test", {millis(0), millis(10)},
-                            [&](const keyed_record& r) {
-                                if (r.value.empty()) {
-                                    gone.push_back(r.key);
-                                }
-                            });
+    keyed_follower follower(loop, log, "test", {millis(0), millis(10)}, [&](const keyed_record& r) {
+        if (r.value.empty()) {
+            gone.push_back(r.key);
+        }
+    });
     follower.start();
     loop.after(millis(60), [&] {
         cr_assert_eq(follower.values().size(), 5);
--- a/test/pool_order-test.cc
+++ b/test/pool_order-test.cc
@@ -106,8 +106,8 @@
     worker w2 = worker_with_room("w2", 8);
     const resources need{8000, 100, 0};
     gang_option busy{&w1, {0, 64000, 0}, 4, {{at_ms(900), {8000, 0, 0}}}};
-    gang_option busier{&w2, {0, 64000, 0}, 4, {{at_ms(300), {2000, 0, 0}},
-                                               {at_ms(700), {6000, 0, 0}}}};
+    gang_option busier{
+        &w2, {0, 64000, 0}, 4, {{at_ms(300), {2000, 0, 0}}, {at_ms(700), {6000, 0, 0}}}};
     const std::optional<gang_plan> plan = plan_gang({busy, busier}, need, 2, at_ms(100));
     cr_assert(plan.has_value());
     cr_assert(plan->ready == at_ms(900));
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -334,8 +334,8 @@
 
 Test(pool_scheduler, ends_are_noted_only_with_the_batch_that_records_them)
 {
-    // From talitaja-graafik trouble-1, seed 355923086739: TWICE. A batch was under way when a second
-    // one, without records, was taken: it passed the ends of the first as recorded.
+    // From talitaja-graafik trouble-1, seed 355923086739: TWICE. A batch was under way when a
+    // second one, without records, was taken: it passed the ends of the first as recorded.
     scheduler s = fresh({"w1"});
     std::map<std::string, std::string> store;
     add_job(s, store, job_of(job, {step_of(2, 1)}), 0);
