Don't move the lead while the store is slow for all; hand it over at once on a planned stop

A planned stop waited 3 s for a moment without an append. Change: a successor must have begun a read since the failure and finished it within 40 ms; repeats of one append wait longer each; a read tells a slow store from lost answers; a leader that leaves rests its writer first. The choice is a pure function with three tests.

--- a/bench/pool.cc
+++ b/bench/pool.cc
@@ -66,7 +66,7 @@
     s.place(now);
     s.take_starts();
     s.take_decisions();
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         s.tick(now);
         s.place(now);
     }
--- a/include/sesamesill/pool_election.h
+++ b/include/sesamesill/pool_election.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -27,6 +28,27 @@
 /// Returns the leader that the record at `offset` names, or nothing.
 std::optional<leader_record> leader_from(const std::string& value, std::uint64_t offset);
 
+/// Another member, as its heartbeats show it.
+struct peer {
+    endpoint address;
+    time_point heard;
+    time_point store_read; ///< when its last successful read of the store was begun
+    millis store_read_took{0};
+    std::uint64_t fence = 0; ///< of the newest claim that it knows
+    bool leaving = false;    ///< a planned stop has begun
+    double processor_share = 1;
+};
+
+/// A member is used for so long after its heartbeat, longer where heartbeats are rarer.
+constexpr millis peer_life{1200};
+/// A store this slow is slow for all members: moving the lead would only lose what is under way.
+constexpr millis slow_read{40};
+
+/// Returns the member that should lead next, or null. Where appends have been failing for
+/// `failing`, a successor must have read the store since, and quickly.
+const std::pair<const std::string, peer>* successor_among(const std::map<std::string, peer>& peers,
+                                                          millis failing, time_point now);
+
 class election {
 public:
     /// `delay` spreads the claims of several members; it differs between them.
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -49,8 +49,10 @@
     /// Returns whether all keys are known.
     bool is_loaded() const { return loaded_; }
     std::uint64_t next() const { return next_; }
-    /// When a read last succeeded.
+    /// When the last read that succeeded was begun: the store was reachable after that.
     time_point last_read() const { return last_read_; }
+    /// How long that read took, without the wait it asked for.
+    millis last_read_took() const { return last_read_took_; }
     /// When a record last came.
     time_point last_record() const { return last_record_; }
 
@@ -78,7 +80,9 @@
     bool waiting_ = false; ///< a timer will pump
     bool failing_ = false;
     millis backoff_{0};
+    time_point read_begun_;
     time_point last_read_;
+    millis last_read_took_{0};
     time_point last_record_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -86,6 +86,7 @@
     bool failing_ = false;
     millis backoff_{0};
     double smoothed_ms_ = 10; ///< of an append
+    int timeout_factor_ = 1;  ///< doubles with each append of the batch that had no answer
     std::size_t appends_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/pool_election.cc
+++ b/src/pool_election.cc
@@ -35,6 +35,29 @@
                          *address, offset + 1};
 }
 
+const std::pair<const std::string, peer>* successor_among(const std::map<std::string, peer>& peers,
+                                                          millis failing, time_point now)
+{
+    constexpr millis read_life{2500}; ///< above the longest pause between a standby's reads
+    const bool store_fails = failing > millis(0);
+    const time_point read_after = now - (store_fails ? failing : read_life);
+    const std::pair<const std::string, peer>* best = nullptr;
+    for (const std::pair<const std::string, peer>& p : peers) {
+        const peer& candidate = p.second;
+        const bool usable = now - candidate.heard < peer_life && !candidate.leaving &&
+                            candidate.store_read > read_after &&
+                            (!store_fails || candidate.store_read_took < slow_read);
+        const bool better = best == nullptr ||
+                            candidate.processor_share > best->second.processor_share ||
+                            (candidate.processor_share == best->second.processor_share &&
+                             candidate.store_read > best->second.store_read);
+        if (usable && better) {
+            best = &p;
+        }
+    }
+    return best;
+}
+
 election::election(std::string incarnation, millis delay, time_point now)
     : incarnation_(std::move(incarnation)), delay_(delay), last_sign_(now), claim_after_(now)
 {
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -70,7 +70,8 @@
     }
     failing_ = false;
     backoff_ = millis(0);
-    last_read_ = boot_clock::now();
+    last_read_ = read_begun_;
+    last_read_took_ = millis(to_millis(boot_clock::now() - read_begun_));
 }
 
 void keyed_follower::pump()
@@ -84,6 +85,7 @@
         return;
     }
     reading_ = true;
+    read_begun_ = boot_clock::now();
     log_.read(next_, pace_.wait, pace_.wait + read_timeout,
               [this, alive = alive_](const read_result& r) {
                   if (!*alive) {
@@ -112,6 +114,7 @@
 void keyed_follower::load(const std::string& after)
 {
     reading_ = true;
+    read_begun_ = boot_clock::now();
     log_.newest(after, read_timeout, [this, after, alive = alive_](const newest_result& r) {
         if (!*alive) {
             return;
@@ -192,6 +195,7 @@
         done(false);
         return;
     }
+    read_begun_ = boot_clock::now();
     log_.read(next_, millis(0), read_timeout,
               [this, alive = alive_, done = std::move(done)](const read_result& r) {
                   if (!*alive) {
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -28,12 +28,10 @@
 constexpr millis advice_slack{900}; ///< beyond the time that the advisor needs
 constexpr millis short_call{30};    ///< calls that the reserved caller takes
 constexpr millis any_call{60000};
-constexpr millis peer_life{1200};   ///< a member is used for so long after its heartbeat
 constexpr millis pulse_period{250}; ///< a leader with nothing to write still shows that it lives
 constexpr millis submit_patience{1200}; ///< a job whose record can't be sent by then is refused
 constexpr millis store_tolerance{500};  ///< failing appends before new jobs are refused
 constexpr millis handover_after{250};   ///< failing appends before another member is asked to lead
-constexpr millis peer_read_life{600};   ///< a member that read the store so lately reaches it
 constexpr millis handover_pause{600};
 constexpr millis handover_rest{250}; ///< a successor reads the log and claims within 20 ms
 constexpr millis order_confidence{
@@ -214,6 +212,9 @@
     if (failing) {
         handing_over_ = "the store doesn't answer this member";
     }
+    if (handing_over_ != nullptr && !failing && !writer_.is_idle()) {
+        writer_.rest(now + handover_rest); // asks as soon as the append under way is answered
+    }
     if (handing_over_ != nullptr && now - nominated_at_ > handover_pause &&
         (failing || writer_.is_idle())) {
         nominated_at_ = now;
@@ -231,22 +232,7 @@
 
 const std::pair<const std::string, peer>* leader::best_successor(time_point now) const
 {
-    // Where the store fails for this member, a successor has to have read it since.
-    const millis failing = writer_.failing_for(now);
-    const time_point read_after = now - (failing > millis(0) ? failing : peer_read_life);
-    const std::pair<const std::string, peer>* best = nullptr;
-    for (const std::pair<const std::string, peer>& p : peers_) {
-        const bool usable = now - p.second.heard < peer_life && !p.second.leaving &&
-                            p.second.store_read > read_after;
-        const bool better = best == nullptr ||
-                            p.second.processor_share > best->second.processor_share ||
-                            (p.second.processor_share == best->second.processor_share &&
-                             p.second.store_read > best->second.store_read);
-        if (usable && better) {
-            best = &p;
-        }
-    }
-    return best;
+    return successor_among(peers_, writer_.failing_for(now), now);
 }
 
 /// Scheduling is the largest load of all members: the lead goes to where there is room for it.
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -15,16 +15,6 @@
 
 namespace sesamesill::pool {
 
-/// Another member, as its heartbeats show it.
-struct peer {
-    endpoint address;
-    time_point heard;
-    time_point store_read;   ///< when it last read the store
-    std::uint64_t fence = 0; ///< of the newest claim that it knows
-    bool leaving = false;    ///< a planned stop has begun
-    double processor_share = 1;
-};
-
 class leader {
 public:
     leader(event_loop& loop, const member_settings& settings, leader_record self, record_log& log,
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -251,6 +251,7 @@
     params["address"] = to_string(settings.peer_listen);
     params["read_age_ms"] =
         static_cast<Json::Int64>(to_millis(boot_clock::now() - follower.last_read()));
+    params["read_took_ms"] = static_cast<Json::Int64>(follower.last_read_took().count());
     params["leaving"] = leaving;
     params["peers_known"] = static_cast<Json::UInt64>(known_peers.size());
     params["processor_share"] = settings.processor_share;
@@ -387,6 +388,7 @@
         seen.address = *address;
         seen.heard = boot_clock::now();
         seen.store_read = seen.heard - millis(params["read_age_ms"].asInt64());
+        seen.store_read_took = millis(params["read_took_ms"].asInt64());
         seen.leaving = params["leaving"].asBool();
         seen.processor_share = params["processor_share"].asDouble();
         seen.fence = params["fence"].asUInt64();
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -11,9 +11,10 @@
 namespace {
 
 constexpr std::size_t max_batch_bytes = std::size_t{1024} * 1024; ///< half of what one call takes
-constexpr millis shortest_timeout{120}; ///< a usual append takes 6 to 10 ms
+constexpr millis shortest_timeout{160}; ///< a usual append takes 6 to 10 ms
 constexpr millis longest_timeout{1500}; ///< one on a slow store takes about 400
-constexpr double timeout_factor = 5;
+constexpr double timeout_factor = 5;    ///< of the smoothed time
+constexpr int longest_factor = 8;       ///< by which the repeats of one append may wait longer
 constexpr millis first_backoff{40};
 constexpr millis longest_backoff{300};
 
@@ -46,8 +47,8 @@
 
 millis record_writer::append_timeout() const
 {
-    const millis wanted(static_cast<std::int64_t>(smoothed_ms_ * timeout_factor));
-    return std::clamp(wanted, shortest_timeout, longest_timeout);
+    const millis usual(static_cast<std::int64_t>(smoothed_ms_ * timeout_factor));
+    return std::min(longest_timeout, std::max(shortest_timeout, usual) * timeout_factor_);
 }
 
 void record_writer::add(std::vector<keyed_record> records, millis patience,
@@ -116,6 +117,7 @@
     sent_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(cut));
     waiting_.erase(waiting_.begin(), cut);
     maybe_stored_ = false;
+    timeout_factor_ = 1;
     send();
 }
 
@@ -170,8 +172,10 @@
         log_event(log_level::warning, "append_failing",
                   {{"reason", r.why.reason}, {"after_ms", static_cast<std::int64_t>(took)}});
     }
-    maybe_stored_ = maybe_stored_ || r.verdict == append_verdict::unknown;
-    smoothed_ms_ = std::max(smoothed_ms_, std::min(took, 300.0));
+    if (r.verdict == append_verdict::unknown) {
+        maybe_stored_ = true;
+        timeout_factor_ = std::min(longest_factor, 2 * timeout_factor_);
+    }
     backoff_ = std::min(longest_backoff, std::max(first_backoff, backoff_ * 2));
     retry(backoff_);
 }
@@ -181,29 +185,35 @@
 void record_writer::resolve()
 {
     in_flight_ = true;
-    log_.read(end_, millis(0), longest_timeout, [this, alive = alive_](const read_result& r) {
-        if (!*alive) {
-            return;
-        }
-        in_flight_ = false;
-        if (!r.good && !r.trimmed) {
-            retry(first_backoff);
-            return;
-        }
-        bool own = r.records.size() >= batch_.size();
-        for (std::size_t i = 0; own && i < batch_.size(); ++i) {
-            own = r.records[i].offset == end_ + i && r.records[i].key == batch_[i].key &&
-                  r.records[i].value == batch_[i].value;
-            batch_[i].offset = end_ + i;
-        }
-        if (!own) {
-            // The batch lies nowhere, and its condition can't hold any more.
-            depose(r.trimmed && maybe_stored_ ? write_outcome::unknown : write_outcome::deposed);
-            return;
-        }
-        end_ += batch_.size();
-        settle(write_outcome::stored);
-    });
+    const time_point begun = boot_clock::now();
+    log_.read(end_, millis(0), longest_timeout,
+              [this, begun, alive = alive_](const read_result& r) {
+                  if (!*alive) {
+                      return;
+                  }
+                  in_flight_ = false;
+                  // A read tells a slow store from one that loses answers.
+                  const double took = static_cast<double>(to_millis(boot_clock::now() - begun));
+                  smoothed_ms_ = std::max(smoothed_ms_, took);
+                  if (!r.good && !r.trimmed) {
+                      retry(first_backoff);
+                      return;
+                  }
+                  bool own = r.records.size() >= batch_.size();
+                  for (std::size_t i = 0; own && i < batch_.size(); ++i) {
+                      own = r.records[i].offset == end_ + i && r.records[i].key == batch_[i].key &&
+                            r.records[i].value == batch_[i].value;
+                      batch_[i].offset = end_ + i;
+                  }
+                  if (!own) {
+                      // The batch lies nowhere, and its condition can't hold any more.
+                      depose(r.trimmed && maybe_stored_ ? write_outcome::unknown
+                                                        : write_outcome::deposed);
+                      return;
+                  }
+                  end_ += batch_.size();
+                  settle(write_outcome::stored);
+              });
 }
 
 void record_writer::settle(write_outcome outcome)
--- a/test/pool_election-test.cc
+++ b/test/pool_election-test.cc
@@ -87,3 +87,46 @@
     e.on_leader(leader_of("i1", 4), at_ms(1));
     cr_assert_eq(e.leader()->fence, 9);
 }
+
+namespace {
+
+peer healthy_peer(std::int64_t read_ms)
+{
+    peer p;
+    p.heard = at_ms(10000);
+    p.store_read = at_ms(read_ms);
+    p.store_read_took = millis(6);
+    return p;
+}
+
+} // namespace
+
+Test(pool_election, a_successor_has_read_the_store_since_it_failed_here)
+{
+    // From talitaja-graafik trouble-1: the lead went to a member that had lost the store as well.
+    std::map<std::string, peer> peers{{"e2", healthy_peer(9600)}, {"e3", healthy_peer(9900)}};
+    cr_assert(successor_among(peers, millis(300), at_ms(10000))->first == "e3");
+    cr_assert_null(successor_among(peers, millis(50), at_ms(10000)));
+    cr_assert_not_null(successor_among(peers, millis(0), at_ms(10000)));
+}
+
+Test(pool_election, a_store_that_is_slow_for_all_does_not_move_the_lead)
+{
+    // From incident inc-91c8: the lead moved each 0.6 s and took the requests under way with it.
+    std::map<std::string, peer> peers{{"e2", healthy_peer(9900)}};
+    peers["e2"].store_read_took = millis(100);
+    cr_assert_null(successor_among(peers, millis(300), at_ms(10000)));
+    cr_assert_not_null(successor_among(peers, millis(0), at_ms(10000)), "a planned stop goes on");
+}
+
+Test(pool_election, the_member_with_most_processor_leads_unless_it_leaves)
+{
+    std::map<std::string, peer> peers{{"e2", healthy_peer(9900)}, {"e3", healthy_peer(9800)}};
+    peers["e2"].processor_share = 0.12;
+    peers["e3"].processor_share = 0.5;
+    cr_assert(successor_among(peers, millis(0), at_ms(10000))->first == "e3");
+    peers["e3"].leaving = true;
+    cr_assert(successor_among(peers, millis(0), at_ms(10000))->first == "e2");
+    peers["e2"].heard = at_ms(8000);
+    cr_assert_null(successor_among(peers, millis(0), at_ms(10000)));
+}
