Try a failed task on another worker; leave a worker alone after failures of three jobs

A worker was avoided only after four failures in a row, a poisoned job counting each time. Ruled out: the job's own fault, as its other task was done there at once and other jobs failed on that worker too. Change: a task's next run avoids workers on which it failed, a gang's those of any member; three failures of different jobs. Tests: three, each failed first.

--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -102,7 +103,9 @@
 std::optional<gang_plan> plan_gang(const std::vector<gang_option>& options, const resources& need,
                                    int tasks, time_point now);
 
-/// Returns the index of the candidate for one task, or -1: the data's rack first, then the fullest.
-int pick_for_task(const std::vector<candidate>& candidates, const resources& need);
+/// Returns the index of the candidate for one task, or -1: the data's rack first, then the fullest;
+/// workers in `avoid` last.
+int pick_for_task(const std::vector<candidate>& candidates, const resources& need,
+                  const std::set<std::string>& avoid);
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -31,6 +31,7 @@
     std::int64_t run = 0;               ///< highest run number used so far
     std::string worker;                 ///< while it is neither waiting nor done
     std::set<std::int64_t> failed_runs; ///< each counts once, in whatever order they are heard of
+    std::set<std::string> failed_on;    ///< workers on which it failed; tried last
     std::string checkpoint;
     time_point started;
     int percent = 0;
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -37,7 +37,8 @@
 /// Recent failures of a worker. Runs that fail on workers where others succeed are the job's fault;
 /// a worker on which run after run fails is avoided, then tried with one run at a time.
 struct worker_health {
-    int failures_in_row = 0;
+    int failures_in_row = 0;     ///< of different jobs
+    std::string last_failed_job; ///< a job that fails again and again counts once
     time_point avoid_until;
     int avoided = 0; ///< times in a row; lengthens the next avoidance
 };
@@ -100,6 +101,6 @@
 bool remove_run(worker& w, const std::string& task, std::int64_t run);
 
 /// Judges the worker by the end of one run.
-void judge_end(worker_health& health, bool failed, time_point now);
+void judge_end(worker_health& health, const std::string& job, bool failed, time_point now);
 
 } // namespace sesamesill::pool
--- a/src/pool_job.cc
+++ b/src/pool_job.cc
@@ -165,7 +165,7 @@
         return "the number of steps is out of range";
     }
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-        const std::string fault = fault_in_step(spec.steps[i], static_cast<int>(i));
+        std::string fault = fault_in_step(spec.steps[i], static_cast<int>(i));
         if (!fault.empty()) {
             return fault;
         }
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -31,6 +31,7 @@
 constexpr millis pulse_period{250}; ///< a leader with nothing to write still shows that it lives
 constexpr millis submit_patience{1200}; ///< a job whose record can't be sent by then is refused
 constexpr millis store_tolerance{500};  ///< failing appends before new jobs are refused
+constexpr millis store_retry{1000};     ///< a client waits about 3 s in all for its job to be taken
 constexpr millis handover_after{250};   ///< failing appends before another member is asked to lead
 constexpr millis handover_pause{600};
 constexpr millis handover_rest{250}; ///< a successor reads the log and claims within 20 ms
@@ -518,7 +519,6 @@
         done({submit_verdict::accepted, "known", millis(0)});
         return;
     }
-    constexpr millis store_retry{1000}; // a client waits about 3 s in all for its job to be taken
     if (admitted.verdict == admission::accept && writer_.failing_for(now) > store_tolerance) {
         done({submit_verdict::refused, "the store doesn't answer", store_retry});
         return;
@@ -574,7 +574,7 @@
 void leader::cancel(const std::string& id, std::function<void(state_answer)> done)
 {
     if (submits_.count(id) > 0) {
-        submits_[id].waiting.push_back([this, alive = alive_, id, done](const submit_answer& a) {
+        submits_[id].waiting.emplace_back([this, alive = alive_, id, done](const submit_answer& a) {
             if (!*alive || a.verdict == submit_verdict::unknown ||
                 a.verdict == submit_verdict::moved) {
                 done({lookup::unavailable});
--- a/src/pool_order.cc
+++ b/src/pool_order.cc
@@ -154,7 +154,8 @@
     return plan;
 }
 
-int pick_for_task(const std::vector<candidate>& candidates, const resources& need)
+int pick_for_task(const std::vector<candidate>& candidates, const resources& need,
+                  const std::set<std::string>& avoid)
 {
     int best = -1;
     double best_score = 0;
@@ -169,8 +170,9 @@
                                 std::max(1.0, static_cast<double>(whole.cpu_millis));
         const double memory_left = static_cast<double>(left.memory_mb) /
                                    std::max(1.0, static_cast<double>(whole.memory_mb));
-        const double score =
-            (c.preferred ? 10 : 0) + (c.ticket_good ? 4 : 0) + 2 - std::max(cpu_left, memory_left);
+        const double score = (avoid.count(c.where->entry.id) > 0 ? -100 : 0) +
+                             (c.preferred ? 10 : 0) + (c.ticket_good ? 4 : 0) + 2 -
+                             std::max(cpu_left, memory_left);
         if (best < 0 || score > best_score) {
             best = static_cast<int>(i);
             best_score = score;
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -233,6 +233,27 @@
     starts_.push_back(std::move(order));
 }
 
+namespace {
+
+/// Drops the workers in `failed_on`, unless nothing else is left.
+void leave_out(std::vector<candidate>& candidates, const std::set<std::string>& failed_on)
+{
+    if (failed_on.empty()) {
+        return;
+    }
+    std::vector<candidate> others;
+    for (const candidate& c : candidates) {
+        if (failed_on.count(c.where->entry.id) == 0) {
+            others.push_back(c);
+        }
+    }
+    if (!others.empty()) {
+        candidates.swap(others);
+    }
+}
+
+} // namespace
+
 void scheduler::place_gang(unit& u, job_entry& entry, time_point now)
 {
     job_progress& job = entry.progress;
@@ -245,7 +266,12 @@
         hold_back_for(u, entry, now);
         return;
     }
-    const std::vector<candidate> candidates = candidates_for(u, entry, now);
+    std::vector<candidate> candidates = candidates_for(u, entry, now);
+    std::set<std::string> failed_on;
+    for (const task_record& t : step.tasks) {
+        failed_on.insert(t.failed_on.begin(), t.failed_on.end());
+    }
+    leave_out(candidates, failed_on);
     const std::vector<int> counts = spread_gang(candidates, spec.tasks, spec.same_rack);
     if (counts.empty()) {
         hold_back_for(u, entry, now);
@@ -395,7 +421,8 @@
         if (step.tasks[static_cast<std::size_t>(i)].phase != task_phase::waiting) {
             continue;
         }
-        const int pick = pick_for_task(candidates, taken_by(spec));
+        const int pick = pick_for_task(candidates, taken_by(spec),
+                                       step.tasks[static_cast<std::size_t>(i)].failed_on);
         if (pick < 0) {
             break;
         }
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -579,7 +579,7 @@
         dirty_.insert(id.job);
     }
     if (end.how == end_reason::done || end.how == end_reason::failed) {
-        judge_end(w.health, end.how == end_reason::failed, now);
+        judge_end(w.health, id.job, end.how == end_reason::failed, now);
         if (w.health.avoid_until > now && end.how == end_reason::failed) {
             note(decision_kind::worker_avoided, "", w.entry.id, "runs fail one after the other",
                  to_millis(w.health.avoid_until - now));
@@ -612,6 +612,7 @@
     }
     if (end.how == end_reason::failed) {
         dirty_.insert(id.job);
+        task.failed_on.insert(w.entry.id);
         const queue_policy* queue = queue_of(job.spec().queue);
         const int attempts = queue != nullptr ? queue->max_attempts : spec.tasks + 1;
         if (job.fail(id, end.run, attempts)) {
--- a/src/pool_worker.cc
+++ b/src/pool_worker.cc
@@ -7,7 +7,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr int failures_to_avoid = 4;      ///< jobs' own faults rarely come so many in a row
+constexpr int failures_to_avoid = 3;      ///< jobs' own faults rarely come so many in a row
 constexpr millis first_avoidance{2000};   ///< about the length of a task
 constexpr millis longest_avoidance{8000}; ///< impairments of workers last some seconds
 
@@ -31,13 +31,18 @@
     return true;
 }
 
-void judge_end(worker_health& health, bool failed, time_point now)
+void judge_end(worker_health& health, const std::string& job, bool failed, time_point now)
 {
     if (!failed) {
         health.failures_in_row = 0;
         health.avoided = 0;
+        health.last_failed_job.clear();
         return;
     }
+    if (job == health.last_failed_job) {
+        return;
+    }
+    health.last_failed_job = job;
     if (++health.failures_in_row < failures_to_avoid) {
         return;
     }
--- a/test/pool_order-test.cc
+++ b/test/pool_order-test.cc
@@ -96,8 +96,10 @@
     worker part = worker_with_room("w2", 16);
     part.taken = {10000, 100, 0};
     const resources need{4000, 100, 0};
-    const int pick = pick_for_task({candidate_on(empty, need), candidate_on(part, need)}, need);
-    cr_assert_eq(pick, 1);
+    const std::vector<candidate> both{candidate_on(empty, need), candidate_on(part, need)};
+    cr_assert_eq(pick_for_task(both, need, {}), 1);
+    cr_assert_eq(pick_for_task(both, need, {"w2"}), 0, "it failed there");
+    cr_assert_eq(pick_for_task(both, need, {"w1", "w2"}), 1, "nothing else is left");
 }
 
 Test(pool_order, a_gang_is_planned_for_the_first_moment_at_which_all_members_fit)
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -355,3 +355,58 @@
     s.recorded(again, at_ms(20));
     cr_assert_not(s.has_unrecorded_ends("w1"));
 }
+
+Test(pool_scheduler, a_task_that_failed_on_a_worker_is_tried_on_another)
+{
+    // From incident inc-39f7: three runs of a task failed on one worker, which failed all its runs.
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    const std::vector<start_order> first = place(s, 1);
+    obey(s, first, 2);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::failed)};
+    look(s, first[0].worker, report, 100);
+    const std::vector<start_order> second = place(s, 101);
+    cr_assert_eq(second.size(), 1);
+    cr_assert(second[0].worker != first[0].worker);
+}
+
+Test(pool_scheduler, a_gang_that_failed_on_a_worker_goes_elsewhere)
+{
+    scheduler s = fresh({"w1", "w2", "w3"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(2, 6, true)}), 0);
+    const std::vector<start_order> first = place(s, 1);
+    obey(s, first, 2);
+    worker_report failed;
+    failed.ended = {end_of(1, first[0].task, 1, end_reason::failed)};
+    look(s, first[0].worker, failed, 100);
+    worker_report broken;
+    broken.ended = {end_of(1, first[1].task, 1, end_reason::broken)};
+    look(s, first[1].worker, broken, 101);
+    const std::vector<start_order> second = place(s, 102);
+    cr_assert_eq(second.size(), 2);
+    for (const start_order& o : second) {
+        cr_assert(o.worker != first[0].worker);
+    }
+}
+
+Test(pool_scheduler, a_worker_on_which_runs_of_several_jobs_fail_is_left_alone_for_a_while)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    worker_report report;
+    for (int i = 0; i < 3; ++i) {
+        const std::string id = "00000000000000b" + std::to_string(i);
+        add_job(s, store, job_of(id, {step_of(1, 1)}), 10 * i);
+        obey(s, place(s, 10 * i + 1), 10 * i + 2);
+        report.ended.push_back(
+            end_of(static_cast<std::uint64_t>(i) + 1, id + ".0.0.0", 1, end_reason::failed));
+        look(s, "w1", report, 10 * i + 5);
+    }
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 50);
+    cr_assert_eq(place(s, 51).size(), 0);
+    look(s, "w1", report, 2500);
+    cr_assert_gt(place(s, 2501).size(), 0, "tried again after 2 s");
+}
