--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -21,7 +21,7 @@
 constexpr double tasks = 440000;
 constexpr double jobs_a_day = 120000;
 constexpr double peak_starts = 11000; // a second
-constexpr double tenants = 570;
+constexpr double organisations = 570;
 constexpr double changes_a_day = 20000;
 constexpr double failures_a_day = 340;
 constexpr double restarts_a_day = 3000;
@@ -78,7 +78,7 @@
 
 double document_bytes(const slope_table& s)
 {
-    return slope(s, "document_text_bytes") + slope(s, "tenant_text_bytes") * tenants;
+    return slope(s, "document_text_bytes") + slope(s, "organisation_text_bytes") * organisations;
 }
 
 /// Log bytes a second at the mean of the day: jobs, their tasks at the mean rate of starts.
@@ -187,7 +187,7 @@
         << " at 11,000 starts/s | one record of many items, interval from the share |\n"
         << "| documents | " << number(changes, 2) << " | " << number(changes * document_bytes(s), 0)
         << " | one record a change, " << number(document_bytes(s), 0) << " bytes with "
-        << number(tenants, 0) << " tenants |\n"
+        << number(organisations, 0) << " organisations |\n"
         << "| views, if each of the " << number(failures_a_day + restarts_a_day, 0)
         << " VM events a day hit an entry | " << number(member_events, 3)
         << " | | one record a change of members |\n\n";
--- a/bench/control.lua
+++ b/bench/control.lua
@@ -17,7 +17,7 @@
 local total = 0
 for _, on_each in ipairs{0, 4, 8, 16, 32} do
     while total < on_each * workers do
-        local job = {tenant = "delta", class = "review", key = "r" .. total, tasks = workers,
+        local job = {organisation = "delta", class = "review", key = "r" .. total, tasks = workers,
             cpu_millis = 400, memory_mb = 256, payload = {run_ms = 600000}}
         expect(post("e" .. total % entries + 1, "/v1/jobs", job).status == 202, "the job is accepted")
         total = total + workers
--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -1,4 +1,4 @@
-// A cell, its queue and its tenants in virtual time: arrivals in, starts and ends out.
+// A cell, its queue and its organisations in virtual time: arrivals in, starts and ends out.
 // Small on purpose: it moves time forward and lets the decision core do the rest.
 
 #pragma once
@@ -22,7 +22,7 @@
 namespace bench {
 
 struct arrival {
-    tenant_id tenant = 0;
+    organisation_id organisation = 0;
     std::string work_class;
     priority_band band = priority_band::normal;
     resources size;
@@ -45,18 +45,18 @@
     decisions(const shape& s, std::uint32_t workers, strategy how, const placement_policy& policy,
               bool in_order)
         : policy_(policy), place_(where_, how, policy.waiting_weight, 3),
-          queue_(tenants_, policy, {400000}), in_order_(in_order)
+          queue_(organisations_, policy, {400000}), in_order_(in_order)
     {
         fill(where_, s, workers, 4, 0);
         reservations_.set_reservation(policy.reservation);
-        tenants_.set_capacity(where_.total());
+        organisations_.set_capacity(where_.total());
     }
 
     cell& where() { return where_; }
-    fairness& tenants() { return tenants_; }
+    fairness& organisations() { return organisations_; }
     work_queue& queue() { return queue_; }
     std::map<std::string, tally>& by_class() { return by_class_; }
-    std::vector<tally>& by_tenant() { return by_tenant_; }
+    std::vector<tally>& by_organisation() { return by_organisation_; }
     std::int64_t preempted() const { return preempted_; }
     /// Returns the mean use of the fullest dimension since the tallies were cleared.
     double mean_use() const { return use_sum_ / static_cast<double>(use_count_); }
@@ -64,7 +64,7 @@
     void clear_tallies()
     {
         by_class_.clear();
-        for (tally& t : by_tenant_) {
+        for (tally& t : by_organisation_) {
             t = tally{};
         }
         preempted_ = 0;
@@ -72,10 +72,10 @@
         use_count_ = 0;
     }
 
-    tenant_id add_tenant(const std::string& name)
+    organisation_id add_organisation(const std::string& name)
     {
-        by_tenant_.emplace_back();
-        return tenants_.put({name, 1.0, no_quota, 0.0});
+        by_organisation_.emplace_back();
+        return organisations_.put({name, 1.0, no_quota, 0.0});
     }
 
     void arrive(const arrival& a, time_point now)
@@ -120,7 +120,7 @@
     {
         const task& t = tasks_[number];
         waiting_work w;
-        w.tenant = t.what.tenant;
+        w.organisation = t.what.organisation;
         w.work_class = t.what.work_class;
         w.band = t.what.band;
         w.size = t.what.size;
@@ -139,8 +139,8 @@
         }
         const task& t = found->second;
         where_.end(t.where, std::to_string(which.first));
-        tenants_.refund(t.what.tenant, t.what.size);
-        queue_.share_changed(t.what.tenant);
+        organisations_.refund(t.what.organisation, t.what.size);
+        queue_.share_changed(t.what.organisation);
         tasks_.erase(found);
     }
 
@@ -154,17 +154,17 @@
         held.preemptible = t.what.preemptible;
         held.listed = true;
         where_.start(w, std::move(held));
-        tenants_.adopt(t.what.tenant, t.what.size);
+        organisations_.adopt(t.what.organisation, t.what.size);
         t.where = w;
         ++t.attempt;
         const double wait = std::chrono::duration<double, std::milli>(now - t.arrived).count();
         if (t.attempt == 1) {
             by_class_[t.what.work_class].waits_ms.push_back(wait);
-            by_tenant_[t.what.tenant].waits_ms.push_back(wait);
+            by_organisation_[t.what.organisation].waits_ms.push_back(wait);
         }
-        by_tenant_[t.what.tenant].cpu_seconds += static_cast<double>(t.what.size.cpu_millis) *
-                                                 1e-9 *
-                                                 static_cast<double>(t.what.run_time.count());
+        by_organisation_[t.what.organisation].cpu_seconds +=
+            static_cast<double>(t.what.size.cpu_millis) * 1e-9 *
+            static_cast<double>(t.what.run_time.count());
         ends_.push({now + t.what.run_time, {number, t.attempt}});
     }
 
@@ -185,8 +185,8 @@
             const std::uint64_t number = std::stoull(name);
             const arrival back = tasks_[number].what;
             where_.end(victims->worker, name);
-            tenants_.refund(back.tenant, back.size);
-            queue_.share_changed(back.tenant);
+            organisations_.refund(back.organisation, back.size);
+            queue_.share_changed(back.organisation);
             ++tasks_[number].attempt;
             ++preempted_;
             if (in_order_) {
@@ -247,7 +247,7 @@
     placement_policy policy_;
     cell where_;
     placement place_;
-    fairness tenants_;
+    fairness organisations_;
     work_queue queue_;
     gang_book reservations_{where_, place_};
     bool in_order_; ///< first come, first served, without bands or shares
@@ -255,7 +255,7 @@
     std::unordered_map<std::uint64_t, task> tasks_;
     std::priority_queue<ending, std::vector<ending>, std::greater<>> ends_;
     std::map<std::string, tally> by_class_;
-    std::vector<tally> by_tenant_;
+    std::vector<tally> by_organisation_;
     std::uint64_t numbers_ = 0;
     std::int64_t preempted_ = 0;
     double use_sum_ = 0.0;
--- a/bench/load_cases.h
+++ b/bench/load_cases.h
@@ -93,14 +93,14 @@
         per_second_ = load * class_.share * static_cast<double>(total.cpu_millis) / (cpu * run);
     }
 
-    void arrive(decisions& into, std::mt19937_64& random, time_point now, std::uint32_t tenants,
-                double flood)
+    void arrive(decisions& into, std::mt19937_64& random, time_point now,
+                std::uint32_t organisations, double flood)
     {
         std::poisson_distribution<int> count(per_second_ *
                                              std::chrono::duration<double>(step).count());
         for (int i = count(random); i > 0; --i) {
             arrival a;
-            a.tenant = static_cast<tenant_id>(random() % tenants);
+            a.organisation = static_cast<organisation_id>(random() % organisations);
             into.arrive(make(a, random), now);
         }
         std::poisson_distribution<int> extra(per_second_ * flood *
@@ -138,7 +138,7 @@
     double load = 0.9;
     double flood = 0.0;
     double waiting_weight = 0.5;
-    std::uint32_t tenants = 3;
+    std::uint32_t organisations = 3;
     int seconds = 600;
     std::uint64_t seed = 1;
 };
@@ -150,8 +150,8 @@
     std::unique_ptr<decisions> run =
         std::make_unique<decisions>(r.of, 50, r.how, policy, r.in_order);
     decisions& d = *run;
-    for (std::uint32_t t = 0; t < r.tenants; ++t) {
-        d.add_tenant("t" + std::to_string(t));
+    for (std::uint32_t t = 0; t < r.organisations; ++t) {
+        d.add_organisation("t" + std::to_string(t));
     }
     std::vector<source> sources;
     for (const load_class& c : classes_of(r.of)) {
@@ -164,7 +164,7 @@
             d.clear_tallies();
         }
         for (source& s : sources) {
-            s.arrive(d, random, now, r.tenants, r.flood);
+            s.arrive(d, random, now, r.organisations, r.flood);
         }
         d.advance(now);
     }
@@ -224,25 +224,25 @@
     r.of = s;
     r.load = load;
     r.flood = flood;
-    r.tenants = 10;
+    r.organisations = 10;
     r.seconds = seconds;
     const std::unique_ptr<decisions> run = simulate(r);
     decisions& d = *run;
     std::vector<double> given;
     std::vector<double> p99;
-    for (std::size_t t = flood > 0 ? 1 : 0; t < d.by_tenant().size(); ++t) {
-        given.push_back(d.by_tenant()[t].cpu_seconds);
-        p99.push_back(quantile(d.by_tenant()[t].waits_ms, 0.99));
+    for (std::size_t t = flood > 0 ? 1 : 0; t < d.by_organisation().size(); ++t) {
+        given.push_back(d.by_organisation()[t].cpu_seconds);
+        p99.push_back(quantile(d.by_organisation()[t].waits_ms, 0.99));
     }
     double mean = 0.0;
     for (const double v : p99) {
         mean += v / static_cast<double>(p99.size());
     }
-    std::printf(
-        "{\"case\":\"fairness\",\"shape\":\"%s\",\"load\":%.1f,\"flood\":%.1f,\"tenants\":%zu,"
-        "\"jain\":%.4f,\"worst_p99_ratio\":%.3f,\"mean_p99_ms\":%.0f}\n",
-        s.name.c_str(), load, flood, given.size(), jain_index(given),
-        *std::max_element(p99.begin(), p99.end()) / mean, mean);
+    std::printf("{\"case\":\"fairness\",\"shape\":\"%s\",\"load\":%.1f,\"flood\":%.1f,"
+                "\"organisations\":%zu,"
+                "\"jain\":%.4f,\"worst_p99_ratio\":%.3f,\"mean_p99_ms\":%.0f}\n",
+                s.name.c_str(), load, flood, given.size(), jain_index(given),
+                *std::max_element(p99.begin(), p99.end()) / mean, mean);
 }
 
 /// Every tenth worker fails all it starts, 10 ms after the start; the owner hears of it in a step.
@@ -420,18 +420,18 @@
     constexpr std::int64_t waiting = 200000;
     constexpr std::int64_t cancels = 100000;
     constexpr std::int64_t cancels_per_decision = 9;
-    fairness tenants;
-    tenants.set_capacity({1000000000, 1000000000, 0});
+    fairness organisations;
+    organisations.set_capacity({1000000000, 1000000000, 0});
     for (int t = 0; t < 570; ++t) {
-        tenants.put({"t" + std::to_string(t), 1.0, no_quota, 0.0});
+        organisations.put({"t" + std::to_string(t), 1.0, no_quota, 0.0});
     }
-    work_queue queue(tenants, placement_policy{}, {400000});
+    work_queue queue(organisations, placement_policy{}, {400000});
     std::mt19937_64 random(2);
     std::vector<ticket> tickets;
     error why;
     for (std::int64_t i = 0; i < waiting; ++i) {
         waiting_work w;
-        w.tenant = static_cast<tenant_id>(random() % 570);
+        w.organisation = static_cast<organisation_id>(random() % 570);
         w.work_class = "review";
         w.size = pick(two_year().mix, random);
         tickets.push_back(*queue.push(w, INT64_MAX, why));
@@ -446,7 +446,7 @@
             const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
             const ticket t = queue.next();
             const waiting_work w = *queue.find(t);
-            tenants.charge(w.tenant, w.size);
+            organisations.charge(w.organisation, w.size);
             queue.placed();
             times.push_back(
                 std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start)
--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -42,13 +42,14 @@
 public:
     loaded_cell(const shape& s, std::uint32_t workers, strategy how)
         : shape_(s), random_(7), place_(cell_, how, 0.5, 7),
-          filler_(cell_, strategy::best_fit, 0.5, 7), queue_(tenants_, placement_policy{}, {400000})
+          filler_(cell_, strategy::best_fit, 0.5, 7),
+          queue_(organisations_, placement_policy{}, {400000})
     {
         bench::fill(cell_, s, workers, std::min<std::uint32_t>(13, workers / 12),
                     accelerated_share);
-        tenants_.set_capacity(cell_.total());
-        for (std::uint32_t t = 0; t < two_year_tenants; ++t) {
-            tenants_.put({"t" + std::to_string(t), 1.0, bench::no_quota, 0.0});
+        organisations_.set_capacity(cell_.total());
+        for (std::uint32_t t = 0; t < two_year_organisations; ++t) {
+            organisations_.put({"t" + std::to_string(t), 1.0, bench::no_quota, 0.0});
         }
         const std::uint64_t tasks = std::uint64_t{two_year_tasks} * workers / two_year_workers;
         while (tasks_.size() < tasks && place_one(filler_, draw())) {
@@ -88,8 +89,8 @@
     {
         const std::size_t i = random_() % tasks_.size();
         cell_.end(tasks_[i].where, tasks_[i].name);
-        tenants_.refund(tasks_[i].tenant, tasks_[i].size);
-        queue_.share_changed(tasks_[i].tenant);
+        organisations_.refund(tasks_[i].organisation, tasks_[i].size);
+        queue_.share_changed(tasks_[i].organisation);
         std::swap(tasks_[i], tasks_.back());
         tasks_.pop_back();
     }
@@ -99,20 +100,20 @@
     std::uint32_t examined() const { return place_.examined(); }
 
 private:
-    static constexpr std::uint32_t two_year_tenants = 570;
+    static constexpr std::uint32_t two_year_organisations = 570;
     static constexpr std::uint64_t decisions_per_round = 220; ///< 11,000 a second in 20 ms
 
     struct placed {
         std::string name;
         worker_id where = 0;
-        tenant_id tenant = 0;
+        organisation_id organisation = 0;
         resources size;
     };
 
     waiting_work draw()
     {
         waiting_work work;
-        work.tenant = static_cast<tenant_id>(random_() % two_year_tenants);
+        work.organisation = static_cast<organisation_id>(random_() % two_year_organisations);
         work.work_class = "batch";
         work.size = bench::pick(shape_.mix, random_);
         work.size.accelerators = random_() % 16 == 0 ? 1 : 0;
@@ -132,8 +133,8 @@
         task.name = bench::task_name(next_++);
         task.reserved = work.size;
         task.listed = true;
-        tenants_.charge(work.tenant, work.size);
-        tasks_.push_back({task.name, choice->worker, work.tenant, work.size});
+        organisations_.charge(work.organisation, work.size);
+        tasks_.push_back({task.name, choice->worker, work.organisation, work.size});
         return cell_.start(choice->worker, std::move(task));
     }
 
@@ -142,7 +143,7 @@
     std::mt19937_64 random_;
     placement place_;
     placement filler_;
-    fairness tenants_;
+    fairness organisations_;
     work_queue queue_;
     std::vector<placed> tasks_;
     std::uint64_t next_ = 1;
--- a/bench/records.lua
+++ b/bench/records.lua
@@ -25,11 +25,11 @@
 end
 measure("idle_5s", 1, function() sleep(2) end)
 measure("place", 200, function(n)
-    post("e" .. n % entries + 1, "/v1/calls", {tenant = "delta", class = "place", key = "p" .. n, body = "child " .. n})
+    post("e" .. n % entries + 1, "/v1/calls", {organisation = "delta", class = "place", key = "p" .. n, body = "child " .. n})
 end)
 local function job(class, tasks)
     return function(n)
-        post("e" .. n % entries + 1, "/v1/jobs", {tenant = "delta", class = class, key = class .. tasks .. n, tasks = tasks,
+        post("e" .. n % entries + 1, "/v1/jobs", {organisation = "delta", class = class, key = class .. tasks .. n, tasks = tasks,
             cpu_millis = 100, memory_mb = 64, payload = {run_ms = 200}})
     end
 end
--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -105,13 +105,13 @@
         call.timeout = millis(FLAGS_deadline_ms + 500);
         if (direct) {
             call.path = "/calls";
-            call.headers = {{"X-Request-Id", key}, {"X-Attempt", "1"}, {"X-Tenant", "delta"},
+            call.headers = {{"X-Request-Id", key}, {"X-Attempt", "1"}, {"X-Organisation", "delta"},
                             {"X-Class", "hold"},   {"X-Key", key},     {"X-Idempotent", "yes"}};
             call.body = "place 7?";
         }
         else {
             call.path = "/v1/calls";
-            call.body = R"({"tenant":"delta","class":"hold","key":")" + key +
+            call.body = R"({"organisation":"delta","class":"hold","key":")" + key +
                         R"(","body":"place 7?","deadline_ms":)" +
                         std::to_string(FLAGS_deadline_ms) + "}";
         }
--- a/bench/state.cc
+++ b/bench/state.cc
@@ -147,7 +147,7 @@
     const std::int64_t before = heap();
     job_table table("e1#1");
     submission what;
-    what.tenant = "seaside";
+    what.organisation = "seaside";
     what.work_class = "review";
     what.key = "key-0000000001";
     what.kind = work_kind::batch;
--- a/daemon/sesamesillctl.cc
+++ b/daemon/sesamesillctl.cc
@@ -20,7 +20,7 @@
 DEFINE_string(id, "", "id of the change; repeat it to retry a change whose end is unknown");
 DEFINE_int32(timeout_s, 30, "limit for one answer and for being in force everywhere");
 DEFINE_bool(wait, true, "wait until the change is in force on all members");
-DEFINE_string(tenant, "", "jobs: of this tenant only");
+DEFINE_string(organisation, "", "jobs: of this organisation only");
 DEFINE_string(job_class, "", "jobs: of this class only");
 DEFINE_string(outcome, "", "jobs: with this outcome only");
 
@@ -40,7 +40,7 @@
     "  sesamesillctl rollback VERSION        publish the content of an earlier version again\n"
     "  sesamesillctl history [ENVIRONMENT]   versions, who published them, from what\n"
     "  sesamesillctl status                  members, versions, load\n"
-    "  sesamesillctl jobs                    jobs, by --tenant, --job_class, --outcome\n"
+    "  sesamesillctl jobs                    jobs, by --organisation, --job_class, --outcome\n"
     "  sesamesillctl explain JOB             why a job runs where it does, or waits\n"
     "  sesamesillctl cancel JOB              cancel a job\n"
     "  sesamesillctl drain MEMBER            planned stop of one member\n"
@@ -362,8 +362,8 @@
 {
     std::string path = "/v1/jobs?";
     for (const std::pair<const char*, std::string>& filter :
-         {std::make_pair("tenant", FLAGS_tenant), std::make_pair("class", FLAGS_job_class),
-          std::make_pair("outcome", FLAGS_outcome)}) {
+         {std::make_pair("organisation", FLAGS_organisation),
+          std::make_pair("class", FLAGS_job_class), std::make_pair("outcome", FLAGS_outcome)}) {
         path += filter.second.empty() ? "" : std::string(filter.first) + "=" + filter.second + "&";
     }
     path.pop_back();
@@ -374,9 +374,9 @@
     }
     const Json::Value body = json_from(reply->body).value_or(Json::Value());
     std::vector<std::vector<std::string>> rows{
-        {"JOB", "TENANT", "CLASS", "OUTCOME", "TASKS", "RUNNING", "DONE"}};
+        {"JOB", "ORGANISATION", "CLASS", "OUTCOME", "TASKS", "RUNNING", "DONE"}};
     for (const Json::Value& j : body["jobs"]) {
-        rows.push_back({j["job"].asString(), j["tenant"].asString(), j["class"].asString(),
+        rows.push_back({j["job"].asString(), j["organisation"].asString(), j["class"].asString(),
                         j["outcome"].asString(), j["tasks"].asString(), j["running"].asString(),
                         j["done"].asString()});
     }
--- a/include/sesamesill/call_queue.h
+++ b/include/sesamesill/call_queue.h
@@ -1,4 +1,5 @@
-// Bounded queue of calls waiting for a slot: fair between classes by weight, then between tenants.
+// Bounded queue of calls waiting for a slot: fair between classes by weight, then between
+// organisations.
 
 #pragma once
 
@@ -36,7 +37,7 @@
 
 struct waiting_call {
     std::uint64_t id = 0;
-    std::string tenant;
+    std::string organisation;
     std::string work_class;
     time_point until; ///< its deadline
 };
@@ -47,7 +48,7 @@
 class call_queue {
 public:
     void set_class(const std::string& name, priority_band band, std::size_t limit);
-    void set_tenant(const std::string& name, double weight);
+    void set_organisation(const std::string& name, double weight);
 
     /// Adds a call; returns false where its class is full.
     bool push(const waiting_call& call);
@@ -58,11 +59,11 @@
 
     std::size_t size() const { return calls_.size(); }
     std::size_t size(const std::string& work_class) const;
-    /// Returns how many calls would be served before a new one of this class and tenant.
-    double ahead_of(const std::string& work_class, const std::string& tenant) const;
+    /// Returns how many calls would be served before a new one of this class and organisation.
+    double ahead_of(const std::string& work_class, const std::string& organisation) const;
 
 private:
-    struct tenant_line {
+    struct organisation_line {
         std::deque<std::uint64_t> calls; ///< may hold ids that have left
         std::size_t live = 0;
     };
@@ -72,14 +73,14 @@
         std::size_t limit = 1000;
         std::size_t live = 0; ///< at most `limit`
         fair_order order;
-        std::map<std::string, tenant_line> tenants; ///< those with calls waiting
+        std::map<std::string, organisation_line> organisations; ///< those with calls waiting
     };
 
-    double tenant_weight(const std::string& name) const;
+    double organisation_weight(const std::string& name) const;
     void left(const waiting_call& call);
 
     std::map<std::string, class_line> classes_;
-    std::map<std::string, double> weights_; ///< of tenants
+    std::map<std::string, double> weights_; ///< of organisations
     fair_order order_;                      ///< over classes
     std::unordered_map<std::uint64_t, waiting_call> calls_;
     std::set<std::pair<time_point, std::uint64_t>> deadlines_; ///< of all in calls_
--- a/include/sesamesill/environment.h
+++ b/include/sesamesill/environment.h
@@ -19,9 +19,9 @@
 /// Strictness grows with the value: urgent work goes before everything else.
 enum class priority_band : std::uint8_t { background, normal, high, urgent };
 
-struct tenant_policy {
+struct organisation_policy {
     std::string name;
-    double weight = 1.0; ///< share relative to the other tenants, above 0
+    double weight = 1.0; ///< share relative to the other organisations, above 0
     resources quota;     ///< hard cap on what runs at once
     double rate = 0.0;   ///< calls a second over all entries, 0 for no limit
 };
@@ -79,7 +79,7 @@
 /// Invariant: names are unique, each class names a known service, quotas are positive.
 struct environment {
     std::string name;
-    std::map<std::string, tenant_policy> tenants;
+    std::map<std::string, organisation_policy> organisations;
     std::map<std::string, class_policy> classes;
     std::map<std::string, service_policy> services;
     cell_policy cell;
@@ -99,7 +99,7 @@
     std::string nearest;
 };
 
-/// Returns "line 12: [tenant a] wieght: unknown key, did you mean weight?".
+/// Returns "line 12: [organisation a] wieght: unknown key, did you mean weight?".
 std::string to_string(const fault& f);
 
 /// Returns the document, or nothing and every fault found.
--- a/include/sesamesill/explain.h
+++ b/include/sesamesill/explain.h
@@ -54,9 +54,10 @@
 explanation explain_placed(const cell& where, const std::string& task, worker_id w,
                            const task_need& need, strategy how);
 
-/// Says what an entry of the queue waits for: quota, its tenant's turn, or room.
-explanation explain_waiting(const cell& where, const work_queue& queue, const fairness& tenants,
-                            ticket t, const std::string& task, const task_need& need);
+/// Says what an entry of the queue waits for: quota, its organisation's turn, or room.
+explanation explain_waiting(const cell& where, const work_queue& queue,
+                            const fairness& organisations, ticket t, const std::string& task,
+                            const task_need& need);
 
 /// Adds the job's place in the line of all-at-once jobs, where it stands in one.
 void explain_gang(explanation& e, const gang_book& gangs, const std::string& job);
--- a/include/sesamesill/fairness.h
+++ b/include/sesamesill/fairness.h
@@ -1,4 +1,4 @@
-// Shares of tenants: weighted dominant-resource fairness, and quotas as hard caps.
+// Shares of organisations: weighted dominant-resource fairness, and quotas as hard caps.
 
 #pragma once
 
@@ -15,37 +15,40 @@
 
 namespace sesamesill {
 
-using tenant_id = std::uint32_t;
+using organisation_id = std::uint32_t;
 
-/// Invariant: what is known to run for a tenant never exceeds its quota by way of charge().
+/// Invariant: what is known to run for an organisation never exceeds its quota by way of charge().
 class fairness {
 public:
-    /// Adds a tenant, or takes over its new weight and quota.
-    tenant_id put(const tenant_policy& policy);
-    std::optional<tenant_id> find(std::string_view name) const;
-    const std::string& name(tenant_id t) const { return tenants_[t].name; }
-    std::size_t size() const { return tenants_.size(); }
+    /// Adds an organisation, or takes over its new weight and quota.
+    organisation_id put(const organisation_policy& policy);
+    std::optional<organisation_id> find(std::string_view name) const;
+    const std::string& name(organisation_id t) const { return organisations_[t].name; }
+    std::size_t size() const { return organisations_.size(); }
 
     /// Shares are parts of this; raises version().
     void set_capacity(const resources& total);
     std::uint64_t version() const { return version_; }
 
-    bool within_quota(tenant_id t, const resources& more) const;
+    bool within_quota(organisation_id t, const resources& more) const;
     /// Returns whether the quota allows it; counts it if so.
-    bool charge(tenant_id t, const resources& more);
+    bool charge(organisation_id t, const resources& more);
     /// Counts what runs under the word of others, by their last report.
-    void set_elsewhere(tenant_id t, const resources& running) { tenants_[t].elsewhere = running; }
+    void set_elsewhere(organisation_id t, const resources& running)
+    {
+        organisations_[t].elsewhere = running;
+    }
     /// Counts what runs already, such as work found after a takeover, whatever the quota says.
-    void adopt(tenant_id t, const resources& more) { tenants_[t].running += more; }
-    void refund(tenant_id t, const resources& less) { tenants_[t].running -= less; }
+    void adopt(organisation_id t, const resources& more) { organisations_[t].running += more; }
+    void refund(organisation_id t, const resources& less) { organisations_[t].running -= less; }
 
-    const resources& running(tenant_id t) const { return tenants_[t].running; }
-    const resources& quota(tenant_id t) const { return tenants_[t].quota; }
+    const resources& running(organisation_id t) const { return organisations_[t].running; }
+    const resources& quota(organisation_id t) const { return organisations_[t].quota; }
     /// Returns the dominant share divided by the weight: the least goes first.
-    double share(tenant_id t) const;
+    double share(organisation_id t) const;
 
 private:
-    struct tenant {
+    struct organisation {
         std::string name;
         double weight = 1.0;
         resources quota;
@@ -53,15 +56,15 @@
         resources elsewhere;
     };
 
-    std::vector<tenant> tenants_;
-    std::unordered_map<std::string, tenant_id> ids_;
+    std::vector<organisation> organisations_;
+    std::unordered_map<std::string, organisation_id> ids_;
     resources total_;
     std::uint64_t version_ = 0;
 };
 
-/// Returns an error where `tasks` tasks of `size` at once are above the quota of the tenant.
-std::optional<error> never_within_quota(const fairness& tenants, tenant_id t, const resources& size,
-                                        std::int64_t tasks);
+/// Returns an error where `tasks` tasks of `size` at once are above the quota of the organisation.
+std::optional<error> never_within_quota(const fairness& organisations, organisation_id t,
+                                        const resources& size, std::int64_t tasks);
 
 /// Returns Jain's index of `values`: 1 where all are equal.
 double jain_index(const std::vector<double>& values);
--- a/include/sesamesill/limiter.h
+++ b/include/sesamesill/limiter.h
@@ -43,7 +43,7 @@
     time_point last_;
 };
 
-/// Rate limits by name (a tenant's or a class's), of which this member holds a share.
+/// Rate limits by name (an organisation's or a class's), of which this member holds a share.
 class rate_limiter {
 public:
     /// Sets the limit over all entries; 0 takes it away.
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -73,10 +73,11 @@
     void unlist_worker(const std::string& id);
 
     void submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done);
-    void state_of(const std::string& id, millis budget, std::function<void(state_answer)> done);
+    void state_of(const std::string& id, millis budget,
+                  const std::function<void(state_answer)>& done);
     void cancel(const std::string& id, millis budget, std::function<void(state_answer)> done);
     void waiting_in(const std::string& queue, millis budget,
-                    std::function<void(waiting_answer)> done);
+                    const std::function<void(waiting_answer)>& done);
 
     /// Returns whether requests can be served: the configuration, the log and a leader are known.
     bool ready() const;
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -196,6 +196,8 @@
     void send_stop(worker& w, run_record& run, time_point now);
     void stop_task(const task_id& id, time_point now);
     void finish_job(job_entry& entry, time_point now);
+    void take_refusal(worker& w, run_record& run, const start_order& order, order_verdict verdict,
+                      time_point now);
     void take_end(worker& w, const ended_task& end, time_point now);
     void take_end_of_job(worker& w, job_entry& entry, const task_id& id, const ended_task& end,
                          bool current, time_point now);
--- a/include/sesamesill/queue.h
+++ b/include/sesamesill/queue.h
@@ -1,4 +1,4 @@
-// Work that waits for a place: bands, then tenants by share, then age, shortness and size.
+// Work that waits for a place: bands, then organisations by share, then age, shortness and size.
 
 #pragma once
 
@@ -23,7 +23,7 @@
 
 /// Tasks of one job that are alike.
 struct waiting_work {
-    tenant_id tenant = 0;
+    organisation_id organisation = 0;
     std::string work_class;
     priority_band band = priority_band::normal;
     resources size;         ///< of each task
@@ -37,15 +37,16 @@
     std::int64_t entries = 200000;
 };
 
-/// Invariant: each entry is in exactly one list, that of its tenant in its present band.
-/// Invariant: a tenant with entries in a band is either ordered there by its share or parked.
+/// Invariant: each entry is in exactly one list, that of its organisation in its present band.
+/// Invariant: an organisation with entries in a band is either ordered there by its share or
+/// parked.
 class work_queue {
 public:
-    work_queue(fairness& tenants, const placement_policy& policy, queue_limits limits);
+    work_queue(fairness& organisations, const placement_policy& policy, queue_limits limits);
 
     /// Returns the ticket, or nothing and the reason where the queue or the class is full.
     std::optional<ticket> push(waiting_work work, std::int64_t class_limit, error& why);
-    /// Returns whether the entry was waiting. Constant cost but for a tenant's last entry.
+    /// Returns whether the entry was waiting. Constant cost but for an organisation's last entry.
     bool cancel(ticket t);
     const waiting_work* find(ticket t) const;
     std::size_t size() const { return size_; }
@@ -58,15 +59,15 @@
     void begin_round(time_point now);
     /// Returns what to place next, or 0 where nothing is left to try in this round.
     ticket next();
-    /// The last one from next(): one task of it has a place and is charged to the tenant.
+    /// The last one from next(): one task of it has a place and is charged to the organisation.
     void placed();
     /// The last one from next(): no worker has room for its size, whatever else it asks. Later work
-    /// of the tenant may go ahead of it.
+    /// of the organisation may go ahead of it.
     void no_room();
     /// The last one from next(): set aside for this round without a word on room.
     void pass_over();
-    /// The share of a tenant changed outside of a round, such as by the end of a task.
-    void share_changed(tenant_id t);
+    /// The share of an organisation changed outside of a round, such as by the end of a task.
+    void share_changed(organisation_id t);
 
 private:
     static constexpr std::uint32_t none = UINT32_MAX;
@@ -87,7 +88,7 @@
         std::uint32_t tail = none;
     };
 
-    using order_key = std::tuple<double, std::uint64_t, tenant_id>;
+    using order_key = std::tuple<double, std::uint64_t, organisation_id>;
 
     struct lane {
         list entries;
@@ -96,7 +97,7 @@
         bool parked = false;
     };
 
-    struct tenant_lanes {
+    struct organisation_lanes {
         std::array<lane, bands> lanes;
         std::uint64_t served = 0; ///< order of the last placement, breaks ties
     };
@@ -106,23 +107,23 @@
     void link(std::uint32_t e);
     void unlink(std::uint32_t e);
     void erase(std::uint32_t e);
-    void order(tenant_id t, std::size_t band);
-    void unorder(tenant_id t, std::size_t band);
-    void park(tenant_id t, std::size_t band);
+    void order(organisation_id t, std::size_t band);
+    void unorder(organisation_id t, std::size_t band);
+    void park(organisation_id t, std::size_t band);
     void age(time_point now);
-    void promote(tenant_id t, std::size_t band, time_point now);
-    std::uint32_t best_of(tenant_id t, std::size_t band) const;
+    void promote(organisation_id t, std::size_t band, time_point now);
+    std::uint32_t best_of(organisation_id t, std::size_t band) const;
     double score(const entry& e) const;
     bool known_not_to_fit(const resources& size) const;
 
-    fairness& tenants_;
+    fairness& organisations_;
     placement_policy policy_;
     queue_limits limits_;
     std::vector<entry> entries_;
     std::vector<std::uint32_t> unused_;
-    std::vector<tenant_lanes> lanes_;
+    std::vector<organisation_lanes> lanes_;
     std::array<std::set<order_key>, bands> order_;
-    std::vector<std::pair<tenant_id, std::size_t>> parked_;
+    std::vector<std::pair<organisation_id, std::size_t>> parked_;
     std::array<std::int64_t, bands> waiting_{};
     std::unordered_map<std::string, std::int64_t> by_class_;
     std::vector<resources> no_room_for_; ///< sizes refused in this round
--- a/include/sesamesill/request.h
+++ b/include/sesamesill/request.h
@@ -17,7 +17,7 @@
 
 namespace sesamesill {
 
-/// A request's id in 16 bytes: the hash of its tenant and key.
+/// A request's id in 16 bytes: the hash of its organisation and key.
 struct request_key {
     std::uint64_t high = 0;
     std::uint64_t low = 0;
--- a/include/sesamesill/routing.h
+++ b/include/sesamesill/routing.h
@@ -80,8 +80,9 @@
     static constexpr std::size_t max_names = 32;
 
     std::map<std::string, service_load> services;
-    std::map<std::string, double> tenant_demand; ///< arrivals a second of limited tenants
-    std::map<std::string, double> class_demand;  ///< the same of limited classes
+    std::map<std::string, double>
+        organisation_demand;                    ///< arrivals a second of limited organisations
+    std::map<std::string, double> class_demand; ///< the same of limited classes
 };
 
 Json::Value to_json(const load_summary& load);
@@ -110,7 +111,7 @@
     std::optional<std::pair<std::string, millis>> shortest_wait(const std::string& service,
                                                                 time_point now) const;
     /// Returns the sum of the others' demand, of members that were heard of lately.
-    std::map<std::string, double> tenant_demand(time_point now) const;
+    std::map<std::string, double> organisation_demand(time_point now) const;
     std::map<std::string, double> class_demand(time_point now) const;
 
 private:
--- a/include/sesamesill/submission.h
+++ b/include/sesamesill/submission.h
@@ -16,9 +16,9 @@
 
 namespace sesamesill {
 
-/// Invariant: tenant and class are known to the document that it was checked against.
+/// Invariant: organisation and class are known to the document that it was checked against.
 struct submission {
-    std::string tenant;
+    std::string organisation;
     std::string work_class;
     std::string key; ///< idempotency key, chosen by the caller
     work_kind kind = work_kind::call;
@@ -39,6 +39,6 @@
 Json::Value to_json(const submission& s);
 
 /// Returns the id under which the cell knows a request: the same for each retry of its key.
-std::string request_id(const std::string& tenant, const std::string& key);
+std::string request_id(const std::string& organisation, const std::string& key);
 
 } // namespace sesamesill
--- a/src/call_admission.cc
+++ b/src/call_admission.cc
@@ -19,8 +19,8 @@
 
 void call_admission::configure(const environment& document, std::size_t members)
 {
-    for (const std::pair<const std::string, tenant_policy>& t : document.tenants) {
-        tenants_.set_limit(t.first, t.second.rate);
+    for (const std::pair<const std::string, organisation_policy>& t : document.organisations) {
+        organisations_.set_limit(t.first, t.second.rate);
     }
     for (const std::pair<const std::string, class_policy>& c : document.classes) {
         classes_.set_limit(c.first, c.second.rate);
@@ -36,34 +36,35 @@
         }
         call_queue& q = queues_[c.second.service];
         q.set_class(c.first, c.second.priority, queue_share(c.second.queue_limit, members));
-        for (const std::pair<const std::string, tenant_policy>& t : document.tenants) {
-            q.set_tenant(t.first, t.second.weight);
+        for (const std::pair<const std::string, organisation_policy>& t : document.organisations) {
+            q.set_organisation(t.first, t.second.weight);
         }
     }
 }
 
 void call_admission::set_others(std::size_t members, const peer_table& peers, time_point now)
 {
-    tenants_.set_others(members, peers.tenant_demand(now), now);
+    organisations_.set_others(members, peers.organisation_demand(now), now);
     classes_.set_others(members, peers.class_demand(now), now);
 }
 
-std::optional<micros> call_admission::refuse_for_rate(const std::string& tenant,
+std::optional<micros> call_admission::refuse_for_rate(const std::string& organisation,
                                                       const std::string& work_class, time_point now)
 {
     if (!limits_) {
         return std::nullopt;
     }
-    const std::optional<micros> wait = tenants_.admit(tenant, now);
+    const std::optional<micros> wait = organisations_.admit(organisation, now);
     return wait ? wait : classes_.admit(work_class, now);
 }
 
-micros call_admission::wait_of(const std::string& service, const std::string& tenant,
+micros call_admission::wait_of(const std::string& service, const std::string& organisation,
                                const std::string& work_class, std::int32_t slots,
                                const latency_estimate& latency) const
 {
     const auto found = queues_.find(service);
-    const double ahead = found == queues_.end() ? 0.0 : found->second.ahead_of(work_class, tenant);
+    const double ahead =
+        found == queues_.end() ? 0.0 : found->second.ahead_of(work_class, organisation);
     return expected_wait(ahead, slots, latency.mean());
 }
 
@@ -91,7 +92,7 @@
 
 void call_admission::add_demand(load_summary& load, time_point now) const
 {
-    load.tenant_demand = tenants_.demand(now);
+    load.organisation_demand = organisations_.demand(now);
     load.class_demand = classes_.demand(now);
 }
 
--- a/src/call_admission.h
+++ b/src/call_admission.h
@@ -1,4 +1,4 @@
-// Who may wait, and how long: limits of tenants and classes, and one bounded queue for each
+// Who may wait, and how long: limits of organisations and classes, and one bounded queue for each
 // service.
 
 #pragma once
@@ -26,10 +26,10 @@
     /// Takes the demand at the other members.
     void set_others(std::size_t members, const peer_table& peers, time_point now);
     /// Counts an arrival; returns the time until a retry may pass where a limit refuses it.
-    std::optional<micros> refuse_for_rate(const std::string& tenant, const std::string& work_class,
-                                          time_point now);
+    std::optional<micros> refuse_for_rate(const std::string& organisation,
+                                          const std::string& work_class, time_point now);
     /// Returns the wait that a new call has to expect.
-    micros wait_of(const std::string& service, const std::string& tenant,
+    micros wait_of(const std::string& service, const std::string& organisation,
                    const std::string& work_class, std::int32_t slots,
                    const latency_estimate& latency) const;
     /// Returns the time until a retry may pass where the deadline would be missed.
@@ -49,7 +49,7 @@
 
     bool limits_;
     bool by_deadline_;
-    rate_limiter tenants_;
+    rate_limiter organisations_;
     rate_limiter classes_;
     std::map<std::string, call_queue> queues_; ///< by service
 };
--- a/src/call_queue.cc
+++ b/src/call_queue.cc
@@ -1,4 +1,4 @@
-// Two levels of fair order: classes, then the tenants of a class.
+// Two levels of fair order: classes, then the organisations of a class.
 
 #include "sesamesill/call_queue.h"
 
@@ -61,12 +61,12 @@
     line.limit = limit;
 }
 
-void call_queue::set_tenant(const std::string& name, double weight)
+void call_queue::set_organisation(const std::string& name, double weight)
 {
     weights_[name] = weight;
 }
 
-double call_queue::tenant_weight(const std::string& name) const
+double call_queue::organisation_weight(const std::string& name) const
 {
     const auto found = weights_.find(name);
     return found == weights_.end() ? 1.0 : found->second;
@@ -78,11 +78,11 @@
     if (line.live >= line.limit) {
         return false;
     }
-    tenant_line& tenant = line.tenants[call.tenant];
-    tenant.calls.push_back(call.id);
-    ++tenant.live;
+    organisation_line& organisation = line.organisations[call.organisation];
+    organisation.calls.push_back(call.id);
+    ++organisation.live;
     ++line.live;
-    line.order.activate(call.tenant);
+    line.order.activate(call.organisation);
     order_.activate(call.work_class);
     deadlines_.emplace(call.until, call.id);
     calls_.emplace(call.id, call);
@@ -96,15 +96,15 @@
         return std::nullopt;
     }
     class_line& line = classes_[*work_class];
-    const std::string tenant = *line.order.next();
-    std::deque<std::uint64_t>& waiting = line.tenants[tenant].calls;
+    const std::string organisation = *line.order.next();
+    std::deque<std::uint64_t>& waiting = line.organisations[organisation].calls;
     while (calls_.count(waiting.front()) == 0) {
         waiting.pop_front();
     }
     const std::uint64_t id = waiting.front();
     waiting.pop_front();
     const waiting_call call = calls_[id];
-    line.order.charge(tenant, tenant_weight(tenant));
+    line.order.charge(organisation, organisation_weight(organisation));
     order_.charge(call.work_class, line.weight);
     left(call);
     return id;
@@ -113,13 +113,13 @@
 void call_queue::left(const waiting_call& call)
 {
     class_line& line = classes_[call.work_class];
-    tenant_line& tenant = line.tenants[call.tenant];
+    organisation_line& organisation = line.organisations[call.organisation];
     deadlines_.erase({call.until, call.id});
-    --tenant.live;
+    --organisation.live;
     --line.live;
-    if (tenant.live == 0) {
-        line.order.deactivate(call.tenant);
-        line.tenants.erase(call.tenant);
+    if (organisation.live == 0) {
+        line.order.deactivate(call.organisation);
+        line.organisations.erase(call.organisation);
     }
     if (line.live == 0) {
         order_.deactivate(call.work_class);
@@ -145,21 +145,21 @@
     return found == classes_.end() ? 0 : found->second.live;
 }
 
-double call_queue::ahead_of(const std::string& work_class, const std::string& tenant) const
+double call_queue::ahead_of(const std::string& work_class, const std::string& organisation) const
 {
     const auto own = classes_.find(work_class);
     if (own == classes_.end()) {
         return static_cast<double>(calls_.size());
     }
-    const auto line = own->second.tenants.find(tenant);
+    const auto line = own->second.organisations.find(organisation);
     const double mine =
-        line == own->second.tenants.end() ? 0.0 : static_cast<double>(line->second.live);
-    const double rounds = (mine + 1.0) / tenant_weight(tenant);
+        line == own->second.organisations.end() ? 0.0 : static_cast<double>(line->second.live);
+    const double rounds = (mine + 1.0) / organisation_weight(organisation);
     double ahead = mine;
-    for (const std::pair<const std::string, tenant_line>& other : own->second.tenants) {
-        if (other.first != tenant) {
+    for (const std::pair<const std::string, organisation_line>& other : own->second.organisations) {
+        if (other.first != organisation) {
             ahead += std::min(static_cast<double>(other.second.live),
-                              rounds * tenant_weight(other.first));
+                              rounds * organisation_weight(other.first));
         }
     }
     const double class_rounds = (ahead + 1.0) / own->second.weight;
--- a/src/call_service.cc
+++ b/src/call_service.cc
@@ -173,7 +173,7 @@
         number_in(request.headers, "x-deadline-ms").value_or(what->deadline.count());
     call->until = boot_clock::now() + std::min(what->deadline, millis(carried));
     call->what = std::move(*what);
-    call->id = request_id(call->what.tenant, call->what.key);
+    call->id = request_id(call->what.organisation, call->what.key);
     call->bytes = request.body;
     call->service = policy.service;
     call->max_attempts = std::max(1, policy.max_attempts);
@@ -246,12 +246,13 @@
 
 bool call_service::refuse_for_rate(const pending_pointer& call)
 {
-    const std::optional<micros> wait =
-        admission_.refuse_for_rate(call->what.tenant, call->what.work_class, boot_clock::now());
+    const std::optional<micros> wait = admission_.refuse_for_rate(
+        call->what.organisation, call->what.work_class, boot_clock::now());
     if (wait) {
-        refuse(call,
-               {error_code::overload, step::admission, "", "over the tenant's or class's rate"},
-               *wait, 429);
+        refuse(
+            call,
+            {error_code::overload, step::admission, "", "over the organisation's or class's rate"},
+            *wait, 429);
     }
     return wait.has_value();
 }
@@ -268,7 +269,8 @@
     if (admission_.waiting(call->service) == 0 && send(call)) {
         return;
     }
-    const service_load load = load_of(call->service, call->what.tenant, call->what.work_class);
+    const service_load load =
+        load_of(call->service, call->what.organisation, call->what.work_class);
     const own_capacity own{0, load.slots, load.wait};
     const std::int32_t hops = call->from == entrance::executor_owner ? max_hops : 0;
     const route chosen = choose_route(own, hops, call->service, loads_.peers(), now, random_);
@@ -299,8 +301,9 @@
 {
     const time_point now = boot_clock::now();
     const latency_estimate& latency = pool_.latency(call->service);
-    const micros wait = admission_.wait_of(call->service, call->what.tenant, call->what.work_class,
-                                           pool_.usable(call->service), latency);
+    const micros wait =
+        admission_.wait_of(call->service, call->what.organisation, call->what.work_class,
+                           pool_.usable(call->service), latency);
     const std::optional<micros> later =
         admission_.refuse_for_deadline(wait, latency, call->until - now);
     if (later) {
@@ -310,7 +313,7 @@
     }
     const std::uint64_t id = next_id_++;
     if (!admission_.queue(call->service)
-             .push({id, call->what.tenant, call->what.work_class, call->until})) {
+             .push({id, call->what.organisation, call->what.work_class, call->until})) {
         refuse(call, {error_code::overload, step::queueing, "", "the class's queue is full"}, wait,
                503);
         return;
@@ -369,10 +372,12 @@
         request.connect_timeout = steps->second.connect_timeout;
         request.first_byte_timeout = steps->second.first_byte_timeout;
     }
-    request.headers = {
-        {"X-Request-Id", call->id},      {"X-Attempt", std::to_string(call->attempt + 1)},
-        {"X-Tenant", call->what.tenant}, {"X-Class", call->what.work_class},
-        {"X-Key", call->what.key},       {"X-Idempotent", call->what.idempotent ? "yes" : "no"}};
+    request.headers = {{"X-Request-Id", call->id},
+                       {"X-Attempt", std::to_string(call->attempt + 1)},
+                       {"X-Organisation", call->what.organisation},
+                       {"X-Class", call->what.work_class},
+                       {"X-Key", call->what.key},
+                       {"X-Idempotent", call->what.idempotent ? "yes" : "no"}};
     const bool sent =
         pool_.send(call->service, call->last_executor, std::move(request), call->until,
                    [this, call](const attempt_result& result) { take_attempt(call, result); });
@@ -461,7 +466,7 @@
     }
     else if (call->from == entrance::executor_owner) {
         reply.headers[load_header] =
-            text_of(load_of(call->service, call->what.tenant, call->what.work_class));
+            text_of(load_of(call->service, call->what.organisation, call->what.work_class));
     }
     call->respond(std::move(reply));
 }
@@ -553,7 +558,7 @@
     finish(call, {reply->status, reply->body, {}, "application/json"});
 }
 
-service_load call_service::load_of(const std::string& service, const std::string& tenant,
+service_load call_service::load_of(const std::string& service, const std::string& organisation,
                                    const std::string& work_class)
 {
     service_load load;
@@ -561,8 +566,8 @@
     load.waiting = static_cast<std::int32_t>(admission_.waiting(service));
     load.free = load.waiting > 0 ? 0 : pool_.free(service);
     if (load.free == 0) {
-        const micros wait =
-            admission_.wait_of(service, tenant, work_class, load.slots, pool_.latency(service));
+        const micros wait = admission_.wait_of(service, organisation, work_class, load.slots,
+                                               pool_.latency(service));
         load.wait =
             std::chrono::duration_cast<millis>(std::min<micros>(wait, std::chrono::hours(1)));
     }
--- a/src/call_service.h
+++ b/src/call_service.h
@@ -81,7 +81,7 @@
     void end_call(const pending_pointer& call, outcome ending, const error& why);
     void finish(const pending_pointer& call, http_reply reply);
 
-    service_load load_of(const std::string& service, const std::string& tenant,
+    service_load load_of(const std::string& service, const std::string& organisation,
                          const std::string& work_class);
     load_summary summary();
 
--- a/src/environment.cc
+++ b/src/environment.cc
@@ -143,12 +143,12 @@
     {"first_byte_timeout", read_duration<&service_policy::first_byte_timeout>},
 };
 
-const std::vector<known_key<tenant_policy>> tenant_keys{
-    {"weight", read_positive<&tenant_policy::weight>, true},
-    {"quota_cores", read_cores<&tenant_policy::quota>, true},
-    {"quota_memory", read_memory<&tenant_policy::quota>, true},
-    {"quota_accelerators", read_accelerators<&tenant_policy::quota>},
-    {"rate", read_rate<&tenant_policy::rate>},
+const std::vector<known_key<organisation_policy>> organisation_keys{
+    {"weight", read_positive<&organisation_policy::weight>, true},
+    {"quota_cores", read_cores<&organisation_policy::quota>, true},
+    {"quota_memory", read_memory<&organisation_policy::quota>, true},
+    {"quota_accelerators", read_accelerators<&organisation_policy::quota>},
+    {"rate", read_rate<&organisation_policy::rate>},
 };
 
 const std::vector<known_key<class_policy>> class_keys{
@@ -254,13 +254,13 @@
     document.services[name] = std::move(policy);
 }
 
-void read_tenant(const ini_section& section, const std::string& name, environment& document,
-                 std::vector<fault>& faults)
+void read_organisation(const ini_section& section, const std::string& name, environment& document,
+                       std::vector<fault>& faults)
 {
-    tenant_policy policy;
+    organisation_policy policy;
     policy.name = name;
-    read_section(section, tenant_keys, policy, faults);
-    document.tenants[name] = std::move(policy);
+    read_section(section, organisation_keys, policy, faults);
+    document.organisations[name] = std::move(policy);
 }
 
 using section_reader = void (*)(const ini_section& section, const std::string& name,
@@ -283,7 +283,7 @@
     {"leaving", [](const ini_section& s, const std::string&, environment& e,
                    std::vector<fault>& f) { read_section(s, leaving_keys, e.leaving, f); }},
     {"service ", read_service},
-    {"tenant ", read_tenant},
+    {"organisation ", read_organisation},
     {"class ", read_class},
 };
 
--- a/src/environment_check.cc
+++ b/src/environment_check.cc
@@ -18,7 +18,8 @@
     void check()
     {
         check_presence();
-        for (const std::pair<const std::string, tenant_policy>& entry : document_.tenants) {
+        for (const std::pair<const std::string, organisation_policy>& entry :
+             document_.organisations) {
             check_quota(entry.second);
         }
         for (const std::pair<const std::string, class_policy>& entry : document_.classes) {
@@ -65,21 +66,21 @@
         if (document_.name.empty()) {
             add("environment", "name", "must be set");
         }
-        if (document_.tenants.empty()) {
-            add("tenant NAME", "", "at least one tenant is needed");
+        if (document_.organisations.empty()) {
+            add("organisation NAME", "", "at least one organisation is needed");
         }
         if (document_.classes.empty()) {
             add("class NAME", "", "at least one class is needed");
         }
     }
 
-    void check_quota(const tenant_policy& t)
+    void check_quota(const organisation_policy& t)
     {
-        const std::string section = "tenant " + t.name;
+        const std::string section = "organisation " + t.name;
         const resources& cell = document_.cell.size;
         if (t.quota.cpu_millis == 0 || t.quota.memory_mb == 0) {
             add(section, t.quota.cpu_millis == 0 ? "quota_cores" : "quota_memory",
-                "must be above 0, or nothing of this tenant could run");
+                "must be above 0, or nothing of this organisation could run");
         }
         if (cell.cpu_millis > 0 && t.quota.cpu_millis > cell.cpu_millis) {
             add(section, "quota_cores", "is above the cell's own cores");
--- a/src/explain.cc
+++ b/src/explain.cc
@@ -84,14 +84,14 @@
     return std::nullopt;
 }
 
-std::string waits_for(const work_queue& queue, const fairness& tenants, const waiting_work& work,
-                      const explanation& e)
+std::string waits_for(const work_queue& queue, const fairness& organisations,
+                      const waiting_work& work, const explanation& e)
 {
     std::ostringstream out;
-    if (!tenants.within_quota(work.tenant, work.size)) {
-        out << "the quota of tenant " << tenants.name(work.tenant) << ": "
-            << to_string(tenants.running(work.tenant)) << " run, of "
-            << to_string(tenants.quota(work.tenant));
+    if (!organisations.within_quota(work.organisation, work.size)) {
+        out << "the quota of organisation " << organisations.name(work.organisation) << ": "
+            << to_string(organisations.running(work.organisation)) << " run, of "
+            << to_string(organisations.quota(work.organisation));
         return out.str();
     }
     std::int64_t ahead = 0;
@@ -106,8 +106,8 @@
         out << "its turn";
     }
     out << "; " << ahead << " entries wait in higher bands, " << queue.waiting(work.band)
-        << " in its own; tenant " << tenants.name(work.tenant) << " has a share of "
-        << tenants.share(work.tenant);
+        << " in its own; organisation " << organisations.name(work.organisation)
+        << " has a share of " << organisations.share(work.organisation);
     return out.str();
 }
 
@@ -166,13 +166,14 @@
     return e;
 }
 
-explanation explain_waiting(const cell& where, const work_queue& queue, const fairness& tenants,
-                            ticket t, const std::string& task, const task_need& need)
+explanation explain_waiting(const cell& where, const work_queue& queue,
+                            const fairness& organisations, ticket t, const std::string& task,
+                            const task_need& need)
 {
     explanation e = explain_need(where, task, need);
     const waiting_work* work = queue.find(t);
     e.waits_for =
-        work != nullptr ? waits_for(queue, tenants, *work, e) : "nothing: it is not queued";
+        work != nullptr ? waits_for(queue, organisations, *work, e) : "nothing: it is not queued";
     return e;
 }
 
--- a/src/fairness.cc
+++ b/src/fairness.cc
@@ -1,27 +1,28 @@
-// Counts what runs for each tenant.
+// Counts what runs for each organisation.
 
 #include "sesamesill/fairness.h"
 
 namespace sesamesill {
 
-tenant_id fairness::put(const tenant_policy& policy)
+organisation_id fairness::put(const organisation_policy& policy)
 {
-    const auto added = ids_.emplace(policy.name, static_cast<tenant_id>(tenants_.size()));
-    const tenant_id t = added.first->second;
+    const auto added =
+        ids_.emplace(policy.name, static_cast<organisation_id>(organisations_.size()));
+    const organisation_id t = added.first->second;
     if (added.second) {
-        tenants_.emplace_back();
-        tenants_[t].name = policy.name;
+        organisations_.emplace_back();
+        organisations_[t].name = policy.name;
     }
-    tenants_[t].weight = policy.weight;
-    tenants_[t].quota = policy.quota;
+    organisations_[t].weight = policy.weight;
+    organisations_[t].quota = policy.quota;
     ++version_;
     return t;
 }
 
-std::optional<tenant_id> fairness::find(std::string_view name) const
+std::optional<organisation_id> fairness::find(std::string_view name) const
 {
     const auto found = ids_.find(std::string(name));
-    return found == ids_.end() ? std::nullopt : std::optional<tenant_id>(found->second);
+    return found == ids_.end() ? std::nullopt : std::optional<organisation_id>(found->second);
 }
 
 void fairness::set_capacity(const resources& total)
@@ -32,29 +33,31 @@
     }
 }
 
-bool fairness::within_quota(tenant_id t, const resources& more) const
+bool fairness::within_quota(organisation_id t, const resources& more) const
 {
-    return fits(tenants_[t].running + tenants_[t].elsewhere + more, tenants_[t].quota);
+    return fits(organisations_[t].running + organisations_[t].elsewhere + more,
+                organisations_[t].quota);
 }
 
-bool fairness::charge(tenant_id t, const resources& more)
+bool fairness::charge(organisation_id t, const resources& more)
 {
     if (!within_quota(t, more)) {
         return false;
     }
-    tenants_[t].running += more;
+    organisations_[t].running += more;
     return true;
 }
 
-double fairness::share(tenant_id t) const
+double fairness::share(organisation_id t) const
 {
-    return dominant_share(tenants_[t].running + tenants_[t].elsewhere, total_) / tenants_[t].weight;
+    return dominant_share(organisations_[t].running + organisations_[t].elsewhere, total_) /
+           organisations_[t].weight;
 }
 
-std::optional<error> never_within_quota(const fairness& tenants, tenant_id t, const resources& size,
-                                        std::int64_t tasks)
+std::optional<error> never_within_quota(const fairness& organisations, organisation_id t,
+                                        const resources& size, std::int64_t tasks)
 {
-    const resources& quota = tenants.quota(t);
+    const resources& quota = organisations.quota(t);
     if (fits(scaled(size, tasks), quota)) {
         return std::nullopt;
     }
@@ -63,17 +66,17 @@
         while (most > 1 && !fits(scaled(size, most), quota)) {
             --most;
         }
-        return error{error_code::unfit, step::admission, tenants.name(t),
+        return error{error_code::unfit, step::admission, organisations.name(t),
                      "all " + std::to_string(tasks) +
-                         " tasks at once are above the tenant's quota; within it are " +
+                         " tasks at once are above the organisation's quota; within it are " +
                          std::to_string(most) + " of this size"};
     }
     const resources nearest{std::min(size.cpu_millis, quota.cpu_millis),
                             std::min(size.memory_mb, quota.memory_mb),
                             std::min(size.accelerators, quota.accelerators)};
-    return error{error_code::unfit, step::admission, tenants.name(t),
+    return error{error_code::unfit, step::admission, organisations.name(t),
                  "one task of " + to_string(size) +
-                     " is above the tenant's quota; the nearest size within it is " +
+                     " is above the organisation's quota; the nearest size within it is " +
                      to_string(nearest)};
 }
 
--- a/src/home_queue.cc
+++ b/src/home_queue.cc
@@ -32,30 +32,31 @@
 
 } // namespace
 
-home_queue::home_queue() : queue_(tenants_, placement_policy{}, queue_limits{}) {}
+home_queue::home_queue() : queue_(organisations_, placement_policy{}, queue_limits{}) {}
 
 void home_queue::set_document(const environment& document)
 {
-    for (const std::pair<const std::string, tenant_policy>& t : document.tenants) {
-        tenants_.put(t.second);
+    for (const std::pair<const std::string, organisation_policy>& t : document.organisations) {
+        organisations_.put(t.second);
     }
     classes_ = document.classes;
     queue_.set_policy(document.placement);
 }
 
-tenant_id home_queue::tenant_of(const submission& what) const
+organisation_id home_queue::organisation_of(const submission& what) const
 {
-    return tenants_.find(what.tenant).value_or(0);
+    return organisations_.find(what.organisation).value_or(0);
 }
 
 std::optional<error> home_queue::refusal(const submission& what) const
 {
     const auto policy = classes_.find(what.work_class);
-    if (!tenants_.find(what.tenant) || policy == classes_.end()) {
-        return error{error_code::invalid, step::admission, "", "unknown tenant or class"};
+    if (!organisations_.find(what.organisation) || policy == classes_.end()) {
+        return error{error_code::invalid, step::admission, "", "unknown organisation or class"};
     }
-    std::optional<error> above = never_within_quota(tenants_, tenant_of(what), what.size,
-                                                    what.kind == work_kind::gang ? what.tasks : 1);
+    std::optional<error> above =
+        never_within_quota(organisations_, organisation_of(what), what.size,
+                           what.kind == work_kind::gang ? what.tasks : 1);
     if (above) {
         return above;
     }
@@ -70,7 +71,7 @@
 bool home_queue::enqueue(const std::string& name, waiting_job& job)
 {
     waiting_work work;
-    work.tenant = tenant_of(job.what);
+    work.organisation = organisation_of(job.what);
     work.work_class = job.what.work_class;
     const auto policy = classes_.find(job.what.work_class);
     work.band = policy != classes_.end() ? policy->second.priority : priority_band::normal;
@@ -117,14 +118,15 @@
 
 bool home_queue::whole_within_quota(const waiting_job& job) const
 {
-    return tenants_.within_quota(tenant_of(job.what), scaled(job.what.size, job.tasks));
+    return organisations_.within_quota(organisation_of(job.what), scaled(job.what.size, job.tasks));
 }
 
-/// Returns how many tasks may be offered together: a few, so that tenants take turns.
+/// Returns how many tasks may be offered together: a few, so that organisations take turns.
 std::int64_t home_queue::tasks_within_quota(const waiting_job& job) const
 {
     std::int64_t tasks = std::min(job.tasks, max_tasks_per_offer);
-    while (tasks > 1 && !tenants_.within_quota(tenant_of(job.what), scaled(job.what.size, tasks))) {
+    while (tasks > 1 &&
+           !organisations_.within_quota(organisation_of(job.what), scaled(job.what.size, tasks))) {
         --tasks;
     }
     return tasks;
@@ -134,7 +136,7 @@
 {
     waiting_job& job = jobs_.at(name);
     for (std::int64_t i = 0; i < tasks; ++i) {
-        tenants_.charge(tenant_of(job.what), job.what.size);
+        organisations_.charge(organisation_of(job.what), job.what.size);
         queue_.placed();
     }
     job.tasks -= tasks;
@@ -200,20 +202,20 @@
     }
 }
 
-void home_queue::set_running(const std::map<std::string, resources>& by_tenant)
+void home_queue::set_running(const std::map<std::string, resources>& by_organisation)
 {
-    for (tenant_id t = 0; t < tenants_.size(); ++t) {
-        const auto found = by_tenant.find(tenants_.name(t));
-        tenants_.refund(t, tenants_.running(t));
-        tenants_.adopt(t, found != by_tenant.end() ? found->second : resources{});
+    for (organisation_id t = 0; t < organisations_.size(); ++t) {
+        const auto found = by_organisation.find(organisations_.name(t));
+        organisations_.refund(t, organisations_.running(t));
+        organisations_.adopt(t, found != by_organisation.end() ? found->second : resources{});
         queue_.share_changed(t);
     }
 }
 
 void home_queue::refund(const submission& what)
 {
-    const tenant_id t = tenant_of(what);
-    tenants_.refund(t, what.size);
+    const organisation_id t = organisation_of(what);
+    organisations_.refund(t, what.size);
     queue_.share_changed(t);
 }
 
@@ -221,16 +223,16 @@
                                 const task_need& need) const
 {
     const auto found = jobs_.find(job);
-    return explain_waiting(where, queue_, tenants_, found != jobs_.end() ? found->second.place : 0,
-                           task, need);
+    return explain_waiting(where, queue_, organisations_,
+                           found != jobs_.end() ? found->second.place : 0, task, need);
 }
 
 Json::Value home_queue::running() const
 {
     Json::Value value(Json::objectValue);
-    for (tenant_id t = 0; t < tenants_.size(); ++t) {
-        if (tenants_.running(t) != resources{}) {
-            value[tenants_.name(t)] = to_json(tenants_.running(t));
+    for (organisation_id t = 0; t < organisations_.size(); ++t) {
+        if (organisations_.running(t) != resources{}) {
+            value[organisations_.name(t)] = to_json(organisations_.running(t));
         }
     }
     return value;
@@ -241,8 +243,8 @@
     std::map<std::string, resources>& of_peer = elsewhere_[peer];
     of_peer.clear();
     if (value.isObject()) {
-        for (const std::string& tenant : value.getMemberNames()) {
-            of_peer[tenant] = resources_from(value[tenant]).value_or(resources{});
+        for (const std::string& organisation : value.getMemberNames()) {
+            of_peer[organisation] = resources_from(value[organisation]).value_or(resources{});
         }
     }
     sum_elsewhere();
@@ -264,8 +266,8 @@
             sums[t.first] += t.second;
         }
     }
-    for (tenant_id t = 0; t < tenants_.size(); ++t) {
-        tenants_.set_elsewhere(t, sums[tenants_.name(t)]);
+    for (organisation_id t = 0; t < organisations_.size(); ++t) {
+        organisations_.set_elsewhere(t, sums[organisations_.name(t)]);
         queue_.share_changed(t);
     }
 }
--- a/src/home_queue.h
+++ b/src/home_queue.h
@@ -1,4 +1,4 @@
-// The waiting tasks of the jobs that have their home here, and what runs for each tenant.
+// The waiting tasks of the jobs that have their home here, and what runs for each organisation.
 
 #pragma once
 
@@ -41,7 +41,7 @@
 
     void set_document(const environment& document);
     /// All workers of the cell together.
-    void set_capacity(const resources& total) { tenants_.set_capacity(total); }
+    void set_capacity(const resources& total) { organisations_.set_capacity(total); }
 
     /// Returns why the job can never run or cannot wait here, if so.
     std::optional<error> refusal(const submission& what) const;
@@ -57,8 +57,8 @@
                      time_point arrived);
     /// Removes the jobs that are not in `ids`.
     void keep_jobs(const std::set<std::string>& ids);
-    /// Takes over what the jobs of this home hold by tenant.
-    void set_running(const std::map<std::string, resources>& by_tenant);
+    /// Takes over what the jobs of this home hold by organisation.
+    void set_running(const std::map<std::string, resources>& by_organisation);
     /// A task that was placed ended, or lost its place.
     void refund(const submission& what);
 
@@ -67,7 +67,7 @@
                         const task_need& need) const;
     std::size_t size() const { return queue_.size(); }
 
-    /// What runs for each tenant here, for the other members.
+    /// What runs for each organisation here, for the other members.
     Json::Value running() const;
     void take_running(const std::string& peer, const Json::Value& value);
     /// Forgets what runs under peers that are not among `names`.
@@ -83,19 +83,20 @@
     };
 
     void sum_elsewhere();
-    tenant_id tenant_of(const submission& what) const;
+    organisation_id organisation_of(const submission& what) const;
     bool whole_within_quota(const waiting_job& job) const;
     std::int64_t tasks_within_quota(const waiting_job& job) const;
     bool enqueue(const std::string& name, waiting_job& job);
     void take(const std::string& name, std::int64_t tasks);
 
-    fairness tenants_;
+    fairness organisations_;
     work_queue queue_;
     std::map<std::string, class_policy> classes_;
     std::map<std::string, waiting_job> jobs_;
     std::unordered_map<std::uint64_t, std::string> names_; ///< by the tag of their entries
     std::uint64_t tags_ = 0;
-    std::map<std::string, std::map<std::string, resources>> elsewhere_; ///< by peer and tenant
+    std::map<std::string, std::map<std::string, resources>>
+        elsewhere_; ///< by peer and organisation
 };
 
 } // namespace sesamesill
--- a/src/job_items.cc
+++ b/src/job_items.cc
@@ -96,7 +96,7 @@
 {
     const Json::Value& j = value["job"];
     if (!value["id"].isString() || !value["max_attempts"].isInt() || !j.isObject() ||
-        !has_texts(j, {"tenant", "class", "key", "kind"}) || !j["idempotent"].isBool() ||
+        !has_texts(j, {"organisation", "class", "key", "kind"}) || !j["idempotent"].isBool() ||
         !has_numbers(
             j, {"deadline_ms", "tasks", "cpu_millis", "memory_mb", "accelerators", "run_ms"}) ||
         j["tasks"].asInt64() < 1 || j["tasks"].asInt64() > max_tasks) {
@@ -106,7 +106,7 @@
     item.id = value["id"].asString();
     item.max_attempts = value["max_attempts"].asInt();
     submission& s = item.what;
-    s.tenant = j["tenant"].asString();
+    s.organisation = j["organisation"].asString();
     s.work_class = j["class"].asString();
     s.key = j["key"].asString();
     s.kind = work_kind_from(j["kind"].asString()).value_or(work_kind::batch);
--- a/src/job_placing.cc
+++ b/src/job_placing.cc
@@ -65,7 +65,7 @@
         });
 }
 
-/// Brings the queue in line with the table: what waits, and what the tenants' jobs hold.
+/// Brings the queue in line with the table: what waits, and what the organisations' jobs hold.
 void job_service::follow_table(time_point now)
 {
     std::map<std::string, resources> running;
@@ -81,7 +81,7 @@
             waiting += t.phase == task_phase::waiting ? 1 : 0;
             held += t.phase != task_phase::waiting && !is_over(t.phase) ? 1 : 0;
         }
-        running[j.what.tenant] += scaled(j.what.size, held);
+        running[j.what.organisation] += scaled(j.what.size, held);
         if (waiting > 0 && table_.placeable().count(j.id) > 0) {
             waiting_jobs.insert(j.id);
             queue_.set_waiting(j.id, j.what, waiting, j.arrived);
--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -160,7 +160,7 @@
 /// job's id makes a second submission harmless.
 void job_service::find_home(const submit_request& s, const http_respond& respond)
 {
-    const std::string id = request_id(s.what.tenant, s.what.key);
+    const std::string id = request_id(s.what.organisation, s.what.key);
     const std::optional<member> owner = cell_.owner_of(id);
     if (owner && owner->name == cell_.self()) {
         accept(s.what, respond);
@@ -217,7 +217,7 @@
 
 void job_service::accept(const submission& what, const http_respond& respond)
 {
-    const std::string id = request_id(what.tenant, what.key);
+    const std::string id = request_id(what.organisation, what.key);
     const job* const known = table_.find(id);
     if (known != nullptr) {
         respond(json_reply(200, describe(*known)));
--- a/src/job_views.cc
+++ b/src/job_views.cc
@@ -11,10 +11,10 @@
 
 bool matches(const job& j, const http_request& request)
 {
-    const std::string tenant = query_text(request, "tenant");
+    const std::string organisation = query_text(request, "organisation");
     const std::string work_class = query_text(request, "class");
     const std::string ending = query_text(request, "outcome");
-    return (tenant.empty() || tenant == j.what.tenant) &&
+    return (organisation.empty() || organisation == j.what.organisation) &&
            (work_class.empty() || work_class == j.what.work_class) &&
            (ending.empty() || ending == name_of(j.ending));
 }
@@ -25,7 +25,7 @@
 {
     Json::Value body;
     body["job"] = j.id;
-    body["tenant"] = j.what.tenant;
+    body["organisation"] = j.what.organisation;
     body["class"] = j.what.work_class;
     body["outcome"] = std::string(name_of(j.ending));
     std::map<task_phase, std::int64_t> counts{{task_phase::running, 0}, {task_phase::done, 0}};
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -32,7 +32,7 @@
     return result;
 }
 
-/// Returns "tenant=\"a\",class=\"b\"".
+/// Returns "organisation=\"a\",class=\"b\"".
 std::string rendered(const std::vector<metric_label>& labels)
 {
     std::string result;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -106,7 +106,7 @@
     void announce(const leader_record& self);
     bool leads() const { return lead != nullptr; }
 
-    void pass_on(std::shared_ptr<passing> request);
+    void pass_on(const std::shared_ptr<passing>& request);
     void serve_peers();
     std::optional<Json::Value> on_heartbeat(const Json::Value& params, error& why);
     void serve_submit(const http_request& request, const http_respond& respond);
@@ -598,7 +598,7 @@
         }));
 }
 
-void member::parts::pass_on(std::shared_ptr<passing> request)
+void member::parts::pass_on(const std::shared_ptr<passing>& request)
 {
     const time_point now = boot_clock::now();
     const millis left(to_millis(request->until - now));
@@ -752,7 +752,8 @@
     p.pass_on(request);
 }
 
-void member::state_of(const std::string& id, millis budget, std::function<void(state_answer)> done)
+void member::state_of(const std::string& id, millis budget,
+                      const std::function<void(state_answer)>& done)
 {
     parts& p = *parts_;
     if (p.leads()) {
@@ -789,7 +790,7 @@
 }
 
 void member::waiting_in(const std::string& queue, millis budget,
-                        std::function<void(waiting_answer)> done)
+                        const std::function<void(waiting_answer)>& done)
 {
     parts& p = *parts_;
     if (p.leads()) {
--- a/src/pool_order.cc
+++ b/src/pool_order.cc
@@ -109,7 +109,7 @@
             racks[candidates[i].where->entry.rack].push_back(i);
         }
         for (const std::pair<const std::string, std::vector<std::size_t>>& rack : racks) {
-            const std::vector<int> counts = fill(candidates, rack.second, tasks);
+            std::vector<int> counts = fill(candidates, rack.second, tasks);
             if (!counts.empty()) {
                 return counts;
             }
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -487,6 +487,7 @@
         found.resize(wanted);
     }
     std::vector<std::string> names;
+    names.reserve(found.size());
     for (const std::pair<std::int64_t, const std::string*>& f : found) {
         names.push_back(*f.second);
     }
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -146,7 +146,8 @@
     const step_spec& spec = spec_.steps[static_cast<std::size_t>(id.step)];
     step_record& step = step_at(id.occurrence, id.step);
     begun_ = true;
-    std::set<std::int64_t>& failures = spec.gang ? step.failed_runs : find(id)->failed_runs;
+    std::set<std::int64_t>& failures =
+        spec.gang ? step.failed_runs : step.tasks[static_cast<std::size_t>(id.index)].failed_runs;
     failures.insert(run);
     if (!spec.long_running && static_cast<int>(failures.size()) >= max_attempts) {
         state_ = job_state::failed;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -432,11 +432,18 @@
     if (run.phase != run_phase::starting) {
         return; // being stopped, or listed by its worker in the meantime
     }
+    take_refusal(*w, run, order, verdict, now);
+}
+
+/// Decides what becomes of a run whose start wasn't obeyed.
+void scheduler::take_refusal(worker& w, run_record& run, const start_order& order,
+                             order_verdict verdict, time_point now)
+{
     switch (verdict) {
     case order_verdict::unknown:
         if (order.attempts < start_attempts) {
             start_order again = order;
-            again.until_ms = std::max(order.until_ms, w->clock_at(now) + start_validity.count());
+            again.until_ms = std::max(order.until_ms, w.clock_at(now) + start_validity.count());
             run.until_ms = again.until_ms;
             starts_.push_back(std::move(again));
             return;
@@ -448,16 +455,16 @@
             stop_task(run.task, now); // an earlier send may have been carried out
             return;
         }
-        w->health.avoid_until = std::max(w->health.avoid_until, now + unreachable_pause);
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
         break;
     case order_verdict::fenced:
         fenced_ = true;
         break;
     case order_verdict::unhealthy:
-        w->health.avoid_until = std::max(w->health.avoid_until, now + unhealthy_pause);
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unhealthy_pause);
         break;
     case order_verdict::no_room:
-        w->health.avoid_until = std::max(w->health.avoid_until, now + unreachable_pause);
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
         break;
     case order_verdict::no_ticket: {
         const auto u = units_.find(step_name(run.task));
@@ -469,7 +476,7 @@
     default:
         break;
     }
-    release_run(*w, run, now);
+    release_run(w, run, now);
 }
 
 void scheduler::on_stop(const stop_order& order, order_verdict verdict, time_point now)
--- a/src/queue.cc
+++ b/src/queue.cc
@@ -1,4 +1,4 @@
-// Intrusive lists by tenant and band; tenants ordered by share.
+// Intrusive lists by organisation and band; organisations ordered by share.
 
 #include "sesamesill/queue.h"
 
@@ -7,16 +7,16 @@
 namespace sesamesill {
 namespace {
 
-constexpr std::size_t window = 32;           ///< entries of a tenant that are weighed at once
-constexpr std::uint32_t max_refusals = 256;  ///< in one round
+constexpr std::size_t window = 32;          ///< entries of an organisation that are weighed at once
+constexpr std::uint32_t max_refusals = 256; ///< in one round
 constexpr std::size_t max_sizes_refused = 8; ///< remembered in one round
 constexpr int ageings_checked = 16;          ///< times a promotion is looked for while one is due
 constexpr std::size_t highest_by_age = 2;    ///< urgent is never reached by waiting
 
 } // namespace
 
-work_queue::work_queue(fairness& tenants, const placement_policy& policy, queue_limits limits)
-    : tenants_(tenants), policy_(policy), limits_(limits)
+work_queue::work_queue(fairness& organisations, const placement_policy& policy, queue_limits limits)
+    : organisations_(organisations), policy_(policy), limits_(limits)
 {
 }
 
@@ -91,7 +91,7 @@
 void work_queue::link(std::uint32_t e)
 {
     entry& added = entries_[e];
-    const tenant_id t = added.work.tenant;
+    const organisation_id t = added.work.organisation;
     if (t >= lanes_.size()) {
         lanes_.resize(static_cast<std::size_t>(t) + 1);
     }
@@ -109,19 +109,19 @@
 void work_queue::unlink(std::uint32_t e)
 {
     entry& gone = entries_[e];
-    lane& l = lanes_[gone.work.tenant].lanes[gone.band];
+    lane& l = lanes_[gone.work.organisation].lanes[gone.band];
     (gone.previous != none ? entries_[gone.previous].next : l.entries.head) = gone.next;
     (gone.next != none ? entries_[gone.next].previous : l.entries.tail) = gone.previous;
     --waiting_[gone.band];
     if (l.entries.head == none) {
-        unorder(gone.work.tenant, gone.band);
+        unorder(gone.work.organisation, gone.band);
     }
 }
 
-void work_queue::order(tenant_id t, std::size_t band)
+void work_queue::order(organisation_id t, std::size_t band)
 {
     lane& l = lanes_[t].lanes[band];
-    const order_key key{tenants_.share(t), lanes_[t].served, t};
+    const order_key key{organisations_.share(t), lanes_[t].served, t};
     if (l.ordered && l.key == key) {
         return;
     }
@@ -131,7 +131,7 @@
     order_[band].insert(key);
 }
 
-void work_queue::unorder(tenant_id t, std::size_t band)
+void work_queue::unorder(organisation_id t, std::size_t band)
 {
     lane& l = lanes_[t].lanes[band];
     if (l.ordered) {
@@ -140,14 +140,14 @@
     }
 }
 
-void work_queue::park(tenant_id t, std::size_t band)
+void work_queue::park(organisation_id t, std::size_t band)
 {
     unorder(t, band);
     lanes_[t].lanes[band].parked = true;
     parked_.emplace_back(t, band);
 }
 
-void work_queue::share_changed(tenant_id t)
+void work_queue::share_changed(organisation_id t)
 {
     if (t >= lanes_.size()) {
         return;
@@ -166,7 +166,7 @@
     refusals_ = 0;
     current_ = none;
     no_room_for_.clear();
-    for (const std::pair<tenant_id, std::size_t>& p : parked_) {
+    for (const std::pair<organisation_id, std::size_t>& p : parked_) {
         lane& l = lanes_[p.first].lanes[p.second];
         l.parked = false;
         if (l.entries.head != none) {
@@ -174,9 +174,9 @@
         }
     }
     parked_.clear();
-    if (version_ != tenants_.version()) {
-        version_ = tenants_.version();
-        for (tenant_id t = 0; t < lanes_.size(); ++t) {
+    if (version_ != organisations_.version()) {
+        version_ = organisations_.version();
+        for (organisation_id t = 0; t < lanes_.size(); ++t) {
             share_changed(t);
         }
     }
@@ -190,15 +190,15 @@
 {
     double sum = 0.0;
     double active = 0.0;
-    for (tenant_id t = 0; t < lanes_.size(); ++t) {
-        const double share = tenants_.share(t);
+    for (organisation_id t = 0; t < lanes_.size(); ++t) {
+        const double share = organisations_.share(t);
         const bool waits = std::any_of(lanes_[t].lanes.begin(), lanes_[t].lanes.end(),
                                        [](const lane& l) { return l.entries.head != none; });
         sum += share;
         active += waits || share > 0 ? 1 : 0;
     }
-    for (tenant_id t = 0; t < lanes_.size(); ++t) {
-        if (tenants_.share(t) * active <= sum) {
+    for (organisation_id t = 0; t < lanes_.size(); ++t) {
+        if (organisations_.share(t) * active <= sum) {
             for (std::size_t band = highest_by_age; band-- > 0;) {
                 promote(t, band, now);
             }
@@ -206,7 +206,7 @@
     }
 }
 
-void work_queue::promote(tenant_id t, std::size_t band, time_point now)
+void work_queue::promote(organisation_id t, std::size_t band, time_point now)
 {
     const lane& l = lanes_[t].lanes[band];
     while (l.entries.head != none) {
@@ -241,7 +241,7 @@
                        [&size](const resources& refused) { return fits(refused, size); });
 }
 
-std::uint32_t work_queue::best_of(tenant_id t, std::size_t band) const
+std::uint32_t work_queue::best_of(organisation_id t, std::size_t band) const
 {
     std::uint32_t best = none;
     double best_score = 0.0;
@@ -250,7 +250,7 @@
          e = entries_[e].next, ++seen) {
         const entry& candidate = entries_[e];
         if (candidate.tried == round_ || known_not_to_fit(candidate.work.size) ||
-            !tenants_.within_quota(t, candidate.work.size)) {
+            !organisations_.within_quota(t, candidate.work.size)) {
             continue;
         }
         const double s = score(candidate);
@@ -267,7 +267,7 @@
     current_ = none;
     for (std::size_t band = bands; band-- > 0 && refusals_ < max_refusals;) {
         while (!order_[band].empty()) {
-            const tenant_id t = std::get<tenant_id>(*order_[band].begin());
+            const organisation_id t = std::get<organisation_id>(*order_[band].begin());
             const std::uint32_t e = best_of(t, band);
             if (e != none) {
                 current_ = e;
@@ -285,7 +285,7 @@
         return;
     }
     entry& e = entries_[current_];
-    const tenant_id t = e.work.tenant;
+    const organisation_id t = e.work.organisation;
     lanes_[t].served = ++served_;
     if (--e.work.count == 0) {
         erase(current_);
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -85,7 +85,7 @@
         numbers.append(s.second.waiting);
         numbers.append(static_cast<Json::Int64>(s.second.wait.count()));
     }
-    value["t"] = demand_json(load.tenant_demand);
+    value["t"] = demand_json(load.organisation_demand);
     value["c"] = demand_json(load.class_demand);
     return value;
 }
@@ -103,7 +103,7 @@
             return std::nullopt;
         }
     }
-    if (!read_demand(value["t"], load.tenant_demand) ||
+    if (!read_demand(value["t"], load.organisation_demand) ||
         !read_demand(value["c"], load.class_demand)) {
         return std::nullopt;
     }
@@ -205,12 +205,12 @@
 
 } // namespace
 
-std::map<std::string, double> peer_table::tenant_demand(time_point now) const
+std::map<std::string, double> peer_table::organisation_demand(time_point now) const
 {
     std::map<std::string, double> sum;
     for (const std::pair<const std::string, peer>& p : peers_) {
         if (is_fresh(p.second, now)) {
-            add_demand(sum, p.second.load.tenant_demand);
+            add_demand(sum, p.second.load.organisation_demand);
         }
     }
     return sum;
--- a/src/submission.cc
+++ b/src/submission.cc
@@ -66,12 +66,12 @@
 
 bool read_class(const Json::Value& body, const environment& document, submission& s, error& why)
 {
-    if (!read_name(body, "tenant", s.tenant, why) || !read_name(body, "class", s.work_class, why) ||
-        !read_name(body, "key", s.key, why)) {
+    if (!read_name(body, "organisation", s.organisation, why) ||
+        !read_name(body, "class", s.work_class, why) || !read_name(body, "key", s.key, why)) {
         return false;
     }
-    if (document.tenants.count(s.tenant) == 0) {
-        return refuse(why, "tenant", "unknown tenant " + s.tenant);
+    if (document.organisations.count(s.organisation) == 0) {
+        return refuse(why, "organisation", "unknown organisation " + s.organisation);
     }
     const auto found = document.classes.find(s.work_class);
     if (found == document.classes.end()) {
@@ -141,7 +141,7 @@
 Json::Value to_json(const submission& s)
 {
     Json::Value body;
-    body["tenant"] = s.tenant;
+    body["organisation"] = s.organisation;
     body["class"] = s.work_class;
     body["key"] = s.key;
     body["idempotent"] = s.idempotent;
@@ -159,9 +159,9 @@
     return body;
 }
 
-std::string request_id(const std::string& tenant, const std::string& key)
+std::string request_id(const std::string& organisation, const std::string& key)
 {
-    const std::string text = tenant + "\n" + key;
+    const std::string text = organisation + "\n" + key;
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
     char hex[33];
     std::snprintf(hex, sizeof hex, "%016llx%016llx", static_cast<unsigned long long>(hash.high64),
--- a/support/path.sh
+++ b/support/path.sh
@@ -58,13 +58,13 @@
     case $answer in *"$want"*) echo "ok $name" ;; *) echo "FAILED $name: $answer"; exit 1 ;; esac
 }
 for i in 1 2 3 4 5 6; do
-    expect "hold by e$i" '"outcome":"done"' -d '{"tenant":"delta","class":"hold","key":"h'$i'","body":"place 7?"}' "$(entry $i)/v1/calls"
-    expect "place by e$i" '"outcome":"done"' -d '{"tenant":"delta","class":"place","key":"p'$i'","body":"child 9"}' "$(entry $i)/v1/calls"
+    expect "hold by e$i" '"outcome":"done"' -d '{"organisation":"delta","class":"hold","key":"h'$i'","body":"place 7?"}' "$(entry $i)/v1/calls"
+    expect "place by e$i" '"outcome":"done"' -d '{"organisation":"delta","class":"place","key":"p'$i'","body":"child 9"}' "$(entry $i)/v1/calls"
 done
-expect "place again" '"outcome":"done"' -d '{"tenant":"delta","class":"place","key":"p1","body":"child 9"}' "$(entry 5)/v1/calls"
-expect "bad tenant" 'unknown tenant' -d '{"tenant":"nobody","class":"hold","key":"h","body":""}' "$(entry 2)/v1/calls"
-expect "batch job" '"job"' -d '{"tenant":"seaside","class":"review","key":"r1","tasks":20,"cpu_millis":4000,"memory_mb":512,"payload":{"run_ms":300}}' "$(entry 3)/v1/jobs"
-job=$(curl -s -d '{"tenant":"seaside","class":"review","key":"r1","tasks":20,"cpu_millis":4000,"memory_mb":512,"payload":{"run_ms":300}}' "$(entry 4)/v1/jobs" | sed 's/.*"job":"\([0-9a-f]*\)".*/\1/')
+expect "place again" '"outcome":"done"' -d '{"organisation":"delta","class":"place","key":"p1","body":"child 9"}' "$(entry 5)/v1/calls"
+expect "bad organisation" 'unknown organisation' -d '{"organisation":"nobody","class":"hold","key":"h","body":""}' "$(entry 2)/v1/calls"
+expect "batch job" '"job"' -d '{"organisation":"seaside","class":"review","key":"r1","tasks":20,"cpu_millis":4000,"memory_mb":512,"payload":{"run_ms":300}}' "$(entry 3)/v1/jobs"
+job=$(curl -s -d '{"organisation":"seaside","class":"review","key":"r1","tasks":20,"cpu_millis":4000,"memory_mb":512,"payload":{"run_ms":300}}' "$(entry 4)/v1/jobs" | sed 's/.*"job":"\([0-9a-f]*\)".*/\1/')
 expect "batch done" '"outcome":"done"' "$(entry 6)/v1/jobs/$job?wait_ms=15000"
 starts=$(grep -c '"key":"p1"' "$run/executors.jsonl" || true)
 [ "$starts" = 2 ] || { echo "FAILED p1 ran other than once: $starts lines"; exit 1; }
--- a/test/call_queue-test.cc
+++ b/test/call_queue-test.cc
@@ -36,7 +36,7 @@
     cr_assert(q.push({3, "b", "hold", at(9)}));
 }
 
-Test(call_queue, a_flooding_tenant_delays_nobody_else)
+Test(call_queue, a_flooding_organisation_delays_nobody_else)
 {
     call_queue q = two_classes();
     for (std::uint64_t i = 0; i < 900; ++i) {
@@ -85,10 +85,10 @@
     cr_assert_eq(q.size(), 0);
 }
 
-Test(call_queue, weights_of_tenants_count)
+Test(call_queue, weights_of_organisations_count)
 {
     call_queue q = two_classes();
-    q.set_tenant("big", 3.0);
+    q.set_organisation("big", 3.0);
     std::map<bool, int> served;
     for (std::uint64_t i = 0; i < 400; ++i) {
         q.push({i, "big", "hold", at(800)});
--- a/test/environment-test.cc
+++ b/test/environment-test.cc
@@ -45,10 +45,10 @@
 Test(environment, examples_are_good)
 {
     const environment tabara = parsed(source_dir + "/examples/tabara.ini");
-    cr_assert_eq(tabara.tenants.size(), 3u);
+    cr_assert_eq(tabara.organisations.size(), 3u);
     cr_assert_eq(tabara.classes.at("hold").deadline.count(), 800);
     cr_assert(tabara.classes.at("cohort").kind == work_kind::gang);
-    cr_assert_eq(tabara.tenants.at("delta").quota.memory_mb, 2400LL * 1024);
+    cr_assert_eq(tabara.organisations.at("delta").quota.memory_mb, 2400LL * 1024);
     cr_assert_float_eq(tabara.placement.waiting_weight, 0.8, 1e-9);
     const environment keepers = parsed(source_dir + "/examples/keepers.ini");
     cr_assert_float_eq(keepers.placement.waiting_weight, 0.2, 1e-9);
@@ -77,7 +77,7 @@
 Test(environment, faults_carry_the_line)
 {
     std::vector<fault> faults;
-    parse_environment("[environment]\nname = x\n\n[tenant a]\nwieght = 1\n", faults);
+    parse_environment("[environment]\nname = x\n\n[organisation a]\nwieght = 1\n", faults);
     cr_assert_eq(faults.front().line, 4); // quota_cores is missing from the section
     const bool found = std::any_of(faults.begin(), faults.end(), [](const fault& f) {
         return f.key == "wieght" && f.line == 5 && f.nearest == "weight";
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -10,8 +10,8 @@
 
 struct fixture {
     cell where;
-    fairness tenants;
-    work_queue queue{tenants, placement_policy{}, {}};
+    fairness organisations;
+    work_queue queue{organisations, placement_policy{}, {}};
 
     fixture()
     {
@@ -29,8 +29,8 @@
         t.name = "busy";
         t.reserved = {3500, 1, 0};
         where.start(2, t);
-        tenants.set_capacity(where.total());
-        tenants.put({"delta", 1.0, {2000, 8192, 0}, 0.0});
+        organisations.set_capacity(where.total());
+        organisations.put({"delta", 1.0, {2000, 8192, 0}, 0.0});
     }
 
     ticket push(const resources& size)
@@ -69,11 +69,12 @@
     fixture f;
     task_need need;
     need.size = {3000, 1, 0};
-    explanation e = explain_waiting(f.where, f.queue, f.tenants, f.push(need.size), "a", need);
-    cr_assert(has(e.waits_for, "the quota of tenant delta"));
+    explanation e =
+        explain_waiting(f.where, f.queue, f.organisations, f.push(need.size), "a", need);
+    cr_assert(has(e.waits_for, "the quota of organisation delta"));
     need.size = {1000, 9000, 0};
-    f.tenants.put({"delta", 1.0, {9000, 99999, 0}, 0.0});
-    e = explain_waiting(f.where, f.queue, f.tenants, f.push(need.size), "a", need);
+    f.organisations.put({"delta", 1.0, {9000, 99999, 0}, 0.0});
+    e = explain_waiting(f.where, f.queue, f.organisations, f.push(need.size), "a", need);
     cr_assert(has(e.waits_for, "room"));
     cr_assert(has(to_string(e), "too small even when empty"));
 }
--- a/test/fairness-test.cc
+++ b/test/fairness-test.cc
@@ -10,8 +10,8 @@
 {
     fairness f;
     f.set_capacity({10000, 10000, 0});
-    const tenant_id a = f.put({"a", 1.0, {10000, 10000, 0}, 0.0});
-    const tenant_id b = f.put({"b", 2.0, {10000, 10000, 0}, 0.0});
+    const organisation_id a = f.put({"a", 1.0, {10000, 10000, 0}, 0.0});
+    const organisation_id b = f.put({"b", 2.0, {10000, 10000, 0}, 0.0});
     f.charge(a, {1000, 4000, 0});
     f.charge(b, {4000, 1000, 0});
     cr_assert_float_eq(f.share(a), 0.4, 1e-9);
@@ -21,7 +21,7 @@
 Test(fairness, quota_is_a_hard_cap)
 {
     fairness f;
-    const tenant_id a = f.put({"a", 1.0, {2000, 4096, 0}, 0.0});
+    const organisation_id a = f.put({"a", 1.0, {2000, 4096, 0}, 0.0});
     cr_assert(f.charge(a, {1500, 1024, 0}));
     cr_assert_not(f.charge(a, {501, 1, 0}));
     f.refund(a, {1500, 1024, 0});
@@ -38,7 +38,7 @@
 {
     fairness f;
     f.set_capacity({10000, 10000, 0});
-    const tenant_id a = f.put({"a", 1.0, {4000, 4096, 0}, 0.0});
+    const organisation_id a = f.put({"a", 1.0, {4000, 4096, 0}, 0.0});
     f.set_elsewhere(a, {3000, 1024, 0});
     cr_assert_not(f.charge(a, {1500, 1024, 0}));
     cr_assert(f.charge(a, {1000, 1024, 0}));
--- a/test/home_queue-test.cc
+++ b/test/home_queue-test.cc
@@ -19,7 +19,7 @@
 
     fixture()
     {
-        document.tenants["delta"] = {"delta", 1.0, {8000, 8192, 0}, 0.0};
+        document.organisations["delta"] = {"delta", 1.0, {8000, 8192, 0}, 0.0};
         class_policy batch;
         batch.name = "review";
         batch.kind = work_kind::batch;
@@ -35,7 +35,7 @@
     static submission job(const std::string& work_class, std::int64_t tasks)
     {
         submission s;
-        s.tenant = "delta";
+        s.organisation = "delta";
         s.work_class = work_class;
         s.kind = work_class == "cohort" ? work_kind::gang : work_kind::batch;
         s.tasks = tasks;
--- a/test/invariants-test.cc
+++ b/test/invariants-test.cc
@@ -146,10 +146,10 @@
 {
     run_report report;
     const std::string sent =
-        R"({"event":"sent","time_us":1,"request":"r1","entry":"e1","attempt":1,"class":"hold","tenant":"delta"})";
+        R"({"event":"sent","time_us":1,"request":"r1","entry":"e1","attempt":1,"class":"hold","organisation":"delta"})";
     report.take(*observation_from(sent));
     cr_assert_eq(report.lost(), 1);
     report.take(*observation_from(
-        R"({"event":"closed","time_us":2,"request":"r1","class":"hold","tenant":"delta","final":"done"})"));
+        R"({"event":"closed","time_us":2,"request":"r1","class":"hold","organisation":"delta","final":"done"})"));
     cr_assert_eq(report.lost(), 0);
 }
--- a/test/overload-test.cc
+++ b/test/overload-test.cc
@@ -30,10 +30,10 @@
 struct outcome_counts {
     double goodput = 0.0;
     std::vector<micros> good_times;
-    std::map<std::string, double> good_of_tenant;
+    std::map<std::string, double> good_of_organisation;
 };
 
-/// Calls of two tenants arrive, wait, run and end; one in fifty is lost on its executor.
+/// Calls of two organisations arrive, wait, run and end; one in fifty is lost on its executor.
 class owner_model {
 public:
     explicit owner_model(std::uint64_t seed, bool admission) : random_(seed), admission_(admission)
@@ -73,7 +73,7 @@
 
 private:
     struct call {
-        std::string tenant;
+        std::string organisation;
         time_point arrived;
         std::int32_t attempt = 0;
     };
@@ -85,9 +85,9 @@
         bool operator<(const running& other) const { return ends > other.ends; }
     };
 
-    void arrive(const std::string& tenant)
+    void arrive(const std::string& organisation)
     {
-        calls_[next_id_] = {tenant, now_, 0};
+        calls_[next_id_] = {organisation, now_, 0};
         wait(next_id_++);
     }
 
@@ -96,10 +96,10 @@
         const call& c = calls_[id];
         const micros left = c.arrived + deadline - now_;
         const micros expected =
-            expected_wait(queue_.ahead_of("hold", c.tenant), slots, latency_.mean());
+            expected_wait(queue_.ahead_of("hold", c.organisation), slots, latency_.mean());
         const bool refused = admission_ && refuse_for_wait(expected, latency_.bound(), left);
         if (refused || left <= micros(0) ||
-            !queue_.push({id, c.tenant, "hold", c.arrived + deadline})) {
+            !queue_.push({id, c.organisation, "hold", c.arrived + deadline})) {
             calls_.erase(id);
         }
     }
@@ -154,7 +154,7 @@
             const micros took = now_ - c.arrived;
             counts.good_times.push_back(took);
             counts.goodput += took <= micros(deadline) ? 1.0 : 0.0;
-            counts.good_of_tenant[c.tenant] += took <= micros(deadline) ? 1.0 : 0.0;
+            counts.good_of_organisation[c.organisation] += took <= micros(deadline) ? 1.0 : 0.0;
         }
         else if (is_repeatable(true, attempt_end::lost) && budget_.take()) {
             wait(r.id);
@@ -222,10 +222,10 @@
     cr_assert_not(holds, "the model must fail with the mechanism off");
 }
 
-Test(overload, a_flooding_tenant_takes_nothing_from_another, .timeout = 60)
+Test(overload, a_flooding_organisation_takes_nothing_from_another, .timeout = 60)
 {
     owner_model m(3, true);
     const outcome_counts counts =
         m.run({5.0, 10.0}, 0.95); // quiet offers a quarter of the capacity
-    cr_assert_geq(counts.good_of_tenant.at("quiet"), 0.9 * 0.25 * capacity * 10.0);
+    cr_assert_geq(counts.good_of_organisation.at("quiet"), 0.9 * 0.25 * capacity * 10.0);
 }
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -397,7 +397,7 @@
     scheduler s = fresh({"w1"});
     std::map<std::string, std::string> store;
     worker_report report;
-    for (int i = 0; i < 3; ++i) {
+    for (std::int64_t i = 0; i < 3; ++i) {
         const std::string id = "00000000000000b" + std::to_string(i);
         add_job(s, store, job_of(id, {step_of(1, 1)}), 10 * i);
         obey(s, place(s, 10 * i + 1), 10 * i + 2);
--- a/test/queue-test.cc
+++ b/test/queue-test.cc
@@ -18,23 +18,23 @@
 }
 
 struct fixture {
-    fairness tenants;
+    fairness organisations;
     placement_policy policy;
-    work_queue queue{tenants, policy, {1000}};
+    work_queue queue{organisations, policy, {1000}};
     error why;
 
     explicit fixture(int count = 3)
     {
-        tenants.set_capacity({100000, 100000, 0});
+        organisations.set_capacity({100000, 100000, 0});
         for (int i = 0; i < count; ++i) {
-            tenants.put({"t" + std::to_string(i), 1.0, {100000, 100000, 0}, 0.0});
+            organisations.put({"t" + std::to_string(i), 1.0, {100000, 100000, 0}, 0.0});
         }
     }
 
-    ticket push(tenant_id t, priority_band band, const resources& size, int arrived = 0)
+    ticket push(organisation_id t, priority_band band, const resources& size, int arrived = 0)
     {
         waiting_work w;
-        w.tenant = t;
+        w.organisation = t;
         w.work_class = "c";
         w.band = band;
         w.size = size;
@@ -42,17 +42,17 @@
         return queue.push(w, no_limit, why).value_or(0);
     }
 
-    /// Gives a place to the next task and returns its tenant.
-    std::optional<tenant_id> place()
+    /// Gives a place to the next task and returns its organisation.
+    std::optional<organisation_id> place()
     {
         const ticket t = queue.next();
         if (t == 0) {
             return std::nullopt;
         }
         const waiting_work w = *queue.find(t);
-        tenants.charge(w.tenant, w.size);
+        organisations.charge(w.organisation, w.size);
         queue.placed();
-        return w.tenant;
+        return w.organisation;
     }
 };
 
@@ -63,7 +63,7 @@
 Test(queue, urgent_goes_first_and_least_share_next)
 {
     fixture f;
-    f.tenants.adopt(0, {5000, 0, 0});
+    f.organisations.adopt(0, {5000, 0, 0});
     f.push(0, priority_band::normal, one);
     f.push(1, priority_band::normal, one);
     f.push(2, priority_band::urgent, one);
@@ -123,15 +123,15 @@
     cr_assert_eq(f.push(0, priority_band::normal, one), 0U);
 }
 
-Test(queue, waiting_raises_the_band_of_tenants_within_their_share)
+Test(queue, waiting_raises_the_band_of_organisations_within_their_share)
 {
     fixture f;
-    f.tenants.adopt(0, {50000, 0, 0});
+    f.organisations.adopt(0, {50000, 0, 0});
     const ticket flooding = f.push(0, priority_band::background, one, 0);
     const ticket patient = f.push(1, priority_band::background, one, 0);
     const int due = 61;
     const ticket fresh = f.push(2, priority_band::normal, one, due);
-    f.tenants.adopt(2, {10000, 0, 0});
+    f.organisations.adopt(2, {10000, 0, 0});
     f.queue.begin_round(at(due));
     cr_assert_eq(f.queue.next(), patient);
     f.queue.placed();
@@ -143,7 +143,7 @@
 Test(queue, work_at_its_quota_waits_without_holding_others)
 {
     fixture f;
-    f.tenants.put({"t0", 1.0, {1000, 1000, 0}, 0.0});
+    f.organisations.put({"t0", 1.0, {1000, 1000, 0}, 0.0});
     f.push(0, priority_band::high, one);
     f.push(0, priority_band::high, one);
     f.push(1, priority_band::normal, one);
@@ -153,22 +153,22 @@
     cr_assert_not(f.place().has_value());
 }
 
-Test(queue, shares_stay_equal_under_overload_with_one_tenant_flooding)
+Test(queue, shares_stay_equal_under_overload_with_one_organisation_flooding)
 {
-    constexpr int tenants = 10;
-    fixture f(tenants);
+    constexpr int organisations = 10;
+    fixture f(organisations);
     std::mt19937_64 random(5);
-    std::vector<std::pair<tenant_id, resources>> running;
-    std::vector<double> given(tenants, 0.0);
+    std::vector<std::pair<organisation_id, resources>> running;
+    std::vector<double> given(organisations, 0.0);
     resources used;
     for (int step = 0; step < 4000; ++step) {
         const time_point now = time_point(millis(step * 20));
-        for (tenant_id t = 0; t < tenants; ++t) {
+        for (organisation_id t = 0; t < organisations; ++t) {
             const std::int64_t scale = std::int64_t{1} << random() % 3;
             for (int i = 0; i < (t == 0 ? 5 : 1); ++i) {
                 if (f.queue.size() < 900) {
                     waiting_work w;
-                    w.tenant = t;
+                    w.organisation = t;
                     w.work_class = std::to_string(t);
                     w.size = {500 * scale, 400 * scale, 0};
                     w.arrived = now;
@@ -178,7 +178,7 @@
         }
         for (int i = 0; i < 8 && !running.empty(); ++i) {
             const std::size_t gone = random() % running.size();
-            f.tenants.refund(running[gone].first, running[gone].second);
+            f.organisations.refund(running[gone].first, running[gone].second);
             f.queue.share_changed(running[gone].first);
             used -= running[gone].second;
             running.erase(running.begin() + static_cast<std::ptrdiff_t>(gone));
@@ -191,9 +191,9 @@
                 continue;
             }
             used += w.size;
-            f.tenants.charge(w.tenant, w.size);
-            running.emplace_back(w.tenant, w.size);
-            given[w.tenant] += static_cast<double>(w.size.cpu_millis);
+            f.organisations.charge(w.organisation, w.size);
+            running.emplace_back(w.organisation, w.size);
+            given[w.organisation] += static_cast<double>(w.size.cpu_millis);
             f.queue.placed();
         }
     }
--- a/test/recovery-test.cc
+++ b/test/recovery-test.cc
@@ -19,7 +19,7 @@
 submission work_of(std::int64_t tasks, bool idempotent)
 {
     submission what;
-    what.tenant = "delta";
+    what.organisation = "delta";
     what.work_class = "review";
     what.kind = work_kind::batch;
     what.idempotent = idempotent;
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -113,7 +113,7 @@
 {
     load_summary load = offer(1, 8, 4);
     for (int i = 0; i < 500; ++i) {
-        load.tenant_demand["tenant" + std::to_string(i)] = i;
+        load.organisation_demand["organisation" + std::to_string(i)] = i;
     }
     const Json::Value sent = to_json(load);
     cr_assert_eq(sent["t"].size(), load_summary::max_names);
@@ -121,7 +121,7 @@
     const std::optional<load_summary> heard = load_from(sent, why);
     cr_assert(heard.has_value());
     cr_assert_eq(heard->services.at("s").slots, 8);
-    cr_assert_float_eq(heard->tenant_demand.at("tenant499"), 499.0, 0.1);
+    cr_assert_float_eq(heard->organisation_demand.at("organisation499"), 499.0, 0.1);
     Json::Value bad = sent;
     bad["s"]["s"][0] = -1;
     cr_assert_not(load_from(bad, why));
--- a/test/scenario/commands.cc
+++ b/test/scenario/commands.cc
@@ -119,7 +119,7 @@
 {
     const Json::Value o = with_defaults(
         arguments[0], R"({"mix":"tabara","seconds":10,"calls":100,"jobs":2,"entries":6,
-        "cancel":0,"tenant":"","only":"","job_limit_ms":25000})");
+        "cancel":0,"organisation":"","only":"","job_limit_ms":25000})");
     const std::string name = "load" + std::to_string(++loads_);
     std::string entries;
     for (int i = 1; i <= o["entries"].asInt(); ++i) {
@@ -135,7 +135,7 @@
                                           "--journal",
                                           path(name + ".jsonl")};
     for (const char* key :
-         {"mix", "seconds", "calls", "jobs", "cancel", "tenant", "only", "job_limit_ms"}) {
+         {"mix", "seconds", "calls", "jobs", "cancel", "organisation", "only", "job_limit_ms"}) {
         command_line.push_back(std::string("--") + key);
         command_line.push_back(o[key].asString());
     }
--- a/test/scenario/observation.cc
+++ b/test/scenario/observation.cc
@@ -105,7 +105,7 @@
     seen.what = *what;
     seen.time_us = number_at(*parsed, "time_us");
     seen.request = text_at(*parsed, "request");
-    seen.tenant = text_at(*parsed, "tenant");
+    seen.organisation = text_at(*parsed, "organisation");
     seen.work_class = text_at(*parsed, "class");
     seen.idempotent = parsed->get("idempotent", true).asBool();
     seen.ending = value_in(ending_names, text_at(*parsed, "ending")).value_or(attempt_end::unknown);
--- a/test/scenario/observation.h
+++ b/test/scenario/observation.h
@@ -46,7 +46,7 @@
     std::string request; ///< id of the request, the same for each retry of its key
     std::string task;    ///< workers: request id, '/', index
     std::string run;     ///< executors: one execution, unique in the journal
-    std::string tenant;
+    std::string organisation;
     std::string work_class;
     bool idempotent = true;
     bool on_worker = false;
--- a/test/scenario/report.cc
+++ b/test/scenario/report.cc
@@ -32,12 +32,12 @@
 void run_report::take(const observation& seen)
 {
     if (seen.what == sight::sent && seen.attempt == 1) {
-        requests_[seen.request] = {{seen.work_class, seen.tenant}, seen.time_us, false};
-        ++rows_[{seen.work_class, seen.tenant}].sent;
+        requests_[seen.request] = {{seen.work_class, seen.organisation}, seen.time_us, false};
+        ++rows_[{seen.work_class, seen.organisation}].sent;
     }
     else if (seen.what == sight::closed) {
         requests_[seen.request].closed = true;
-        ++rows_[{seen.work_class, seen.tenant}].endings[seen.closed_as];
+        ++rows_[{seen.work_class, seen.organisation}].endings[seen.closed_as];
     }
     else if (seen.what == sight::start) {
         on_start(seen);
@@ -111,7 +111,7 @@
         sent += r.second.sent;
         Json::Value line;
         line["class"] = r.first.first;
-        line["tenant"] = r.first.second;
+        line["organisation"] = r.first.second;
         line["sent"] = static_cast<Json::Int64>(r.second.sent);
         for (const char* ending : {"done", "not_run", "failed", "unknown", "lost", "unreached",
                                    "rejected", "cancelled"}) {
@@ -141,13 +141,13 @@
     std::string text;
     char line[200];
     std::snprintf(line, sizeof line, "%-10s %-10s %7s %7s %7s %7s %7s %5s %9s %9s\n", "class",
-                  "tenant", "sent", "done", "not_run", "failed", "unknown", "lost", "wait p50",
-                  "wait p99");
+                  "organisation", "sent", "done", "not_run", "failed", "unknown", "lost",
+                  "wait p50", "wait p99");
     text += line;
     for (const Json::Value& r : all["rows"]) {
         std::snprintf(line, sizeof line,
                       "%-10s %-10s %7lld %7lld %7lld %7lld %7lld %5lld %6.1f ms %6.1f ms\n",
-                      r["class"].asCString(), r["tenant"].asCString(),
+                      r["class"].asCString(), r["organisation"].asCString(),
                       static_cast<long long>(r["sent"].asInt64()),
                       static_cast<long long>(r["done"].asInt64()),
                       static_cast<long long>(r["not_run"].asInt64()),
--- a/test/scenario/report.h
+++ b/test/scenario/report.h
@@ -36,7 +36,7 @@
         double size = 0;
     };
 
-    using row_key = std::pair<std::string, std::string>; ///< class and tenant
+    using row_key = std::pair<std::string, std::string>; ///< class and organisation
 
     void on_start(const observation& seen);
     void on_worker(const observation& seen);
--- a/test/scenario/same_key.lua
+++ b/test/scenario/same_key.lua
@@ -2,7 +2,7 @@
 -- answer says so.
 start{}
 for round = 1, 10 do
-    local body = {tenant = "delta", class = "place", key = "child-" .. round, body = "child 9"}
+    local body = {organisation = "delta", class = "place", key = "child-" .. round, body = "child 9"}
     local all = {}
     for i = 1, 6 do all[i] = {"e" .. i, "/v1/calls", body} end
     post_all(table.unpack(all))
--- a/test/scenario/trim_restart.lua
+++ b/test/scenario/trim_restart.lua
@@ -2,7 +2,7 @@
 -- that it does not, and keys that were used before the trim are not used again.
 local version = start{settings = "[timing]\nlease_ms = 1000\nheartbeat_interval_ms = 200\n" ..
                                  "task_lease_ms = 4000\nsnapshot_interval_ms = 1000\n"}.version
-local used = {tenant = "delta", class = "place", key = "before-the-trim", body = "child 9"}
+local used = {organisation = "delta", class = "place", key = "before-the-trim", body = "child 9"}
 expect(post("e1", "/v1/calls", used).status == 200, "the placement is done")
 load{seconds = 8, calls = 100, jobs = 3}
 wait_load()
--- a/test/standin/caller.cc
+++ b/test/standin/caller.cc
@@ -15,12 +15,12 @@
 #include "sesamesill/submission.h"
 
 DEFINE_string(entries, "127.0.0.1:8001", "comma-separated addresses of the entries");
-DEFINE_string(mix, "tabara", "tabara or keepers: tenants and shapes of the work");
+DEFINE_string(mix, "tabara", "tabara or keepers: organisations and shapes of the work");
 DEFINE_double(seconds, 10, "how long new requests are sent");
 DEFINE_double(calls, 100, "calls a second");
 DEFINE_double(jobs, 2, "jobs a second");
 DEFINE_double(cancel, 0, "share of the jobs that are cancelled soon after they are accepted");
-DEFINE_string(tenant, "", "send for this tenant only");
+DEFINE_string(organisation, "", "send for this organisation only");
 DEFINE_string(only, "", "send this class only");
 DEFINE_int64(job_limit_ms, 60000, "patience for the end of a job that was accepted");
 DEFINE_string(tag, "c", "start of each key");
@@ -57,7 +57,7 @@
 
 struct load_mix {
     const char* name;
-    std::vector<std::string> tenants;
+    std::vector<std::string> organisations;
     std::vector<shape> shapes;
 };
 
@@ -120,7 +120,7 @@
 struct pending_request {
     std::string id;
     std::string key;
-    std::string tenant;
+    std::string organisation;
     const shape* kind = nullptr;
     Json::Value body;
     std::string wanted; ///< digest of the answer that belongs to it
@@ -168,7 +168,7 @@
         Json::Value all(Json::arrayValue);
         for (const std::pair<const std::pair<std::string, std::string>, counts>& entry : counts_) {
             Json::Value row;
-            row["tenant"] = entry.first.first;
+            row["organisation"] = entry.first.first;
             row["class"] = entry.first.second;
             row["sent"] = static_cast<Json::Int64>(entry.second.sent);
             for (const std::pair<const std::string, std::int64_t>& e : entry.second.endings) {
@@ -245,13 +245,14 @@
     {
         const request_pointer r = std::make_shared<pending_request>();
         r->key = FLAGS_tag + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(++number_);
-        r->tenant =
-            FLAGS_tenant.empty() ? mix_.tenants[random_() % mix_.tenants.size()] : FLAGS_tenant;
-        r->id = request_id(r->tenant, r->key);
+        r->organisation = FLAGS_organisation.empty()
+                              ? mix_.organisations[random_() % mix_.organisations.size()]
+                              : FLAGS_organisation;
+        r->id = request_id(r->organisation, r->key);
         r->kind = &kind;
         r->until = boot_clock::now() + kind.deadline;
         Json::Value body;
-        body["tenant"] = r->tenant;
+        body["organisation"] = r->organisation;
         body["class"] = kind.work_class;
         body["key"] = r->key;
         if (kind.is_call) {
@@ -262,7 +263,7 @@
             fill_job(kind, *r, body);
         }
         r->body = body;
-        ++counts_[{r->tenant, kind.work_class}].sent;
+        ++counts_[{r->organisation, kind.work_class}].sent;
         ++in_flight_;
         send(r);
     }
@@ -277,7 +278,7 @@
         body["run_ms"] = run_ms;
         body["payload"]["run_ms"] = run_ms;
         body["payload"]["idempotent"] = kind.idempotent;
-        body["payload"]["tenant"] = r.tenant;
+        body["payload"]["organisation"] = r.organisation;
         body["payload"]["class"] = kind.work_class;
         body["payload"]["use_factor"] = 0.5 + chance() * 0.6;
         body["payload"]["job_tasks"] = r.tasks;
@@ -316,7 +317,7 @@
         Json::Value line;
         line["request"] = r.id;
         line["key"] = r.key;
-        line["tenant"] = r.tenant;
+        line["organisation"] = r.organisation;
         line["class"] = r.kind->work_class;
         line["idempotent"] = r.kind->idempotent;
         line["attempt"] = static_cast<Json::Int64>(r.attempts);
@@ -484,11 +485,11 @@
         Json::Value line;
         line["request"] = r->id;
         line["key"] = r->key;
-        line["tenant"] = r->tenant;
+        line["organisation"] = r->organisation;
         line["class"] = r->kind->work_class;
         line["final"] = ending;
         journal_.write("closed", line);
-        ++counts_[{r->tenant, r->kind->work_class}].endings[ending];
+        ++counts_[{r->organisation, r->kind->work_class}].endings[ending];
         --in_flight_;
     }
 
@@ -498,7 +499,7 @@
     const load_mix& mix_;
     std::mt19937_64 random_;
     std::vector<entry_state> entries_;
-    std::map<std::pair<std::string, std::string>, counts> counts_; ///< by tenant and class
+    std::map<std::pair<std::string, std::string>, counts> counts_; ///< by organisation and class
     time_point started_;
     time_point last_tick_;
     std::uint64_t number_ = 0;
--- a/test/standin/executor.cc
+++ b/test/standin/executor.cc
@@ -67,7 +67,7 @@
         seen["attempt"] = header(r, "x-attempt");
         seen["key"] = header(r, "x-key");
         seen["class"] = header(r, "x-class");
-        seen["tenant"] = header(r, "x-tenant");
+        seen["organisation"] = header(r, "x-organisation");
         seen["idempotent"] = header(r, "x-idempotent") != "no";
         seen["client"] = client_of(r);
         seen["busy"] = busy_;
