--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -19,7 +19,8 @@
 #include "store.h"
 #include "workers.h"
 
-DEFINE_string(settings, "", "file with the settings, INI; default: $SESAMESILL_SETTINGS");
+DEFINE_string(settings, "",
+              "file with the settings, INI; default: the one that the platform names");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
@@ -198,7 +199,7 @@
 
 std::string settings_path()
 {
-    const char* named = std::getenv("SESAMESILL_SETTINGS");
+    const char* named = std::getenv(platform::wire::settings_variable);
     return !FLAGS_settings.empty() ? FLAGS_settings : named != nullptr ? named : "";
 }
 
--- /dev/null
+++ b/src/pool_reports.cc
@@ -0,0 +1,568 @@
+// Workers as the scheduler hears of them: answers to orders, looks, ends, leases that run out.
+
+#include "sesamesill/pool_scheduler.h"
+
+#include <algorithm>
+
+#include "sesamesill/names.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr name_table<end_reason, 6> end_names{{{end_reason::done, "done"},
+                                               {end_reason::failed, "failed"},
+                                               {end_reason::stopped, "stopped"},
+                                               {end_reason::lapsed, "lapsed"},
+                                               {end_reason::broken, "broken"},
+                                               {end_reason::alone, "alone"}}};
+
+constexpr name_table<order_verdict, 11> verdict_names{{{order_verdict::obeyed, "obeyed"},
+                                                       {order_verdict::fenced, "fenced"},
+                                                       {order_verdict::superseded, "superseded"},
+                                                       {order_verdict::late, "late"},
+                                                       {order_verdict::no_room, "no_room"},
+                                                       {order_verdict::no_ticket, "no_ticket"},
+                                                       {order_verdict::unhealthy, "unhealthy"},
+                                                       {order_verdict::replaced, "replaced"},
+                                                       {order_verdict::invalid, "invalid"},
+                                                       {order_verdict::not_sent, "not_sent"},
+                                                       {order_verdict::unknown, "unknown"}}};
+
+constexpr millis lease_length{5000};     ///< within the platform's longest lease
+constexpr int start_attempts = 3;        ///< sends of one start before it is stopped instead
+constexpr millis stop_resend{500};       ///< a stop without an answer is repeated
+constexpr millis unhealthy_pause{1500};  ///< a worker that refused is left alone for so long
+constexpr millis unreachable_pause{700}; ///< likewise, where no connection came about
+
+} // namespace
+
+void scheduler::resolve_doubt(const std::string& id, time_point /*now*/)
+{
+    if (doubts_.erase(id) > 0) {
+        changed_ = true;
+    }
+}
+
+void scheduler::list_worker(const worker_entry& entry, time_point now)
+{
+    for (std::pair<const std::string, worker>& other : workers_) {
+        const bool same_machine = !entry.machine.empty() &&
+                                  other.second.entry.machine == entry.machine &&
+                                  other.first != entry.id;
+        if (same_machine && other.second.entry.born_ms < entry.born_ms && !other.second.lost) {
+            lose_worker(other.second, "its machine runs a new incarnation", now);
+        }
+    }
+    const auto known = workers_.find(entry.id);
+    if (known == workers_.end()) {
+        worker w;
+        w.entry = entry;
+        w.last_answer = now;
+        w.gone_at = lease_end(now, bounds_.max_lease);
+        workers_.emplace(entry.id, std::move(w));
+        note(decision_kind::worker_joined, "", entry.id, entry.data_center + " " + entry.rack);
+    }
+    else {
+        worker& w = known->second;
+        if (entry.draining && !w.entry.draining) {
+            note(decision_kind::worker_drains, "", entry.id, "by its own report");
+        }
+        const std::int64_t born_before = w.entry.born_ms;
+        w.entry = entry;
+        w.listed = true;
+        if (born_before != 0 && entry.born_ms < born_before) {
+            w.entry.born_ms = born_before;
+        }
+    }
+    changed_ = true;
+}
+
+void scheduler::unlist_worker(const std::string& id, time_point /*now*/)
+{
+    worker* w = find_worker(id);
+    if (w != nullptr && w->listed) {
+        w->listed = false;
+        note(decision_kind::worker_left, "", id, "its entry is gone");
+    }
+}
+
+void scheduler::send_stop(worker& w, run_record& run, time_point now)
+{
+    run.phase = run_phase::stopping;
+    run.ordered = now;
+    stops_.push_back({w.entry.id, w.entry.address, to_string(run.task), run.run, fence_});
+}
+
+void scheduler::stop_task(const task_id& id, time_point now)
+{
+    const auto known = jobs_.find(id.job);
+    task_record* task = known != jobs_.end() ? known->second.progress.find(id) : nullptr;
+    if (task == nullptr || task->worker.empty() ||
+        (task->phase != task_phase::starting && task->phase != task_phase::running)) {
+        return;
+    }
+    worker* w = find_worker(task->worker);
+    if (w == nullptr) {
+        return;
+    }
+    const auto run = w->runs.find({to_string(id), task->run});
+    if (run == w->runs.end() || run->second.phase == run_phase::stopping ||
+        run->second.phase == run_phase::pinned) {
+        return;
+    }
+    known->second.progress.stopping(id);
+    send_stop(*w, run->second, now);
+    note(decision_kind::stopped, id.job, w->entry.id, to_string(id));
+}
+
+/// Gives the room of a run back; its task waits again unless it has another run.
+void scheduler::release_run(worker& w, const run_record& run, time_point now)
+{
+    const run_record copy = run;
+    remove_run(w, to_string(copy.task), copy.run);
+    changed_ = true;
+    const auto known = jobs_.find(copy.task.job);
+    if (known == jobs_.end()) {
+        return;
+    }
+    task_record* task = known->second.progress.find(copy.task);
+    const bool current = task != nullptr && task->worker == w.entry.id && task->run == copy.run &&
+                         task->phase != task_phase::waiting && task->phase != task_phase::done;
+    if (current) {
+        known->second.progress.release(copy.task);
+        restart_gang_if_broken(known->second, copy.task, now);
+    }
+}
+
+/// A gang that has lost a member can't go on: stops the others, so that all start again together.
+void scheduler::restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now)
+{
+    const step_spec& spec = entry.progress.spec().steps[static_cast<std::size_t>(id.step)];
+    if (!spec.gang || is_final(entry.progress.state())) {
+        return;
+    }
+    task_id other = id;
+    for (other.index = 0; other.index < spec.tasks; ++other.index) {
+        stop_task(other, now);
+    }
+}
+
+void scheduler::on_start(const start_order& order, order_verdict verdict, std::int64_t clock_ms,
+                         time_point now)
+{
+    worker* w = find_worker(order.worker);
+    if (w == nullptr) {
+        return;
+    }
+    const auto known = w->runs.find({order.task, order.run});
+    if (known == w->runs.end()) {
+        return;
+    }
+    run_record& run = known->second;
+    if (verdict == order_verdict::obeyed) {
+        w->last_answer = now;
+        if (clock_ms > 0) {
+            w->clock_ms = clock_ms;
+            w->clock_read = now;
+        }
+        if (!run.confirmed) {
+            run.confirmed = now;
+        }
+        if (run.phase == run_phase::starting) {
+            run.phase = run_phase::running;
+            const auto job = jobs_.find(run.task.job);
+            if (job != jobs_.end()) {
+                job->second.progress.confirm(run.task);
+            }
+        }
+        return;
+    }
+    note(decision_kind::start_failed, run.task.job, order.worker,
+         order.task + ": " + std::string(name_in(verdict_names, verdict)),
+         to_millis(now - run.ordered));
+    if (run.phase != run_phase::starting) {
+        return; // being stopped, or listed by its worker in the meantime
+    }
+    take_refusal(*w, run, order, verdict, now);
+}
+
+/// Decides what becomes of a run whose start wasn't obeyed.
+void scheduler::take_refusal(worker& w, run_record& run, const start_order& order,
+                             order_verdict verdict, time_point now)
+{
+    switch (verdict) {
+    case order_verdict::unknown:
+        if (order.attempts < start_attempts) {
+            start_order again = order;
+            again.until_ms = std::max(order.until_ms, w.clock_at(now) + start_validity.count());
+            run.until_ms = again.until_ms;
+            starts_.push_back(std::move(again));
+            return;
+        }
+        stop_task(run.task, now);
+        return;
+    case order_verdict::not_sent:
+        if (order.attempts > 1) {
+            stop_task(run.task, now); // an earlier send may have been carried out
+            return;
+        }
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
+        break;
+    case order_verdict::fenced:
+        fenced_ = true;
+        break;
+    case order_verdict::unhealthy:
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unhealthy_pause);
+        break;
+    case order_verdict::no_room:
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
+        break;
+    case order_verdict::no_ticket: {
+        const auto u = units_.find(step_name(run.task));
+        if (u != units_.end()) {
+            u->second.approved.erase(order.worker);
+        }
+        break;
+    }
+    default:
+        break;
+    }
+    release_run(w, run, now);
+}
+
+void scheduler::on_stop(const stop_order& order, order_verdict verdict, time_point now)
+{
+    worker* w = find_worker(order.worker);
+    if (w == nullptr) {
+        return;
+    }
+    fenced_ = fenced_ || verdict == order_verdict::fenced;
+    const auto known = w->runs.find({order.task, order.run});
+    if (known == w->runs.end()) {
+        return;
+    }
+    const bool obeyed = verdict == order_verdict::obeyed || verdict == order_verdict::superseded;
+    if (obeyed && known->second.phase == run_phase::stopping) {
+        known->second.phase = run_phase::pinned;
+        known->second.pinned_at = now;
+    }
+}
+
+void scheduler::on_hold(const hold_order& order, time_point sent, order_verdict verdict,
+                        const worker_report& report, time_point now)
+{
+    worker* w = find_worker(order.worker);
+    if (w == nullptr) {
+        return;
+    }
+    if (verdict == order_verdict::fenced) {
+        fenced_ = true;
+        return;
+    }
+    if (verdict == order_verdict::not_sent && !w->listed && !w->heard) {
+        resolve_doubt(order.worker, now);
+    }
+    if (verdict == order_verdict::replaced) {
+        lose_worker(*w, "another incarnation answers at its address", now);
+        return;
+    }
+    if (verdict != order_verdict::obeyed) {
+        return;
+    }
+    w->last_answer = now;
+    w->clock_ms = report.clock_ms;
+    w->clock_read = now;
+    if (report.born_ms != 0 && w->entry.born_ms != 0 && report.born_ms > w->entry.born_ms) {
+        note(decision_kind::worker_reborn, "", order.worker, "same name, a new process");
+        w->listed_end = 0;
+        w->noted_end = 0;
+    }
+    w->entry.born_ms = std::max(w->entry.born_ms, report.born_ms);
+    if (w->lost) {
+        w->lost = false;
+        changed_ = true;
+    }
+    if (!w->heard) {
+        w->heard = true;
+        changed_ = true;
+    }
+    for (const ended_task& end : report.ended) {
+        if (end.number > w->listed_end) {
+            w->listed_end = end.number;
+            take_end(*w, end, now);
+        }
+    }
+    for (const running_task& row : report.running) {
+        take_running(*w, row, now);
+    }
+    drop_missing(*w, report, sent, now);
+    resolve_doubt(order.worker, now);
+}
+
+void scheduler::take_end(worker& w, const ended_task& end, time_point now)
+{
+    const bool had_run = remove_run(w, end.task, end.run);
+    changed_ = true;
+    const std::optional<task_id> id = task_id_from(end.task);
+    const auto known = id ? jobs_.find(id->job) : jobs_.end();
+    if (known == jobs_.end()) {
+        note(decision_kind::end_not_taken, id ? id->job : "", w.entry.id,
+             end.task + ": no such job");
+        return;
+    }
+    job_entry& entry = known->second;
+    task_record* task = entry.progress.find(*id);
+    if (task == nullptr || is_final(entry.progress.state())) {
+        return;
+    }
+    note(decision_kind::ended, id->job, w.entry.id,
+         end.task + " run " + std::to_string(end.run) + ": " +
+             std::string(name_in(end_names, end.how)),
+         task->phase != task_phase::waiting ? to_millis(now - task->started) : 0);
+    const bool current = had_run && task->run == end.run && task->worker == w.entry.id &&
+                         task->phase != task_phase::done && task->phase != task_phase::waiting;
+    take_end_of_job(w, entry, *id, end, current, now);
+}
+
+void scheduler::take_end_of_job(worker& w, job_entry& entry, const task_id& id,
+                                const ended_task& end, bool current, time_point now)
+{
+    job_progress& job = entry.progress;
+    task_record& task = *job.find(id);
+    const step_spec& spec = job.spec().steps[static_cast<std::size_t>(id.step)];
+    const time_point started = task.started;
+    task.run = std::max(task.run, end.run);
+    if (!end.checkpoint.empty()) {
+        task.checkpoint = end.checkpoint;
+        dirty_.insert(id.job);
+    }
+    if (end.how == end_reason::done || end.how == end_reason::failed) {
+        judge_end(w.health, id.job, end.how == end_reason::failed, now);
+        if (w.health.avoid_until > now && end.how == end_reason::failed) {
+            note(decision_kind::worker_avoided, "", w.entry.id, "runs fail one after the other",
+                 to_millis(w.health.avoid_until - now));
+        }
+    }
+    if (end.how == end_reason::done && !spec.long_running) {
+        if (current) {
+            class_estimate& learnt = estimates_[job.spec().queue];
+            learn(learnt.mean_run_ms, learnt.runs, static_cast<double>(to_millis(now - started)));
+        }
+        else {
+            stop_task(id, now); // a second run of the task
+        }
+        if (task.phase != task_phase::done) {
+            job.finish(id);
+        }
+        dirty_.insert(id.job);
+        units_.erase(job.step_at(id.occurrence, id.step).done == spec.tasks ? step_name(id)
+                                                                            : std::string());
+        if (is_final(job.state())) {
+            finish_job(entry, now);
+        }
+        else {
+            open_units(entry, now);
+        }
+        return;
+    }
+    if (current) {
+        job.release(id);
+    }
+    if (end.how == end_reason::failed) {
+        dirty_.insert(id.job);
+        task.failed_on.insert(w.entry.id);
+        const queue_policy* queue = queue_of(job.spec().queue);
+        const int attempts = queue != nullptr ? queue->max_attempts : spec.tasks + 1;
+        if (job.fail(id, end.run, attempts)) {
+            finish_job(entry, now);
+            return;
+        }
+    }
+    // Members of a gang end as `broken` by themselves once one has ended; no stops are needed.
+}
+
+void scheduler::take_running(worker& w, const running_task& row, time_point now)
+{
+    const auto run = w.runs.find({row.task, row.run});
+    if (run == w.runs.end()) {
+        const std::optional<task_id> id = task_id_from(row.task);
+        const auto known = id ? jobs_.find(id->job) : jobs_.end();
+        task_record* task = known != jobs_.end() ? known->second.progress.find(*id) : nullptr;
+        run_record found;
+        found.task = id.value_or(task_id{row.task, 0, 0, 0});
+        found.run = row.run;
+        found.phase = run_phase::running;
+        found.ordered = now;
+        found.confirmed = now;
+        const bool sized = known != jobs_.end() &&
+                           id->step < static_cast<int>(known->second.progress.spec().steps.size());
+        // Of what no record tells, the rest of the worker is assumed to be taken.
+        found.taken =
+            sized
+                ? taken_by(known->second.progress.spec().steps[static_cast<std::size_t>(id->step)])
+                : w.room();
+        const bool wanted = task != nullptr && task->phase == task_phase::waiting &&
+                            !is_final(known->second.progress.state()) &&
+                            task->failed_runs.count(row.run) == 0;
+        add_run(w, found);
+        if (!wanted) {
+            note(decision_kind::stopped, id ? id->job : "", w.entry.id,
+                 row.task + ": not wanted here");
+            send_stop(w, w.runs.find({row.task, row.run})->second, now);
+            return;
+        }
+        note(decision_kind::run_adopted, id->job, w.entry.id, row.task);
+        known->second.progress.adopt(*id, w.entry.id, row.run, now);
+        return;
+    }
+    if (!run->second.confirmed) {
+        run->second.confirmed = now;
+    }
+    const auto known = jobs_.find(run->second.task.job);
+    if (known == jobs_.end()) {
+        return;
+    }
+    task_record* task = known->second.progress.find(run->second.task);
+    if (task == nullptr || task->run != row.run || task->worker != w.entry.id) {
+        return;
+    }
+    if (run->second.phase == run_phase::starting) {
+        run->second.phase = run_phase::running;
+        known->second.progress.confirm(run->second.task);
+    }
+    if (row.percent > task->percent) {
+        task->percent = row.percent;
+        task->advanced = now;
+    }
+    if (!row.checkpoint.empty()) {
+        task->checkpoint = row.checkpoint;
+    }
+}
+
+/// Releases runs that the worker would list if it had them.
+void scheduler::drop_missing(worker& w, const worker_report& report, time_point sent,
+                             time_point now)
+{
+    std::set<std::pair<std::string, std::int64_t>> listed;
+    for (const running_task& row : report.running) {
+        listed.insert({row.task, row.run});
+    }
+    std::vector<std::pair<std::string, std::int64_t>> gone;
+    for (const std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
+        const run_record& run = r.second;
+        if (listed.count(r.first) > 0) {
+            continue;
+        }
+        const bool ended = run.confirmed && *run.confirmed < sent;
+        const bool pinned = run.phase == run_phase::pinned && run.pinned_at < sent;
+        const bool expired = !run.confirmed && run.ordered < sent &&
+                             report.clock_ms > run.until_ms && run.until_ms > 0;
+        if (ended || pinned || expired) {
+            gone.push_back(r.first);
+        }
+    }
+    for (const std::pair<std::string, std::int64_t>& key : gone) {
+        const run_record run = w.runs.find(key)->second;
+        note(decision_kind::run_vanished, run.task.job, w.entry.id, key.first,
+             to_millis(now - run.ordered));
+        release_run(w, run, now);
+    }
+}
+
+void scheduler::lose_worker(worker& w, const std::string& why, time_point now)
+{
+    if (!w.lost) {
+        note(decision_kind::worker_lost, "", w.entry.id, why, to_millis(now - w.last_answer));
+    }
+    w.lost = true;
+    w.heard = false;
+    while (!w.runs.empty()) {
+        const run_record run = w.runs.begin()->second;
+        release_run(w, run, now);
+    }
+    resolve_doubt(w.entry.id, now);
+    changed_ = true;
+}
+
+void scheduler::on_advice(const advice_call& call, const advice_answer& answer, time_point now)
+{
+    constexpr millis retry_pause{100};   ///< the advisor refuses only while its queue is full
+    constexpr millis ticket_margin{250}; ///< covers the way of the answer and of the start
+    const auto known = units_.find(call.step);
+    if (known == units_.end()) {
+        return;
+    }
+    unit& u = known->second;
+    u.asking = false;
+    if (!answer.good) {
+        u.ask_after = now + retry_pause;
+        note(decision_kind::advice_failed, u.first.job, "", answer.why.reason);
+        changed_ = true;
+        return;
+    }
+    std::set<std::string> approved;
+    for (const approval& a : answer.approved) {
+        approved.insert(a.worker);
+        u.approved[a.worker] = {a.ticket, now + answer.valid - ticket_margin};
+    }
+    for (const std::string& id : call.workers) {
+        if (approved.count(id) == 0) {
+            u.denied[id] = true;
+        }
+    }
+    note(decision_kind::advised, u.first.job, "",
+         call.step + ": " + std::to_string(approved.size()) + " of " +
+             std::to_string(call.workers.size()),
+         answer.valid.count());
+    changed_ = true;
+}
+
+void scheduler::tick(time_point now)
+{
+    for (std::pair<const std::string, worker>& entry : workers_) {
+        worker& w = entry.second;
+        for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
+            if (r.second.phase == run_phase::stopping && now - r.second.ordered > stop_resend) {
+                send_stop(w, r.second, now);
+            }
+        }
+        if (!w.lost && now > w.gone_at && !w.is_responsive(now)) {
+            lose_worker(w, "silent until its lease ran out", now);
+        }
+    }
+    if (!doubts_.empty() && now > doubt_until_) {
+        doubts_.clear();
+        changed_ = true;
+    }
+    for (auto w = workers_.begin(); w != workers_.end();) {
+        const bool forgotten = !w->second.listed && w->second.runs.empty() &&
+                               (w->second.lost || now > w->second.gone_at);
+        if (forgotten) {
+            resolve_doubt(w->first, now);
+        }
+        w = forgotten ? workers_.erase(w) : std::next(w);
+    }
+    changed_ = changed_ || !units_.empty();
+}
+
+std::optional<hold_order> scheduler::hold_for(const std::string& id, millis wait, time_point now)
+{
+    worker* w = find_worker(id);
+    if (w == nullptr) {
+        return std::nullopt;
+    }
+    hold_order order;
+    order.worker = id;
+    order.address = w->entry.address;
+    order.fence = fence_;
+    order.noted = w->noted_end;
+    order.wait = wait;
+    if (w->clock_ms && w->is_responsive(now)) {
+        const millis length = std::min(lease_length, bounds_.max_lease);
+        order.until_ms = w->clock_at(now) + length.count();
+        w->gone_at = std::max(w->gone_at, lease_end(now, length));
+    }
+    return order;
+}
+
+} // namespace sesamesill::pool
