Free timers that never ran with their loop

Ruled out: the tests' own fakes (the stacks start in event_loop::after, as for any caller). Change: the loop keeps its pending timers and frees them. The test holds a closure's object; before, its count stayed 2.

--- a/src/evhttp.h
+++ b/src/evhttp.h
@@ -20,12 +20,14 @@
     struct timer {
         event* handle = nullptr;
         bool once = false;
+        state* owner = nullptr; ///< of a timer that runs once
         std::function<void()> action;
     };
 
     event_base* base = nullptr;
     std::set<evhttp_connection*> closing;       ///< to be freed outside of their own callbacks
     std::vector<std::unique_ptr<timer>> timers; ///< repeating timers and signals
+    std::set<timer*> pending;                   ///< timers that run once and haven't run yet
 };
 
 namespace detail {
--- a/src/http.cc
+++ b/src/http.cc
@@ -124,6 +124,7 @@
         return;
     }
     const std::unique_ptr<event_loop::state::timer> owned(t);
+    owned->owner->pending.erase(t);
     event_free(owned->handle);
     owned->action();
 }
@@ -144,6 +145,10 @@
     for (const std::unique_ptr<state::timer>& t : state_->timers) {
         event_free(t->handle);
     }
+    for (state::timer* t : state_->pending) {
+        event_free(t->handle);
+        delete t; // its action never runs
+    }
     for (evhttp_connection* connection : state_->closing) {
         evhttp_connection_free(connection);
     }
@@ -168,7 +173,8 @@
     t->handle = event_new(state_->base, -1, 0, run_action, t.get());
     const timeval tv = detail::to_timeval(delay);
     event_add(t->handle, &tv);
-    static_cast<void>(t.release()); // run_action frees it
+    t->owner = state_.get();
+    state_->pending.insert(t.release()); // run_action or the loop's end frees it
 }
 
 void event_loop::on_signal(int signal, std::function<void()> action)
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -1,5 +1,6 @@
 // Tests over real sockets on loopback: limits of the server, time-outs of each step of the client.
 
+#include <memory>
 #include <string>
 
 #include <arpa/inet.h>
@@ -296,3 +297,17 @@
     const client_result r = send_and_run(loop, client, port, call);
     cr_assert(r.reply.has_value(), "%s", r.why.reason.c_str());
 }
+
+Test(event_loop, a_timer_that_never_ran_is_freed_with_the_loop)
+{
+    // Found by the sanitizer: the closures of timers that were pending at the end leaked.
+    const std::shared_ptr<int> held = std::make_shared<int>(1);
+    {
+        event_loop loop;
+        loop.after(millis(60000), [held] {});
+        loop.after(millis(1), [&loop] { loop.stop(); });
+        loop.run();
+        cr_assert_eq(held.use_count(), 2);
+    }
+    cr_assert_eq(held.use_count(), 1);
+}
