End a rest of the writer with a flush, whenever its timer fires

The timer's flush gives up while the rest isn't over; a timer that fires early by libevent's coarse clock left the record waiting for the next one. Ruled out: a stalled process (both timers would then be due in order). Change: the timer rests again for what is left.

--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -72,9 +72,14 @@
     rest_until_ = until;
     const micros left = until - boot_clock::now();
     loop_.after(millis(to_millis(left) + 1), [this, alive = alive_] {
-        if (*alive) {
-            flush();
+        if (!*alive) {
+            return;
+        }
+        if (boot_clock::now() < rest_until_) {
+            rest(rest_until_); // the timer fired early, or the rest was made longer
+            return;
         }
+        flush();
     });
 }
 
--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -206,6 +206,19 @@
     cr_assert_eq(c.log.records.size(), 1);
 }
 
+Test(pool_log, a_rest_always_ends)
+{
+    // The loop's timers may fire a few milliseconds early by the clock that the rest is measured
+    // on; then the records waited for the next one to be added.
+    for (int length = 5; length < 30; ++length) {
+        writer_case c;
+        c.writer.rest(boot_clock::now() + millis(length));
+        c.add("a");
+        c.run(millis(300));
+        cr_assert_eq(c.log.records.size(), 1, "a rest of %d ms", length);
+    }
+}
+
 Test(pool_log, a_follower_loads_pages_then_follows_and_reloads_what_was_trimmed)
 {
     event_loop loop;
