--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -68,7 +68,7 @@
           advice_(client_, settings.advisor),
           member_(loop,
                   {settings.name, settings.data_center, settings.peer_listen,
-                   settings.processor_share, settings.bounds},
+                   settings.peer_address, settings.processor_share, settings.bounds},
                   records_, executors_, advice_),
           front_(loop, member_, {}), metrics_(loop),
           declared_follower_(loop, declared_, "declared", {configuration_wait, configuration_pause},
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -26,6 +26,7 @@
     std::string name;
     std::string data_center;
     endpoint peer_listen;       ///< for other members
+    endpoint peer_address;      ///< where they reach it
     double processor_share = 1; ///< of a core
     platform_bounds bounds;
 };
--- a/include/sesamesill/pool_settings.h
+++ b/include/sesamesill/pool_settings.h
@@ -18,6 +18,7 @@
     endpoint listen;           ///< clients
     endpoint readiness_listen; ///< the balancer
     endpoint peer_listen;      ///< other members
+    endpoint peer_address;     ///< where they reach this one; `peer_listen` if not set
     endpoint metrics_listen;
     endpoint store;
     endpoint advisor;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -248,7 +248,7 @@
     beating = true;
     Json::Value params;
     params["name"] = settings.name;
-    params["address"] = to_string(settings.peer_listen);
+    params["address"] = to_string(settings.peer_address);
     params["read_age_ms"] =
         static_cast<Json::Int64>(to_millis(boot_clock::now() - follower.last_read()));
     params["read_took_ms"] = static_cast<Json::Int64>(follower.last_read_took().count());
@@ -315,7 +315,7 @@
 
 void member::parts::append_claim()
 {
-    const leader_record self{settings.name, incarnation, settings.peer_listen, 0};
+    const leader_record self{settings.name, incarnation, settings.peer_address, 0};
     constexpr millis claim_timeout{1000};
     log.append({{leader_key, encode(self), 0}}, follower.next(), claim_timeout,
                [this](const append_result& r) {
@@ -346,7 +346,7 @@
 
 void member::parts::take_lead(std::uint64_t claim_offset)
 {
-    leader_record self{settings.name, incarnation, settings.peer_listen, claim_offset + 1};
+    leader_record self{settings.name, incarnation, settings.peer_address, claim_offset + 1};
     follower.take({{leader_key, encode(self), claim_offset}}, claim_offset + 1);
     lead = std::make_unique<leader>(
         loop, settings, self, log, workers, advice, peers, claim_offset + 1,
@@ -402,7 +402,7 @@
         row.append(p.processor_share);
         answer["peers"][name] = row;
     };
-    add_peer(settings.name, {settings.peer_listen, settings.processor_share});
+    add_peer(settings.name, {settings.peer_address, settings.processor_share});
     if (params["peers_known"].asUInt64() != known_peers.size()) {
         for (const std::pair<const std::string, known_peer>& p : known_peers) {
             add_peer(p.first, p.second);
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -27,6 +27,7 @@
     {"member", "listen", &daemon_settings::listen, true},
     {"member", "readiness_listen", &daemon_settings::readiness_listen, true},
     {"member", "peer_listen", &daemon_settings::peer_listen, true},
+    {"member", "peer_address", &daemon_settings::peer_address, false},
     {"member", "metrics_listen", &daemon_settings::metrics_listen, true},
     {"member", "processor_share", &daemon_settings::processor_share, false},
     {"platform", "store", &daemon_settings::store, true},
@@ -135,6 +136,9 @@
                 {0, std::string(known.section), std::string(known.key), "must be set", ""});
         }
     }
+    if (result.peer_address.port == 0) {
+        result.peer_address = result.peer_listen;
+    }
     return faults.empty() ? std::optional<daemon_settings>(std::move(result)) : std::nullopt;
 }
 
--- a/support/check.sh
+++ b/support/check.sh
@@ -12,5 +12,6 @@
 build/sanitize/sesamesill_tests --jobs 4
 support/path.sh
 support/scenarios.sh
+support/soak.sh 1 4 --seconds 8
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
 build/release/sesamesill_tests --jobs 4
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -168,6 +168,7 @@
     const std::optional<pool::daemon_settings> settings = pool::parse_daemon_settings(good, faults);
     cr_assert(settings.has_value());
     cr_assert_eq(settings->bounds.grace.count(), 6000);
+    cr_assert_eq(to_string(settings->peer_address), "10.0.0.1:82");
     cr_assert_not(pool::parse_daemon_settings("[member]\nname = e1\nlisten = here\n", faults));
     cr_assert_geq(faults.size(), 2);
 }
--- /dev/null
+++ b/test/platform_standin/workers.h
@@ -0,0 +1,171 @@
+// Stand-ins for the platform's workers and its advisor: fences, leases on a clock of their own, run
+// numbers, lists of ends, checkpoints, gangs, tickets, orders that are carried out late.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sesamesill/http.h"
+#include "sesamesill/resources.h"
+#include "store.h"
+#include "witness.h"
+
+namespace standin {
+
+/// Bounds that the platform promises.
+struct worker_bounds {
+    millis max_lease{6000};
+    millis stop{200};
+    millis gang_patience{3000};
+    millis checkpoint_period{500};
+    millis restore{100};
+    millis heartbeat{500};
+    millis entry_life{2000}; ///< of an entry whose worker says nothing
+};
+
+struct worker_faults {
+    double late_orders = 0; ///< share that gets no answer and is carried out later
+    double slowness = 1;    ///< times as long
+    bool fails_all = false;
+    bool stands_still = false;
+    bool refuses = false; ///< 503: nothing is done
+};
+
+struct worker_place {
+    std::string machine;
+    std::string rack;
+    resources capacity;
+    endpoint listen;
+    endpoint advertised; ///< where the control plane reaches it
+};
+
+class fleet;
+
+/// One incarnation of a worker.
+class fleet_worker {
+public:
+    fleet_worker(fleet& owner, std::string id, worker_place place);
+
+    bool start(error& why);
+    void set_faults(const worker_faults& faults) { faults_ = faults; }
+    void drain(millis remaining);
+    const std::string& id() const { return id_; }
+    const worker_place& place() const { return place_; }
+    bool draining() const { return draining_; }
+
+private:
+    friend class fleet;
+
+    struct run {
+        pool::task_id task;
+        std::int64_t number = 0;
+        run_facts facts;
+        bool together = true; ///< its whole gang is present
+        time_point present;   ///< since when the run is here
+        double worked_ms = 0;
+        double restored_ms = 0; ///< work that the checkpoint carried
+        double pause_ms = 0;    ///< until its checkpoint is restored
+        std::string checkpoint;
+        std::optional<time_point> stop_at;
+    };
+
+    struct waiting_look {
+        time_point until;
+        http_respond respond;
+    };
+
+    std::int64_t clock_ms() const;
+    void tick(millis period);
+    void work(run& r, millis period);
+    void heartbeat();
+    void end_run(const std::string& task, pool::end_reason how);
+    void end_all(pool::end_reason how);
+    void extend_lease(std::int64_t until_ms);
+    void serve_order(const http_request& request, const http_respond& respond,
+                     http_reply (fleet_worker::*order)(const Json::Value&, bool late));
+    http_reply start_run(const Json::Value& body, bool late);
+    http_reply stop_run(const Json::Value& body, bool late);
+    void hold(const http_request& request, const http_respond& respond);
+    http_reply report() const;
+    http_reply reply(int status, const std::string& reason = "") const;
+    bool passes_fence(const Json::Value& body);
+    void wake_looks();
+
+    fleet& fleet_;
+    std::string id_;
+    worker_place place_;
+    http_server server_;
+    worker_faults faults_;
+    time_point born_;
+    std::int64_t born_ms_ = 0;
+    double clock_rate_ = 1;
+    std::uint64_t fence_ = 0;
+    std::int64_t lease_ms_ = 0;                 ///< end of the lease, on this worker's clock
+    std::map<std::string, run> runs_;           ///< by task
+    std::map<std::string, std::int64_t> ended_; ///< highest run ended or stopped, by task
+    std::deque<pool::ended_task> ends_;         ///< not taken note of
+    std::uint64_t last_end_ = 0;
+    std::list<waiting_look> looks_;
+    std::uint64_t seq_ = 0;
+    bool draining_ = false;
+    std::int64_t leaves_at_ms_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// All workers of one service, and the advisor that hands out their tickets.
+class fleet {
+public:
+    fleet(event_loop& loop, platform_store& store, witness& seen, worker_bounds bounds,
+          std::uint64_t seed);
+    ~fleet();
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+    fleet(fleet&&) = delete;
+    fleet& operator=(fleet&&) = delete;
+
+    /// Starts a worker and returns its id; an empty `id` gets a new one.
+    std::optional<std::string> add(const worker_place& place, const std::string& id, error& why);
+    /// Ends the worker at once, as a crash does.
+    void crash(const std::string& id);
+    fleet_worker* find(const std::string& id);
+    std::vector<std::string> ids() const;
+    /// Answers calls for advice one at a time.
+    void serve_advice(http_server& server);
+    void set_advice(millis base, double per_worker_ms, millis valid);
+
+    static constexpr const char* service_name = "places";
+
+private:
+    friend class fleet_worker;
+
+    void tick();
+    bool gang_is_present(const fleet_worker::run& r) const;
+    void end_gang(const pool::task_id& member, std::int64_t run, pool::end_reason how);
+    void advise(const http_request& request, const http_respond& respond);
+    bool ticket_is_good(const std::string& text, const std::string& step,
+                        const std::string& worker) const;
+
+    event_loop& loop_;
+    platform_store& store_;
+    witness& witness_;
+    worker_bounds bounds_;
+    std::mt19937_64 random_;
+    std::map<std::string, std::unique_ptr<fleet_worker>> workers_;
+    std::map<std::string, time_point> silent_entries_; ///< of workers that are gone
+    millis advice_base_{5};
+    double advice_per_worker_ms_ = 1;
+    millis advice_valid_{2000};
+    time_point advisor_free_;
+    std::map<std::string, time_point> tickets_; ///< end of validity
+    std::uint64_t next_id_ = 1;
+};
+
+} // namespace standin
--- /dev/null
+++ b/test/soak/cell.cc
@@ -0,0 +1,448 @@
+// Starts the cell and applies faults to it.
+
+#include "cell.h"
+
+#include <csignal>
+#include <fstream>
+
+#include <json/json.h>
+
+#include "sesamesill/rpc.h"
+
+namespace soak {
+namespace {
+
+constexpr int ports_a_member = 10;
+constexpr int ports_a_worker = 2;
+constexpr int members_offset = 10;
+constexpr int workers_offset = 200;
+constexpr std::int64_t worker_cores = 8;
+constexpr int workers_a_rack = 4;
+constexpr millis restart_delay{300};
+constexpr millis grace{6000};      ///< from SIGTERM to the end of the process
+constexpr millis late_grace{1500}; ///< for a process that was paused meanwhile
+constexpr millis collect_period{20};
+constexpr millis drain_notice{2500};
+constexpr int longest_version_step = 3;
+
+enum member_ports { clients, readiness, peers, metrics, peer_proxy, store_proxy, advice_proxy };
+
+} // namespace
+
+cell::cell(event_loop& loop, const cell_settings& settings, promises& checks)
+    : loop_(loop), settings_(settings), checks_(checks), store_(loop, settings.seed),
+      store_server_(loop), advice_server_(loop), fleet_(loop, store_, checks, {}, settings.seed)
+{
+    store_.serve(store_server_);
+    fleet_.serve_advice(advice_server_);
+}
+
+endpoint cell::member_port(int member, int which) const
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(settings_.first_port + members_offset +
+                                                    member * ports_a_member + which)};
+}
+
+endpoint cell::worker_port(int place, int which) const
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(settings_.first_port + workers_offset +
+                                                    place * ports_a_worker + which)};
+}
+
+bool cell::write_settings(int member, error& why) const
+{
+    const std::string path = settings_.run_dir + "/" + member_name(member) + ".ini";
+    std::ofstream file(path);
+    file << "[member]\nname = " << member_name(member) << "\ndata_center = d" << member % 3
+         << "\nlisten = " << to_string(member_port(member, clients))
+         << "\nreadiness_listen = " << to_string(member_port(member, readiness))
+         << "\npeer_listen = " << to_string(member_port(member, peers))
+         << "\npeer_address = " << to_string(member_port(member, peer_proxy))
+         << "\nmetrics_listen = " << to_string(member_port(member, metrics))
+         << "\nprocessor_share = 0.25\n[platform]\nstore = "
+         << to_string(member_port(member, store_proxy))
+         << "\nadvisor = " << to_string(member_port(member, advice_proxy))
+         << "\n[bounds]\nmax_lease_ms = 6000\nstop_timeout_ms = 200\ngang_timeout_ms = 3000\n"
+            "drain_limit_ms = 2000\nstatus_kept_s = 120\ngrace_s = 6\nremote_factor = 2\n"
+            "restore_ms = 100\n";
+    if (!file) {
+        why = {error_code::unavailable, step::settings, path, "cannot be written"};
+    }
+    return static_cast<bool>(file);
+}
+
+bool cell::start(error& why)
+{
+    const endpoint store{"127.0.0.1", settings_.first_port};
+    const endpoint advisor{"127.0.0.1", static_cast<std::uint16_t>(settings_.first_port + 1)};
+    if (!store_server_.listen(store, why) || !advice_server_.listen(advisor, why)) {
+        return false;
+    }
+    const auto link = [this, &why](const endpoint& from, const endpoint& to) {
+        links_.push_back(std::make_unique<proxy>(loop_, from, to));
+        return links_.back()->start(why);
+    };
+    publish();
+    for (int p = 0; p < settings_.workers; ++p) {
+        if (!link(worker_port(p, 1), worker_port(p, 0)) || !add_worker(p, "", why)) {
+            return false;
+        }
+    }
+    for (int m = 0; m < settings_.members; ++m) {
+        if (!link(member_port(m, peer_proxy), member_port(m, peers)) ||
+            !link(member_port(m, store_proxy), store) ||
+            !link(member_port(m, advice_proxy), advisor) || !write_settings(m, why)) {
+            return false;
+        }
+        start_member(m);
+    }
+    loop_.every(collect_period, [this] { collect(); });
+    return true;
+}
+
+std::vector<endpoint> cell::entries() const
+{
+    std::vector<endpoint> all;
+    all.reserve(static_cast<std::size_t>(settings_.members));
+    for (int m = 0; m < settings_.members; ++m) {
+        all.push_back(member_port(m, clients));
+    }
+    return all;
+}
+
+void cell::publish()
+{
+    version_ += 1 + version_ % longest_version_step;
+    Json::Value config;
+    config["Version"] = version_;
+    const auto route = [&config](const std::string& name, const std::string& prefix) {
+        Json::Value row;
+        row["Name"] = name;
+        row["Host"] = host;
+        row["PathPrefix"] = prefix;
+        row["Service"] = fleet::service_name;
+        row["MaxAttempts"] = 3;
+        row["Stretch"] = 2;
+        row["TargetLatencyMs"] = 1000;
+        row["TimeoutMs"] = 3000;
+        return row;
+    };
+    config["Routes"].append(route("plain", plain_prefix));
+    Json::Value advised = route("placed", advised_prefix);
+    advised["Advice"]["DecideMs"] = 5;
+    advised["Advice"]["PerWorkerMs"] = 1;
+    advised["Advice"]["ValidMs"] = 2000;
+    config["Routes"].append(advised);
+    config["Routes"].append(route("extra" + std::to_string(version_), "/extra/"));
+    Json::Value service;
+    service["Name"] = fleet::service_name;
+    config["Services"].append(service);
+    store_.put("keyed.op", "config", to_text(config));
+}
+
+void cell::start_member(int member)
+{
+    const std::string name = member_name(member);
+    if (processes_.running(name)) {
+        return;
+    }
+    expected_ends_.erase(name);
+    processes_.start(name,
+                     {settings_.program, "--settings", settings_.run_dir + "/" + name + ".ini"},
+                     settings_.run_dir + "/" + name + ".log");
+}
+
+void cell::start_later(int member)
+{
+    loop_.after(restart_delay, [this, member] { start_member(member); });
+}
+
+/// Takes note of processes that ended; those that weren't told to end break a promise.
+void cell::collect()
+{
+    for (const std::pair<std::string, int>& ended : processes_.collect()) {
+        if (expected_ends_.count(ended.first) == 0) {
+            checks_.report("runs", ended.first + " ended by itself with status " +
+                                       std::to_string(ended.second));
+        }
+        stop_by_.erase(ended.first);
+        start_later(std::stoi(ended.first.substr(1)));
+    }
+    const time_point now = boot_clock::now();
+    for (auto s = stop_by_.begin(); s != stop_by_.end();) {
+        const bool late = now > s->second;
+        if (late) {
+            checks_.report("grace", s->first + " runs on after its grace");
+            processes_.signal(s->first, SIGKILL);
+        }
+        s = late ? stop_by_.erase(s) : std::next(s);
+    }
+}
+
+/// Returns the member that last claimed the lead, or -1.
+int cell::leader() const
+{
+    const std::optional<Json::Value> record = json_from(store_.value_of("keyed.pool", "leader"));
+    return record && record->isObject() ? std::stoi((*record)["name"].asString().substr(1)) : -1;
+}
+
+int cell::target_member(const planned_fault& fault) const
+{
+    return static_cast<int>(fault.target % static_cast<std::uint32_t>(settings_.members));
+}
+
+fleet_worker* cell::target_worker(const planned_fault& fault)
+{
+    const std::vector<std::string> ids = fleet_.ids();
+    return ids.empty() ? nullptr : fleet_.find(ids[fault.target % ids.size()]);
+}
+
+bool cell::add_worker(int place, const std::string& id, error& why)
+{
+    worker_place where;
+    where.machine = "machine-" + std::to_string(place);
+    where.rack = "r1-" + std::to_string(place / workers_a_rack);
+    where.capacity = {worker_cores * 1000, 64000, 0};
+    where.listen = worker_port(place, 0);
+    where.advertised = worker_port(place, 1);
+    const std::optional<std::string> added = fleet_.add(where, id, why);
+    if (added) {
+        checks_.on_worker(*added, where.capacity);
+    }
+    return added.has_value();
+}
+
+void cell::add_worker_later(int place, const std::string& id, millis delay)
+{
+    loop_.after(delay, [this, place, id] {
+        error why;
+        if (!add_worker(place, id, why)) {
+            add_worker_later(place, id, restart_delay); // its predecessor hasn't left yet
+        }
+    });
+}
+
+/// Runs `action` unless the cell is healed before.
+void cell::after(millis delay, std::function<void()> action)
+{
+    loop_.after(delay, [this, round = healed_, action = std::move(action)] {
+        if (round == healed_) {
+            action();
+            checks_.on_fault();
+        }
+    });
+}
+
+void cell::kill(int member)
+{
+    expected_ends_[member_name(member)] = SIGKILL;
+    processes_.signal(member_name(member), SIGKILL);
+}
+
+void cell::pause(int member, millis length)
+{
+    const std::string name = member_name(member);
+    if (processes_.signal(name, SIGSTOP)) {
+        after(length, [this, name] { processes_.signal(name, SIGCONT); });
+    }
+}
+
+void cell::member_killed(const planned_fault& fault)
+{
+    kill(target_member(fault));
+}
+
+void cell::member_stopped(const planned_fault& fault)
+{
+    const std::string name = member_name(target_member(fault));
+    if (expected_ends_.count(name) == 0 && processes_.signal(name, SIGTERM)) {
+        expected_ends_[name] = SIGTERM;
+        stop_by_[name] = boot_clock::now() + grace + late_grace;
+    }
+}
+
+void cell::member_paused(const planned_fault& fault)
+{
+    pause(target_member(fault), fault.length);
+}
+
+void cell::leader_killed(const planned_fault& /*fault*/)
+{
+    if (leader() >= 0) {
+        kill(leader());
+    }
+}
+
+void cell::leader_paused(const planned_fault& fault)
+{
+    if (leader() >= 0) {
+        pause(leader(), fault.length);
+    }
+}
+
+void cell::all_killed(const planned_fault& /*fault*/)
+{
+    for (int m = 0; m < settings_.members; ++m) {
+        kill(m);
+    }
+}
+
+void cell::settings_reread(const planned_fault& fault)
+{
+    processes_.signal(member_name(target_member(fault)), SIGHUP);
+}
+
+void cell::link_fault(const planned_fault& fault)
+{
+    constexpr std::uint32_t slowest_ms = 400;
+    link_faults faults;
+    if (fault.kind == fault_kind::link_delayed) {
+        faults.delay = millis(1 + fault.target / links_.size() % slowest_ms);
+    }
+    faults.holds_up = fault.kind == fault_kind::link_held_up || fault.kind == fault_kind::link_cut;
+    faults.holds_down =
+        fault.kind == fault_kind::link_held_down || fault.kind == fault_kind::link_cut;
+    proxy& link = *links_[fault.target % links_.size()];
+    link.set_faults(faults);
+    after(fault.length, [&link] { link.set_faults({}); });
+}
+
+void cell::link_reset(const planned_fault& fault)
+{
+    links_[fault.target % links_.size()]->reset();
+}
+
+void cell::link_silenced(const planned_fault& fault)
+{
+    links_[fault.target % links_.size()]->silence();
+}
+
+void cell::store_fault(const planned_fault& fault)
+{
+    constexpr millis slow{400};
+    store_faults faults;
+    faults.refuses = fault.kind == fault_kind::store_refuses;
+    faults.silent = fault.kind == fault_kind::store_silent;
+    faults.delay = fault.kind == fault_kind::store_slow ? slow : faults.delay;
+    faults.lost_are_late = fault.kind == fault_kind::store_late;
+    if (faults.lost_are_late || fault.kind == fault_kind::store_loses_answers) {
+        faults.lost_answers = 0.3;
+    }
+    store_.set_faults(faults);
+    after(fault.length, [this] { store_.set_faults({}); });
+}
+
+void cell::store_trimmed(const planned_fault& /*fault*/)
+{
+    for (const char* topic : {"keyed.pool", "keyed.op", "keyed.servers"}) {
+        store_.trim(topic);
+    }
+}
+
+void cell::worker_gone(const planned_fault& fault)
+{
+    const fleet_worker* w = target_worker(fault);
+    if (w == nullptr) {
+        return;
+    }
+    const bool keeps_name = fault.kind == fault_kind::worker_restarts;
+    const std::string id = w->id();
+    const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+    fleet_.crash(id);
+    add_worker_later(place, keeps_name ? id : "", fault.length);
+}
+
+void cell::worker_leaves(const planned_fault& fault)
+{
+    fleet_worker* w = target_worker(fault);
+    if (w != nullptr && !w->draining()) {
+        w->drain(drain_notice);
+        const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+        add_worker_later(place, "", drain_notice + fault.length);
+    }
+}
+
+void cell::worker_fault(const planned_fault& fault)
+{
+    constexpr double late_share = 0.5;
+    constexpr double slowness = 4;
+    worker_faults faults;
+    faults.late_orders = fault.kind == fault_kind::worker_late ? late_share : 0;
+    faults.fails_all = fault.kind == fault_kind::worker_fails_all;
+    faults.stands_still = fault.kind == fault_kind::worker_stands_still;
+    faults.slowness = fault.kind == fault_kind::worker_slow ? slowness : 1;
+    faults.refuses = fault.kind == fault_kind::worker_refuses;
+    fleet_worker* w = target_worker(fault);
+    if (w == nullptr) {
+        return;
+    }
+    w->set_faults(faults);
+    after(fault.length, [this, id = w->id()] {
+        if (fleet_.find(id) != nullptr) {
+            fleet_.find(id)->set_faults({});
+        }
+    });
+}
+
+void cell::configuration_changes(const planned_fault& /*fault*/)
+{
+    publish();
+}
+
+const std::map<fault_kind, cell::method>& cell::methods()
+{
+    static const std::map<fault_kind, method> table{
+        {fault_kind::member_killed, &cell::member_killed},
+        {fault_kind::member_stopped, &cell::member_stopped},
+        {fault_kind::member_paused, &cell::member_paused},
+        {fault_kind::leader_killed, &cell::leader_killed},
+        {fault_kind::leader_paused, &cell::leader_paused},
+        {fault_kind::all_killed, &cell::all_killed},
+        {fault_kind::settings_reread, &cell::settings_reread},
+        {fault_kind::link_delayed, &cell::link_fault},
+        {fault_kind::link_held_up, &cell::link_fault},
+        {fault_kind::link_held_down, &cell::link_fault},
+        {fault_kind::link_cut, &cell::link_fault},
+        {fault_kind::link_reset, &cell::link_reset},
+        {fault_kind::link_silenced, &cell::link_silenced},
+        {fault_kind::store_refuses, &cell::store_fault},
+        {fault_kind::store_silent, &cell::store_fault},
+        {fault_kind::store_slow, &cell::store_fault},
+        {fault_kind::store_loses_answers, &cell::store_fault},
+        {fault_kind::store_late, &cell::store_fault},
+        {fault_kind::store_trimmed, &cell::store_trimmed},
+        {fault_kind::worker_crashes, &cell::worker_gone},
+        {fault_kind::worker_restarts, &cell::worker_gone},
+        {fault_kind::worker_leaves, &cell::worker_leaves},
+        {fault_kind::worker_late, &cell::worker_fault},
+        {fault_kind::worker_fails_all, &cell::worker_fault},
+        {fault_kind::worker_stands_still, &cell::worker_fault},
+        {fault_kind::worker_slow, &cell::worker_fault},
+        {fault_kind::worker_refuses, &cell::worker_fault},
+        {fault_kind::configuration_changes, &cell::configuration_changes}};
+    return table;
+}
+
+void cell::apply(const planned_fault& fault)
+{
+    checks_.on_fault();
+    (this->*methods().at(fault.kind))(fault);
+}
+
+void cell::heal()
+{
+    ++healed_;
+    store_.set_faults({});
+    for (const std::unique_ptr<proxy>& link : links_) {
+        link->set_faults({});
+    }
+    for (const std::string& id : fleet_.ids()) {
+        fleet_.find(id)->set_faults({});
+    }
+    for (int m = 0; m < settings_.members; ++m) {
+        processes_.signal(member_name(m), SIGCONT);
+    }
+    checks_.on_fault();
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/cell.h
@@ -0,0 +1,99 @@
+// The cell that a soak torments: real members as processes, stand-ins for store and workers, and a
+// proxy on each link between them.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "../platform_standin/store.h"
+#include "../platform_standin/workers.h"
+#include "../scenario/process.h"
+#include "plan.h"
+#include "promises.h"
+#include "proxy.h"
+
+namespace soak {
+
+struct cell_settings {
+    std::string program; ///< of a member
+    std::string run_dir; ///< for settings and logs
+    std::uint16_t first_port = 24000;
+    int members = 6;
+    int workers = 12;
+    std::uint64_t seed = 1;
+};
+
+class cell {
+public:
+    cell(event_loop& loop, const cell_settings& settings, promises& checks);
+
+    bool start(error& why);
+    void apply(const planned_fault& fault);
+    /// Ends all faults; what was killed comes back.
+    void heal();
+    /// Where clients reach the members, whether they run or not.
+    std::vector<endpoint> entries() const;
+    std::uint64_t store_calls() const { return store_.calls(); }
+
+    static constexpr const char* host = "soak.example";
+    static constexpr const char* plain_prefix = "/plain/";    ///< any worker may run its tasks
+    static constexpr const char* advised_prefix = "/placed/"; ///< only those that the advisor names
+
+private:
+    using method = void (cell::*)(const planned_fault&);
+
+    endpoint member_port(int member, int which) const;
+    endpoint worker_port(int place, int which) const;
+    std::string member_name(int member) const { return "m" + std::to_string(member); }
+    bool write_settings(int member, error& why) const;
+    void start_member(int member);
+    void start_later(int member);
+    void collect();
+    void publish();
+    int leader() const;
+    int target_member(const planned_fault& fault) const;
+    fleet_worker* target_worker(const planned_fault& fault);
+    bool add_worker(int place, const std::string& id, error& why);
+    void add_worker_later(int place, const std::string& id, millis delay);
+    void after(millis delay, std::function<void()> action);
+
+    void kill(int member);
+    void pause(int member, millis length);
+    void member_killed(const planned_fault& fault);
+    void member_stopped(const planned_fault& fault);
+    void member_paused(const planned_fault& fault);
+    void leader_killed(const planned_fault& fault);
+    void leader_paused(const planned_fault& fault);
+    void all_killed(const planned_fault& fault);
+    void settings_reread(const planned_fault& fault);
+    void link_fault(const planned_fault& fault);
+    void link_reset(const planned_fault& fault);
+    void link_silenced(const planned_fault& fault);
+    void store_fault(const planned_fault& fault);
+    void store_trimmed(const planned_fault& fault);
+    void worker_gone(const planned_fault& fault);
+    void worker_leaves(const planned_fault& fault);
+    void worker_fault(const planned_fault& fault);
+    void configuration_changes(const planned_fault& fault);
+    static const std::map<fault_kind, method>& methods();
+
+    event_loop& loop_;
+    cell_settings settings_;
+    promises& checks_;
+    platform_store store_;
+    http_server store_server_;
+    http_server advice_server_;
+    fleet fleet_;
+    std::vector<std::unique_ptr<proxy>> links_;
+    scenario::process_group processes_;
+    std::map<std::string, int> expected_ends_;  ///< members that were told to end, with the signal
+    std::map<std::string, time_point> stop_by_; ///< those that were told to by SIGTERM
+    int version_ = 0;
+    int healed_ = 0; ///< faults that began before the last healing end by it
+};
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/clients.cc
@@ -0,0 +1,262 @@
+// Draws jobs and follows each until it is over.
+
+#include "clients.h"
+
+#include <cstdio>
+
+#include <json/json.h>
+
+#include "cell.h"
+#include "sesamesill/rpc.h"
+
+namespace soak {
+namespace {
+
+constexpr int most_attempts = 6;
+constexpr millis client_patience{3000};
+constexpr millis come_back{300};
+constexpr millis look_gap{500};
+constexpr millis look_period{50};
+constexpr millis repeat_delay{2000};
+constexpr double cancelled_share = 0.08;
+constexpr double repeated_share = 0.05; ///< handed in again, seconds after the answer
+constexpr double hopeless_share = 0.02; ///< fails however often it is tried
+
+Json::Value body_of(const pool::job_spec& spec)
+{
+    Json::Value body;
+    body["Spec"] = spec.payload;
+    for (const pool::step_spec& s : spec.steps) {
+        Json::Value step;
+        step["Count"] = s.tasks;
+        step["Cpu"] = static_cast<Json::Int64>(s.need.cpu_millis);
+        step["MemMb"] = static_cast<Json::Int64>(s.need.memory_mb);
+        step["EstMs"] = static_cast<Json::Int64>(s.estimate.count());
+        for (const int earlier : s.after) {
+            step["After"].append(earlier);
+        }
+        if (s.gang) {
+            step["Gang"] = true;
+        }
+        if (s.saves_progress) {
+            step["SavesProgress"] = true;
+        }
+        body["Steps"].append(step);
+    }
+    return body;
+}
+
+pool::step_spec step_of(int tasks, std::int64_t cpu_millis, millis estimate)
+{
+    pool::step_spec step;
+    step.tasks = tasks;
+    step.need = {cpu_millis, 100, 0};
+    step.estimate = estimate;
+    return step;
+}
+
+} // namespace
+
+clients::clients(event_loop& loop, std::vector<endpoint> entries, promises& checks,
+                 std::uint64_t seed)
+    : loop_(loop), client_(loop, "soak"), entries_(std::move(entries)), checks_(checks),
+      random_(seed)
+{
+    loop_.every(look_period, [this] { look_around(); });
+}
+
+void clients::start(millis gap)
+{
+    next_job(gap);
+}
+
+/// Quick jobs of one step, chains, gangs, and long tasks that save their progress.
+pool::job_spec clients::draw(std::vector<millis>& work, std::vector<int>& runs_fail)
+{
+    std::uniform_int_distribution<int> percent(0, 99);
+    pool::job_spec spec;
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(random_()));
+    spec.id = id;
+    spec.queue = percent(random_) < 50 ? "plain" : "placed";
+    spec.payload = "payload of " + spec.id;
+    const int kind = percent(random_);
+    if (kind < 60) {
+        spec.steps = {step_of(2, 1000, millis(300))};
+        work = {millis(250)};
+    }
+    else if (kind < 80) {
+        spec.steps = {step_of(4, 1000, millis(500)), step_of(3, 2000, millis(400))};
+        spec.steps[1].after = {0};
+        work = {millis(500), millis(300)};
+    }
+    else if (kind < 92) {
+        spec.steps = {step_of(5, 2000, millis(900))};
+        spec.steps[0].gang = true;
+        spec.steps[0].saves_progress = percent(random_) < 50;
+        work = {millis(1000)};
+    }
+    else {
+        spec.steps = {step_of(2, 1000, millis(2500))};
+        spec.steps[0].saves_progress = true;
+        work = {millis(2500)};
+    }
+    for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+        const int draw = percent(random_);
+        runs_fail.push_back(draw < 100 * hopeless_share ? 1000 : draw < 10 ? 1 : 0);
+    }
+    return spec;
+}
+
+void clients::next_job(millis gap)
+{
+    if (stopped_) {
+        return;
+    }
+    std::vector<millis> work;
+    std::vector<int> runs_fail;
+    job j;
+    j.spec = draw(work, runs_fail);
+    j.path = (j.spec.queue == "plain" ? cell::plain_prefix : cell::advised_prefix) + j.spec.id;
+    checks_.declare(j.spec, work, runs_fail, j.spec.queue != "plain");
+    const std::string id = j.spec.id;
+    jobs_.emplace(id, std::move(j));
+    ++counts_.sent;
+    hand_in(id);
+    std::exponential_distribution<> pause(1.0 / static_cast<double>(gap.count()));
+    loop_.after(millis(static_cast<std::int64_t>(pause(random_))), [this, gap] { next_job(gap); });
+}
+
+http_call clients::call_for(const job& j, const char* method) const
+{
+    http_call call;
+    call.method = method;
+    call.path = j.path;
+    call.headers["Host"] = cell::host;
+    call.headers["Sesamesill-Timeout-Ms"] = std::to_string(client_patience.count());
+    call.timeout = client_patience;
+    return call;
+}
+
+const endpoint& clients::any_entry()
+{
+    return entries_[random_() % entries_.size()];
+}
+
+void clients::hand_in(const std::string& id)
+{
+    job& j = jobs_.at(id);
+    ++j.attempts;
+    http_call call = call_for(j, "POST");
+    call.headers["Content-Type"] = "application/json";
+    call.body = to_text(body_of(j.spec));
+    client_.send(any_entry(), std::move(call),
+                 [this, id](const std::optional<http_reply>& reply, const error& why) {
+                     on_handed_in(id, reply, why);
+                 });
+}
+
+void clients::on_handed_in(const std::string& id, const std::optional<http_reply>& reply,
+                           const error& why)
+{
+    job& j = jobs_.at(id);
+    if (reply && reply->status == 200) {
+        on_accepted(j);
+        return;
+    }
+    const bool refused =
+        reply ? reply->status == 503 || reply->status == 429 : why.code == error_code::unavailable;
+    if (reply && !refused && reply->status != 504 && reply->status != 502) {
+        ++counts_.invalid;
+        checks_.report("answers",
+                       id + " got status " + std::to_string(reply->status) + " " + reply->body);
+    }
+    j.unanswered = j.unanswered || !refused;
+    if (j.accepted) {
+        return; // a repeat
+    }
+    if (j.attempts < most_attempts) {
+        loop_.after(come_back, [this, id] { hand_in(id); });
+        return;
+    }
+    if (j.unanswered) {
+        ++counts_.unknown;
+        return;
+    }
+    ++counts_.refused;
+    checks_.on_handed_in(id, handing::refused);
+}
+
+void clients::on_accepted(job& j)
+{
+    if (j.accepted) {
+        return;
+    }
+    j.accepted = true;
+    ++counts_.accepted;
+    checks_.on_handed_in(j.spec.id, handing::accepted);
+    j.look_after = boot_clock::now() + look_gap;
+    std::uniform_real_distribution<> share(0, 1);
+    const std::string id = j.spec.id;
+    if (share(random_) < cancelled_share) {
+        loop_.after(millis(random_() % 1000), [this, id] { cancel(id, 0); });
+    }
+    else if (share(random_) < repeated_share) {
+        loop_.after(repeat_delay, [this, id] { hand_in(id); });
+    }
+}
+
+void clients::cancel(const std::string& id, int attempts)
+{
+    if (attempts == 0) {
+        checks_.on_cancel_sent(id);
+    }
+    client_.send(any_entry(), call_for(jobs_.at(id), "DELETE"),
+                 [this, id, attempts](const std::optional<http_reply>& reply, const error&) {
+                     if (reply && (reply->status == 200 || reply->status == 410)) {
+                         checks_.on_cancelled(id);
+                     }
+                     else if (attempts < most_attempts) {
+                         loop_.after(come_back, [this, id, attempts] { cancel(id, attempts + 1); });
+                     }
+                 });
+}
+
+void clients::look_around()
+{
+    const time_point now = boot_clock::now();
+    for (std::pair<const std::string, job>& named : jobs_) {
+        job& j = named.second;
+        if (j.accepted && !j.over && now >= j.look_after) {
+            j.look_after = now + client_patience + look_gap; // until the answer is here
+            look(named.first);
+        }
+    }
+}
+
+void clients::look(const std::string& id)
+{
+    client_.send(any_entry(), call_for(jobs_.at(id), "GET"),
+                 [this, id](const std::optional<http_reply>& reply, const error&) {
+                     job& j = jobs_.at(id);
+                     j.look_after = boot_clock::now() + look_gap;
+                     if (!reply) {
+                         return; // asks again
+                     }
+                     if (reply->status == 410) {
+                         checks_.on_gone(id);
+                         return;
+                     }
+                     const std::optional<Json::Value> body = json_from(reply->body);
+                     const std::optional<pool::job_state> state =
+                         reply->status == 200 && body && body->isObject()
+                             ? pool::job_state_from((*body)["State"].asString())
+                             : std::nullopt;
+                     if (state) {
+                         checks_.on_shown(id, *state);
+                         j.over = is_final(*state);
+                     }
+                 });
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/clients.h
@@ -0,0 +1,66 @@
+// Clients of a soak: they hand jobs in at any member, ask again where no answer comes, look at
+// states and cancel some. Connections stay open until the process at their end is gone.
+
+#pragma once
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "promises.h"
+#include "sesamesill/http.h"
+
+namespace soak {
+
+struct client_counts {
+    std::size_t sent = 0;
+    std::size_t accepted = 0;
+    std::size_t refused = 0;
+    std::size_t unknown = 0;
+    std::size_t invalid = 0; ///< answers that no member should give
+};
+
+class clients {
+public:
+    clients(event_loop& loop, std::vector<endpoint> entries, promises& checks, std::uint64_t seed);
+
+    /// Hands in one job after the other, `gap` apart on average.
+    void start(millis gap);
+    void stop() { stopped_ = true; }
+    const client_counts& counts() const { return counts_; }
+
+private:
+    struct job {
+        pool::job_spec spec;
+        std::string path;
+        int attempts = 0;
+        bool unanswered = false; ///< some attempt may have been taken
+        bool accepted = false;
+        bool over = false;
+        time_point look_after;
+    };
+
+    void next_job(millis gap);
+    pool::job_spec draw(std::vector<millis>& work, std::vector<int>& runs_fail);
+    http_call call_for(const job& j, const char* method) const;
+    const endpoint& any_entry();
+    void hand_in(const std::string& id);
+    void on_handed_in(const std::string& id, const std::optional<http_reply>& reply,
+                      const error& why);
+    void on_accepted(job& j);
+    void cancel(const std::string& id, int attempts);
+    void look_around();
+    void look(const std::string& id);
+
+    event_loop& loop_;
+    http_client client_;
+    std::vector<endpoint> entries_;
+    promises& checks_;
+    std::mt19937_64 random_;
+    std::map<std::string, job> jobs_;
+    client_counts counts_;
+    bool stopped_ = false;
+};
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/plan.cc
@@ -0,0 +1,85 @@
+// Draws faults.
+
+#include "plan.h"
+
+#include <algorithm>
+#include <random>
+
+#include "sesamesill/names.h"
+
+namespace soak {
+namespace {
+
+constexpr sesamesill::name_table<fault_kind, fault_kinds> fault_names{
+    {{fault_kind::member_killed, "member_killed"},
+     {fault_kind::member_stopped, "member_stopped"},
+     {fault_kind::member_paused, "member_paused"},
+     {fault_kind::leader_killed, "leader_killed"},
+     {fault_kind::leader_paused, "leader_paused"},
+     {fault_kind::all_killed, "all_killed"},
+     {fault_kind::settings_reread, "settings_reread"},
+     {fault_kind::link_delayed, "link_delayed"},
+     {fault_kind::link_held_up, "link_held_up"},
+     {fault_kind::link_held_down, "link_held_down"},
+     {fault_kind::link_cut, "link_cut"},
+     {fault_kind::link_reset, "link_reset"},
+     {fault_kind::link_silenced, "link_silenced"},
+     {fault_kind::store_refuses, "store_refuses"},
+     {fault_kind::store_silent, "store_silent"},
+     {fault_kind::store_slow, "store_slow"},
+     {fault_kind::store_loses_answers, "store_loses_answers"},
+     {fault_kind::store_late, "store_late"},
+     {fault_kind::store_trimmed, "store_trimmed"},
+     {fault_kind::worker_crashes, "worker_crashes"},
+     {fault_kind::worker_restarts, "worker_restarts"},
+     {fault_kind::worker_leaves, "worker_leaves"},
+     {fault_kind::worker_late, "worker_late"},
+     {fault_kind::worker_fails_all, "worker_fails_all"},
+     {fault_kind::worker_stands_still, "worker_stands_still"},
+     {fault_kind::worker_slow, "worker_slow"},
+     {fault_kind::worker_refuses, "worker_refuses"},
+     {fault_kind::configuration_changes, "configuration_changes"}}};
+
+constexpr double series_share = 0.3;
+constexpr int longest_series = 4;
+constexpr millis series_gap{400};
+constexpr millis shortest{200};
+constexpr millis longest{4000};
+
+} // namespace
+
+std::string_view name_of(fault_kind kind)
+{
+    return sesamesill::name_in(fault_names, kind);
+}
+
+std::vector<planned_fault> draw_faults(std::uint64_t seed, millis duration, millis gap)
+{
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<> pause(1.0 / static_cast<double>(gap.count()));
+    std::uniform_real_distribution<> share(0, 1);
+    std::uniform_int_distribution<std::int64_t> length(shortest.count(), longest.count());
+    std::uniform_int_distribution<int> kinds(0, static_cast<int>(fault_kinds) - 1);
+    std::uniform_int_distribution<int> repeats(2, longest_series);
+    std::vector<planned_fault> faults;
+    millis at{0};
+    while (at < duration) {
+        at += millis(static_cast<std::int64_t>(pause(random)) + 1);
+        planned_fault fault;
+        fault.kind = static_cast<fault_kind>(kinds(random));
+        const int times = share(random) < series_share ? repeats(random) : 1;
+        for (int n = 0; n < times; ++n) {
+            fault.at = at + n * series_gap;
+            fault.target = static_cast<std::uint32_t>(random());
+            fault.length = millis(length(random));
+            if (fault.at < duration) {
+                faults.push_back(fault);
+            }
+        }
+    }
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    return faults;
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/proxy.cc
@@ -0,0 +1,228 @@
+// Two buffered sockets a connection, joined by libevent.
+
+#include "proxy.h"
+
+#include <cstring>
+#include <deque>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include "evhttp.h"
+
+namespace soak {
+namespace {
+
+sockaddr_in address_of(const endpoint& e)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(e.port);
+    inet_pton(AF_INET, e.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+/// Makes closing the socket send a reset.
+void reset_on_close(bufferevent* socket)
+{
+    const linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(socket), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
+} // namespace
+
+/// One connection. Owned by its proxy; `self` keeps it while a delayed write is under way.
+struct proxy::link : std::enable_shared_from_this<proxy::link> {
+    proxy::state* owner = nullptr;
+    bufferevent* client = nullptr;
+    bufferevent* server = nullptr;
+    bool silent = false;
+    std::deque<std::string> delayed[2]; ///< down, up: in the order of their arrival
+
+    link() = default;
+    ~link() { close(false); }
+    link(const link&) = delete;
+    link& operator=(const link&) = delete;
+    link(link&&) = delete;
+    link& operator=(link&&) = delete;
+
+    void close(bool reset)
+    {
+        for (bufferevent** side : {&client, &server}) {
+            if (*side != nullptr) {
+                if (reset) {
+                    reset_on_close(*side);
+                }
+                bufferevent_free(*side);
+                *side = nullptr;
+            }
+        }
+    }
+};
+
+struct proxy::state {
+    state(event_loop& l, endpoint at, endpoint to)
+        : loop(l), listen(std::move(at)), server(std::move(to))
+    {
+    }
+
+    event_loop& loop;
+    endpoint listen;
+    endpoint server;
+    evconnlistener* listener = nullptr;
+    link_faults faults;
+    std::set<std::shared_ptr<link>> links;
+
+    void apply(link& l) const
+    {
+        const auto set = [](bufferevent* side, bool reads) {
+            if (side != nullptr) {
+                reads ? bufferevent_enable(side, EV_READ) : bufferevent_disable(side, EV_READ);
+            }
+        };
+        set(l.client, !l.silent && !faults.holds_up);
+        set(l.server, !l.silent && !faults.holds_down);
+    }
+
+    void accept(evutil_socket_t socket);
+    static void on_data(bufferevent* from, void* argument);
+    static void on_event(bufferevent* from, short what, void* argument);
+};
+
+void proxy::state::accept(evutil_socket_t socket)
+{
+    event_base* base = loop.internals().base;
+    const std::shared_ptr<link> l = std::make_shared<link>();
+    l->owner = this;
+    l->client = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
+    l->server = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    const sockaddr_in to = address_of(server);
+    for (bufferevent* side : {l->client, l->server}) {
+        bufferevent_setcb(side, on_data, nullptr, on_event, l.get());
+        bufferevent_enable(side, EV_WRITE);
+    }
+    links.insert(l);
+    if (bufferevent_socket_connect(l->server, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) !=
+        0) {
+        l->close(true);
+        links.erase(l);
+        return;
+    }
+    apply(*l);
+}
+
+void proxy::state::on_data(bufferevent* from, void* argument)
+{
+    link* l = static_cast<link*>(argument);
+    const std::string bytes = detail::read_all(bufferevent_get_input(from));
+    const bool upwards = from == l->client;
+    const auto pass = [](link& to, bool up, const std::string& text) {
+        bufferevent* side = up ? to.server : to.client;
+        if (side != nullptr) {
+            bufferevent_write(side, text.data(), text.size());
+        }
+    };
+    const std::size_t way = upwards ? 1 : 0;
+    if (l->owner->faults.delay == millis(0) && l->delayed[way].empty()) {
+        pass(*l, upwards, bytes);
+        return;
+    }
+    // Each timer passes on the oldest bytes, so that none overtake others when the delay changes.
+    l->delayed[way].push_back(bytes);
+    const std::weak_ptr<link> weak = l->weak_from_this();
+    l->owner->loop.after(l->owner->faults.delay, [weak, way, pass] {
+        const std::shared_ptr<link> kept = weak.lock();
+        if (kept && !kept->delayed[way].empty()) {
+            const std::string oldest = kept->delayed[way].front();
+            kept->delayed[way].pop_front();
+            pass(*kept, way == 1, oldest);
+        }
+    });
+}
+
+void proxy::state::on_event(bufferevent* from, short what, void* argument)
+{
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+        return;
+    }
+    link* l = static_cast<link*>(argument);
+    const std::shared_ptr<link> kept = l->shared_from_this();
+    state* owner = l->owner;
+    bufferevent* other = from == l->client ? l->server : l->client;
+    const bool clean = (what & BEV_EVENT_EOF) != 0;
+    if (clean && other != nullptr && !l->silent &&
+        evbuffer_get_length(bufferevent_get_output(other)) > 0) {
+        // Ends the connection once the last bytes have left.
+        bufferevent_disable(from, EV_READ);
+        owner->loop.after(millis(20), [owner, weak = std::weak_ptr<link>(kept)] {
+            const std::shared_ptr<link> late = weak.lock();
+            if (late) {
+                late->close(false);
+                owner->links.erase(late);
+            }
+        });
+        return;
+    }
+    kept->close(!clean);
+    owner->links.erase(kept);
+}
+
+proxy::proxy(event_loop& loop, endpoint listen, endpoint server)
+    : state_(std::make_shared<state>(loop, std::move(listen), std::move(server)))
+{
+}
+
+proxy::~proxy()
+{
+    state_->links.clear();
+    if (state_->listener != nullptr) {
+        evconnlistener_free(state_->listener);
+    }
+}
+
+bool proxy::start(error& why)
+{
+    const sockaddr_in at = address_of(state_->listen);
+    constexpr int backlog = 128;
+    state_->listener = evconnlistener_new_bind(
+        state_->loop.internals().base,
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
+            static_cast<state*>(argument)->accept(socket);
+        },
+        state_.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
+        reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+    if (state_->listener == nullptr) {
+        why = {error_code::unavailable, step::rpc, to_string(state_->listen), std::strerror(errno)};
+    }
+    return state_->listener != nullptr;
+}
+
+void proxy::set_faults(const link_faults& faults)
+{
+    state_->faults = faults;
+    for (const std::shared_ptr<link>& l : state_->links) {
+        state_->apply(*l);
+    }
+}
+
+void proxy::reset()
+{
+    for (const std::shared_ptr<link>& l : state_->links) {
+        l->close(true);
+    }
+    state_->links.clear();
+}
+
+void proxy::silence()
+{
+    for (const std::shared_ptr<link>& l : state_->links) {
+        l->silent = true;
+        state_->apply(*l);
+    }
+}
+
+} // namespace soak
--- /dev/null
+++ b/test/soak/soak.cc
@@ -0,0 +1,160 @@
+// Runs one soak: a cell of real processes under faults drawn from a seed, watched for broken
+// promises. Exit status 1 where one was broken.
+
+#include <algorithm>
+#include <iostream>
+
+#include <gflags/gflags.h>
+
+#include "cell.h"
+#include "clients.h"
+#include "sesamesill/log.h"
+
+DEFINE_string(program, "build/release/sesamesill-member", "a member of the control plane");
+DEFINE_string(run_dir, "", "directory for settings and logs");
+DEFINE_uint64(seed, 1, "draws faults and jobs");
+DEFINE_int32(seconds, 20, "time under faults");
+DEFINE_int32(members, 6, "processes");
+DEFINE_int32(workers, 12, "stand-ins of workers");
+DEFINE_int32(fault_gap_ms, 600, "between faults, on average");
+DEFINE_int32(job_gap_ms, 80, "between jobs, on average");
+DEFINE_int32(first_port, 24000, "of some 300 that are used");
+DEFINE_string(only, "", "faults of this kind only");
+DEFINE_bool(verbose, false, "print each fault as it comes");
+
+namespace {
+
+using namespace soak;
+
+constexpr millis warm_up{3000};
+constexpr millis recovery{
+    12000}; ///< the platform's bound: from the last fault until jobs are served
+constexpr millis settling{30000}; ///< by then what was accepted has ended
+constexpr millis check_period{100};
+constexpr millis last_jobs{3000};      ///< handed in after the recovery
+constexpr std::size_t served_part = 4; ///< at least a quarter is served then
+
+class run {
+public:
+    explicit run(event_loop& loop)
+        : loop_(loop), checks_(promise_bounds{}),
+          cell_(loop,
+                {FLAGS_program, FLAGS_run_dir, static_cast<std::uint16_t>(FLAGS_first_port),
+                 FLAGS_members, FLAGS_workers, FLAGS_seed},
+                checks_),
+          clients_(loop, cell_.entries(), checks_, FLAGS_seed)
+    {
+    }
+
+    bool start(error& why)
+    {
+        if (!cell_.start(why)) {
+            return false;
+        }
+        begun_ = boot_clock::now();
+        loop_.after(warm_up, [this] {
+            clients_.start(millis(FLAGS_job_gap_ms));
+            plan();
+        });
+        loop_.every(check_period, [this] {
+            if (!checks_.broken().empty()) {
+                finish();
+            }
+        });
+        return true;
+    }
+
+    bool good() const { return checks_.broken().empty(); }
+
+    void print() const
+    {
+        const client_counts& c = clients_.counts();
+        std::cout << (good() ? "ok" : "FAILED") << " soak seed " << FLAGS_seed << ": " << c.sent
+                  << " jobs, " << c.accepted << " accepted, " << c.refused << " refused, "
+                  << c.unknown << " unknown, " << checks_.starts() << " starts, " << faults_
+                  << " faults, " << cell_.store_calls() << " store calls\n";
+        constexpr std::size_t most_printed = 10;
+        for (std::size_t n = 0; n < std::min(most_printed, checks_.broken().size()); ++n) {
+            std::cout << "  " << checks_.broken()[n] << '\n';
+        }
+    }
+
+private:
+    void plan()
+    {
+        const millis duration(FLAGS_seconds * 1000);
+        for (const planned_fault& f :
+             draw_faults(FLAGS_seed, duration, millis(FLAGS_fault_gap_ms))) {
+            if (!FLAGS_only.empty() && FLAGS_only != name_of(f.kind)) {
+                continue;
+            }
+            loop_.after(f.at, [this, f] {
+                ++faults_;
+                if (FLAGS_verbose) {
+                    std::cout << to_millis(boot_clock::now() - begun_) << " ms " << name_of(f.kind)
+                              << ' ' << f.target << ' ' << f.length.count() << " ms\n";
+                }
+                cell_.apply(f);
+            });
+        }
+        loop_.after(duration, [this] {
+            cell_.heal();
+            loop_.after(recovery, [this] { after_recovery(); });
+        });
+    }
+
+    void after_recovery()
+    {
+        const client_counts before = clients_.counts();
+        loop_.after(last_jobs, [this, before] {
+            const client_counts& now = clients_.counts();
+            if ((now.accepted - before.accepted) * served_part < now.sent - before.sent) {
+                checks_.report("recover", std::to_string(now.accepted - before.accepted) + " of " +
+                                              std::to_string(now.sent - before.sent) +
+                                              " jobs were accepted after the recovery");
+            }
+            clients_.stop();
+            await_ends(boot_clock::now() + settling);
+        });
+    }
+
+    void await_ends(time_point until)
+    {
+        const std::vector<std::string> left = checks_.unfinished();
+        if (!left.empty() && boot_clock::now() < until) {
+            loop_.after(check_period, [this, until] { await_ends(until); });
+            return;
+        }
+        for (const std::string& id : left) {
+            checks_.report("lost", id + " was accepted and hasn't ended");
+        }
+        finish();
+    }
+
+    void finish() { loop_.stop(); }
+
+    event_loop& loop_;
+    promises checks_;
+    cell cell_;
+    clients clients_;
+    time_point begun_;
+    std::size_t faults_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("soaks members of the control plane in faults");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    event_loop loop;
+    run soak(loop);
+    error why;
+    if (!soak.start(why)) {
+        std::cerr << to_string(why) << '\n';
+        return 2;
+    }
+    loop.run();
+    soak.print();
+    return soak.good() ? 0 : 1;
+}
