Don't begin a run anew where its repeated start meets its own end

The run was taken for never begun, and its task was started elsewhere: it ran twice. Now such a run counts as confirmed, and the next look lists its end or shows that there is none. Ruled out: late orders (none were under way), the successor's look (no change of leader). Tests fail before and pass after.

--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -235,19 +235,22 @@
 
 namespace {
 
-/// Drops the workers in `failed_on`, unless nothing else is left.
-void leave_out(std::vector<candidate>& candidates, const std::set<std::string>& failed_on)
+/// Drops the workers in `failed_on`, unless the others could never hold the whole step.
+void leave_out(std::vector<candidate>& candidates, const std::set<std::string>& failed_on,
+               const step_spec& step)
 {
     if (failed_on.empty()) {
         return;
     }
     std::vector<candidate> others;
+    int held = 0;
     for (const candidate& c : candidates) {
         if (failed_on.count(c.where->entry.id) == 0) {
             others.push_back(c);
+            held += fitting(taken_by(step), c.where->entry.capacity, step.tasks);
         }
     }
-    if (!others.empty()) {
+    if (held >= step.tasks) {
         candidates.swap(others);
     }
 }
@@ -271,7 +274,7 @@
     for (const task_record& t : step.tasks) {
         failed_on.insert(t.failed_on.begin(), t.failed_on.end());
     }
-    leave_out(candidates, failed_on);
+    leave_out(candidates, failed_on, spec);
     const std::vector<int> counts = spread_gang(candidates, spec.tasks, spec.same_rack);
     if (counts.empty()) {
         hold_back_for(u, entry, now);
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -208,6 +208,11 @@
         }
         w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
         break;
+    case order_verdict::superseded:
+        // An earlier send may have been carried out, and the run has ended since: a look tells.
+        run.phase = run_phase::running;
+        run.confirmed = run.confirmed.value_or(now);
+        return;
     case order_verdict::fenced:
         fenced_ = true;
         break;
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -410,3 +410,53 @@
     look(s, "w1", report, 2500);
     cr_assert_gt(place(s, 2501).size(), 0, "tried again after 2 s");
 }
+
+Test(pool_scheduler, a_repeated_start_that_meets_its_own_end_starts_nothing_anew)
+{
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 8)}), 0);
+    std::vector<start_order> orders = place(s, 1);
+    cr_assert_eq(orders.size(), 1);
+    s.on_start(orders[0], order_verdict::unknown, 0, at_ms(140));
+    orders = place(s, 141);
+    cr_assert_eq(orders.size(), 1, "the same run again");
+    // The first send was carried out, and its run has ended meanwhile.
+    s.on_start(orders[0], order_verdict::superseded, 0, at_ms(400));
+    cr_assert_eq(place(s, 401).size(), 0);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::done)};
+    look(s, orders[0].worker, report, 410);
+    cr_assert_eq(place(s, 420).size(), 0);
+    record_all(s, store, 430);
+    cr_assert(s.shown(job) == job_state::complete);
+}
+
+Test(pool_scheduler, a_superseded_start_whose_end_nobody_lists_is_begun_again)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 8)}), 0);
+    const std::vector<start_order> orders = place(s, 1);
+    s.on_start(orders[0], order_verdict::superseded, 0, at_ms(5));
+    look(s, "w1", {}, 10);
+    const std::vector<start_order> again = place(s, 12);
+    cr_assert_eq(again.size(), 1);
+    cr_assert_gt(again[0].run, orders[0].run);
+}
+
+Test(pool_scheduler, a_gang_that_failed_on_most_workers_goes_back_to_them)
+{
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(2, 6, true)}), 0);
+    obey(s, place(s, 1), 2);
+    s.list_worker(worker_of("w3"), at_ms(3));
+    look(s, "w3", {}, 3);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::failed)};
+    look(s, "w1", report, 10);
+    report.ended = {end_of(1, task(1), 1, end_reason::failed)};
+    look(s, "w2", report, 11);
+    cr_assert_eq(place(s, 12).size(), 2, "w3 alone can't hold both members");
+}
