Count the ends of a worker that restarts under its name anew

Its runs seemed to vanish, were begun again after they had ended done, and those ends were then taken note of. The birth of the process that numbers the ends is now kept by its reports alone, and late answers of the process before are dropped.

--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -51,8 +51,9 @@
     bool lost = false;  ///< its lease has surely run out, or its process is gone
     std::map<std::pair<std::string, std::int64_t>, run_record> runs; ///< by task and run number
     resources taken;
-    std::uint64_t listed_end = 0; ///< highest end number seen
-    std::uint64_t noted_end = 0;  ///< ends up to this number are recorded
+    std::int64_t heard_born_ms = 0; ///< start of the process that numbers the ends, by its reports
+    std::uint64_t listed_end = 0;   ///< highest end number seen
+    std::uint64_t noted_end = 0;    ///< ends up to this number are recorded
     std::optional<std::int64_t> clock_ms;
     time_point clock_read; ///< when `clock_ms` was taken
     time_point lease_sent; ///< when the last order that carries a lease was sent
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -274,14 +274,18 @@
     if (verdict != order_verdict::obeyed) {
         return;
     }
+    if (report.born_ms < w->heard_born_ms) {
+        return; // a late answer of the process before
+    }
     w->last_answer = now;
     w->clock_ms = report.clock_ms;
     w->clock_read = now;
-    if (report.born_ms != 0 && w->entry.born_ms != 0 && report.born_ms > w->entry.born_ms) {
+    if (w->heard_born_ms != 0 && report.born_ms > w->heard_born_ms) {
         note(decision_kind::worker_reborn, "", order.worker, "same name, a new process");
         w->listed_end = 0;
         w->noted_end = 0;
     }
+    w->heard_born_ms = report.born_ms;
     w->entry.born_ms = std::max(w->entry.born_ms, report.born_ms);
     if (w->lost) {
         w->lost = false;
--- a/support/soak.sh
+++ b/support/soak.sh
@@ -8,13 +8,13 @@
 case "${1:-}" in [0-9]*) last=$1; shift ;; esac
 build=${BUILD:-build/release}
 jobs=${SOAK_JOBS:-2}
-export build jobs
+export build
 mkdir -p run
 failed=0
 seq "$first" "$last" | xargs -P "$jobs" -I{} bash -c '
     seed={}; shift
     directory=run/soak.$seed; rm -rf "$directory"; mkdir -p "$directory"
-    port=$((${PORT_BASE:-20000} + seed % (2 * jobs) * 400))
+    port=$((${PORT_BASE:-20000} + seed % 16 * 400))
     if "$build/soak" --program "$build/sesamesill-member" --run_dir "$directory" --seed "$seed" \
         --first_port "$port" "$@" >"$directory/verdict" 2>&1; then
         cat "$directory/verdict"; rm -rf "$directory"
--- a/test/platform_standin/workers.cc
+++ b/test/platform_standin/workers.cc
@@ -14,7 +14,6 @@
 constexpr millis tick_period{10};
 constexpr millis late_by{2500};
 constexpr double slowest_clock = 0.98;
-constexpr double approved_share = 0.5;
 
 constexpr name_table<pool::end_reason, 6> end_names{{{pool::end_reason::done, "done"},
                                                      {pool::end_reason::failed, "failed"},
@@ -35,6 +34,13 @@
     return text.append("/").append(worker);
 }
 
+/// Approves every second worker, the same ones whenever it is asked; thus never too few of a dozen.
+bool approves(const std::string& step, const std::string& worker)
+{
+    const std::size_t number = std::strtoull(worker.c_str() + 1, nullptr, 10);
+    return (std::hash<std::string>{}(step) + number) % 2 == 0;
+}
+
 } // namespace
 
 fleet_worker::fleet_worker(fleet& owner, std::string id, worker_place place)
@@ -518,8 +524,7 @@
     for (const Json::Value& named : (*body)["Workers"]) {
         const std::string worker = named.asString();
         const std::string text = ticket_text(step, worker);
-        const std::size_t draw = std::hash<std::string>{}(text) % 100;
-        if (static_cast<double>(draw) >= 100 * approved_share) {
+        if (!approves(step, worker)) {
             continue;
         }
         tickets_[text] = boot_clock::now() + advice_valid_;
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -460,3 +460,49 @@
     look(s, "w2", report, 11);
     cr_assert_eq(place(s, 12).size(), 2, "w3 alone can't hold both members");
 }
+
+Test(pool_scheduler,
+     a_worker_reborn_under_its_name_counts_its_ends_anew_though_its_entry_came_first)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1), step_of(1, 1)}), 0);
+    obey(s, place(s, 1), 2);
+    worker_report report;
+    report.born_ms = wall_start_ms;
+    report.ended = {end_of(1, task(0), 1, end_reason::done),
+                    end_of(2, task(0, 1), 1, end_reason::failed)};
+    look(s, "w1", report, 10);
+    record_all(s, store, 11);
+    worker_entry again = worker_of("w1");
+    again.born_ms = wall_start_ms + 500;
+    s.list_worker(again, at_ms(500));
+    report.born_ms = again.born_ms;
+    report.ended.clear();
+    look(s, "w1", report, 510);
+    const std::vector<start_order> orders = place(s, 511);
+    cr_assert_eq(orders.size(), 1);
+    obey(s, orders, 512);
+    report.ended = {end_of(1, orders[0].task, orders[0].run, end_reason::done)};
+    look(s, "w1", report, 600);
+    cr_assert_eq(place(s, 601).size(), 0, "its first end is the task's");
+    record_all(s, store, 602);
+    cr_assert(s.shown(job) == job_state::complete);
+}
+
+Test(pool_scheduler, a_late_answer_of_an_earlier_incarnation_says_nothing)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    const std::vector<start_order> orders = place(s, 1);
+    obey(s, orders, 2);
+    worker_report report;
+    report.born_ms = wall_start_ms + 500;
+    report.running = {{orders[0].task, orders[0].run, "", 10, 0}};
+    look(s, "w1", report, 10);
+    worker_report old;
+    old.born_ms = wall_start_ms;
+    look(s, "w1", old, 20);
+    cr_assert_eq(place(s, 30).size(), 0, "its run is listed by the newer incarnation");
+}
