Notice workers on which runs stand still or crawl

Cause: some workers stand still or turn six times slower for five to seven seconds while they answer; their runs kept their room and new ones were placed beside them. Change: the percentages of two looks are compared, against learnt run times and the pool's own pace; a worker that falls far behind gets nothing new for a while, and runs that would take twice as long there as elsewhere are moved, each at most twice. No more than a quarter of the workers is avoided. Runs taken over from a predecessor teach nothing about run times: how long ago they began isn't known.

--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -36,6 +36,7 @@
     time_point started;
     int percent = 0;
     time_point advanced; ///< when `percent` last rose
+    int moves = 0;       ///< away from workers that were slow
 };
 
 /// One step of one occurrence. Invariant: `waiting`, `active` and `done` count the phases of
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -202,6 +202,9 @@
     void take_end_of_job(worker& w, job_entry& entry, const task_id& id, const ended_task& end,
                          bool current, time_point now);
     void take_running(worker& w, const running_task& row, time_point now);
+    const step_spec* step_of(const task_id& id) const;
+    void judge_pace(worker& w, const worker_report& report, time_point now);
+    void move_slow_runs(const worker& w, const worker_report& report, time_point now);
     void drop_missing(worker& w, const worker_report& report, time_point sent, time_point now);
     void release_run(worker& w, const run_record& run, time_point now);
     void lose_worker(worker& w, const std::string& why, time_point now);
@@ -228,6 +231,7 @@
     std::map<std::string, held_room> held_back_; ///< by worker, during one placing
     resources held_back_total_;
     resources largest_room_; ///< upper bound in each dimension, during one placing
+    worker_pace pace_;       ///< of all workers
     resources whole_;        ///< capacity of all workers that are open
     int gang_plans_ = 0;     ///< made during one placing
 };
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -27,11 +27,13 @@
     std::int64_t run = 0;
     resources taken;
     run_phase phase = run_phase::starting;
-    bool discard = false; ///< its task is over, or has another run
+    bool adopted = false; ///< begun under an earlier leader: how long ago isn't known
     time_point ordered;
     std::optional<time_point> confirmed; ///< when its worker was first known to run it
     time_point pinned_at;                ///< while `pinned`
     std::int64_t until_ms = 0;           ///< expiry of the start, on the worker's clock
+    int percent = -1;                    ///< of its work, when last compared; -1 if never
+    std::int64_t percent_clock_ms = 0;   ///< when that was, on the worker's clock
 };
 
 /// Recent failures of a worker. Runs that fail on workers where others succeed are the job's fault;
@@ -43,6 +45,21 @@
     int avoided = 0; ///< times in a row; lengthens the next avoidance
 };
 
+/// How far the runs that a look lists have advanced since the look before, added up.
+struct pace_view {
+    double expected = 0; ///< percent
+    double advanced = 0; ///< percent
+    millis since{0};     ///< the look before
+    int runs = 0;
+};
+
+/// The views of about the last second; older ones fade.
+struct worker_pace {
+    double expected = 0;
+    double advanced = 0;
+    int runs = 0; ///< of the last view that told something
+};
+
 /// Invariant: `taken` is the sum over `runs`.
 struct worker {
     worker_entry entry;
@@ -60,6 +77,7 @@
     time_point last_answer;
     time_point gone_at; ///< no run of it lives beyond this
     worker_health health;
+    worker_pace pace;
 
     /// Returns the worker's clock, estimated low.
     std::int64_t clock_at(time_point now) const
@@ -101,6 +119,16 @@
 /// Forgets the run and gives its room back; returns whether it was known.
 bool remove_run(worker& w, const std::string& task, std::int64_t run);
 
+/// Takes in what a look shows.
+void observe(worker_pace& pace, const pace_view& view);
+/// Returns whether the runs stand still, or several of them crawl, against `usual`, the speed of
+/// all workers. One alone may be longer than its client thought.
+bool is_slow(const worker_pace& pace, double usual);
+/// Returns how fast runs advance; 1 is as expected.
+double speed_of(const worker_pace& pace);
+
+/// Keeps new runs away for a while, longer each time in a row.
+void avoid(worker_health& health, time_point now);
 /// Judges the worker by the end of one run.
 void judge_end(worker_health& health, const std::string& job, bool failed, time_point now);
 
--- /dev/null
+++ b/src/pool_pace.cc
@@ -0,0 +1,110 @@
+// Workers on which runs stand still or crawl, though they answer: nothing new starts there, and
+// what can only gain by it is moved.
+//
+// The load it is made for: some workers of a nearly full pool stand still or turn six times slower
+// for five to seven seconds, several times the length of the shorter tasks.
+
+#include <algorithm>
+
+#include "sesamesill/pool_scheduler.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr double most_avoided = 0.25; ///< share of the workers; where more seem slow, all are
+constexpr std::int64_t shortest_view_ms = 100; ///< between two looks that are compared
+constexpr std::uint64_t enough_runs = 50; ///< done, before a queue's mean run time is believed:
+                                          ///< short runs are the first to end
+constexpr std::int64_t pool_memory = 5;   ///< times as long as that of one worker
+constexpr int most_moves = 2;   ///< of one task: one that is slow everywhere is itself the cause
+constexpr double move_gain = 2; ///< times as long here as elsewhere
+
+} // namespace
+
+/// Compares the percentages that the worker lists with those of the look before. Members of gangs
+/// say nothing: they wait for each other.
+void scheduler::judge_pace(worker& w, const worker_report& report, time_point now)
+{
+    pace_view view;
+    for (const running_task& row : report.running) {
+        const auto run = w.runs.find({row.task, row.run});
+        if (run == w.runs.end() || run->second.phase != run_phase::running) {
+            continue;
+        }
+        run_record& r = run->second;
+        const step_spec* step = step_of(r.task);
+        if (step == nullptr || step->gang || step->long_running) {
+            continue;
+        }
+        const std::string& queue = jobs_.at(r.task.job).progress.spec().queue;
+        const auto learnt = estimates_.find(queue);
+        const std::int64_t since = report.clock_ms - r.percent_clock_ms;
+        const bool told = r.percent >= 0 && since >= shortest_view_ms;
+        if (told && learnt != estimates_.end() && learnt->second.runs >= enough_runs) {
+            view.expected +=
+                static_cast<double>(since) * 100 / std::max(1.0, estimate_ms(queue, *step));
+            view.advanced += row.percent - r.percent;
+            view.since = millis(std::max(since, to_millis(view.since)));
+            ++view.runs;
+        }
+        if (r.percent < 0 || told) {
+            r.percent = row.percent;
+            r.percent_clock_ms = report.clock_ms;
+        }
+    }
+    observe(w.pace, view);
+    pace_view share = view; // the pool's pace is that of all workers over some seconds
+    share.since /= pool_memory * static_cast<std::int64_t>(workers_.size());
+    observe(pace_, share);
+    if (view.runs == 0 || !is_slow(w.pace, speed_of(pace_))) {
+        return;
+    }
+    const double avoided = static_cast<double>(
+        std::count_if(workers_.begin(), workers_.end(),
+                      [now](const auto& other) { return other.second.health.avoid_until > now; }));
+    const bool newly = w.health.avoid_until <= now;
+    if (newly && avoided >= most_avoided * static_cast<double>(workers_.size())) {
+        return;
+    }
+    if (newly) {
+        avoid(w.health, now);
+        note(decision_kind::worker_avoided, "", w.entry.id,
+             "its runs advanced by " + std::to_string(static_cast<int>(w.pace.advanced)) +
+                 " percent, " + std::to_string(static_cast<int>(w.pace.expected)) + " expected",
+             to_millis(w.health.avoid_until - now));
+    }
+    move_slow_runs(w, report, now);
+}
+
+/// Stops runs that would take at least twice as long here as from their checkpoint elsewhere.
+void scheduler::move_slow_runs(const worker& w, const worker_report& report, time_point now)
+{
+    constexpr int little_done = 20; ///< percent of a gang's work that may be thrown away
+    constexpr millis way{200};      ///< until a stop is noticed and another worker is asked
+    const double speed = speed_of(w.pace) / std::min(1.0, speed_of(pace_));
+    for (const running_task& row : report.running) {
+        const auto run = w.runs.find({row.task, row.run});
+        const step_spec* step = run != w.runs.end() && run->second.phase == run_phase::running
+                                    ? step_of(run->second.task)
+                                    : nullptr;
+        if (step == nullptr || step->long_running) {
+            continue;
+        }
+        job_entry& entry = jobs_.at(run->second.task.job);
+        task_record* task = entry.progress.find(run->second.task);
+        if (task == nullptr || task->run != row.run || task->moves >= most_moves ||
+            (step->gang && !step->saves_progress && row.percent > little_done)) {
+            continue;
+        }
+        const double whole_ms = estimate_ms(entry.progress.spec().queue, *step);
+        const double left_ms = whole_ms * (100 - row.percent) / 100;
+        const double elsewhere_ms = (step->saves_progress ? left_ms : whole_ms) +
+                                    static_cast<double>((bounds_.stop_timeout + way).count());
+        if (left_ms / speed > move_gain * elsewhere_ms) {
+            ++task->moves;
+            stop_task(run->second.task, now);
+        }
+    }
+}
+
+} // namespace sesamesill::pool
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -167,6 +167,10 @@
         }
         if (!run.confirmed) {
             run.confirmed = now;
+            if (clock_ms > 0 && order.checkpoint.empty()) {
+                run.percent = 0; // what resumes is compared from the first look on
+                run.percent_clock_ms = clock_ms;
+            }
         }
         if (run.phase == run_phase::starting) {
             run.phase = run_phase::running;
@@ -305,11 +309,14 @@
         take_running(*w, row, now);
     }
     drop_missing(*w, report, sent, now);
+    judge_pace(*w, report, now);
     resolve_doubt(order.worker, now);
 }
 
 void scheduler::take_end(worker& w, const ended_task& end, time_point now)
 {
+    const auto run = w.runs.find({end.task, end.run});
+    const bool adopted = run != w.runs.end() && run->second.adopted;
     const bool had_run = remove_run(w, end.task, end.run);
     changed_ = true;
     const std::optional<task_id> id = task_id_from(end.task);
@@ -330,6 +337,10 @@
          task->phase != task_phase::waiting ? to_millis(now - task->started) : 0);
     const bool current = had_run && task->run == end.run && task->worker == w.entry.id &&
                          task->phase != task_phase::done && task->phase != task_phase::waiting;
+    if (current && end.how == end_reason::done && !adopted && !step_of(*id)->long_running) {
+        class_estimate& learnt = estimates_[entry.progress.spec().queue];
+        learn(learnt.mean_run_ms, learnt.runs, static_cast<double>(to_millis(now - task->started)));
+    }
     take_end_of_job(w, entry, *id, end, current, now);
 }
 
@@ -339,7 +350,6 @@
     job_progress& job = entry.progress;
     task_record& task = *job.find(id);
     const step_spec& spec = job.spec().steps[static_cast<std::size_t>(id.step)];
-    const time_point started = task.started;
     task.run = std::max(task.run, end.run);
     if (!end.checkpoint.empty()) {
         task.checkpoint = end.checkpoint;
@@ -353,11 +363,7 @@
         }
     }
     if (end.how == end_reason::done && !spec.long_running) {
-        if (current) {
-            class_estimate& learnt = estimates_[job.spec().queue];
-            learn(learnt.mean_run_ms, learnt.runs, static_cast<double>(to_millis(now - started)));
-        }
-        else {
+        if (!current) {
             stop_task(id, now); // a second run of the task
         }
         if (task.phase != task_phase::done) {
@@ -403,6 +409,7 @@
         found.phase = run_phase::running;
         found.ordered = now;
         found.confirmed = now;
+        found.adopted = true;
         const bool sized = known != jobs_.end() &&
                            id->step < static_cast<int>(known->second.progress.spec().steps.size());
         // Of what no record tells, the rest of the worker is assumed to be taken.
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -70,6 +70,15 @@
     return nullptr;
 }
 
+const step_spec* scheduler::step_of(const task_id& id) const
+{
+    const auto known = jobs_.find(id.job);
+    const bool exists = known != jobs_.end() &&
+                        id.step < static_cast<int>(known->second.progress.spec().steps.size());
+    return exists ? &known->second.progress.spec().steps[static_cast<std::size_t>(id.step)]
+                  : nullptr;
+}
+
 worker* scheduler::find_worker(const std::string& id)
 {
     const auto known = workers_.find(id);
--- a/src/pool_worker.cc
+++ b/src/pool_worker.cc
@@ -3,6 +3,7 @@
 #include "sesamesill/pool_worker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sesamesill::pool {
 namespace {
@@ -11,6 +12,15 @@
 constexpr millis first_avoidance{2000};   ///< about the length of a task
 constexpr millis longest_avoidance{8000}; ///< impairments of workers last some seconds
 
+constexpr double memory_ms = 1000;      ///< of a worker's pace: a few looks
+constexpr double telling_percent = 30;  ///< of work, expected of all runs together: one look at a
+                                        ///< short run, or some looks at long ones
+constexpr double standing_still = 0.03; ///< share of what was expected
+constexpr double crawling = 0.2;        ///< likewise; run times scatter by a factor of two
+constexpr double crawl_percent = 150;   ///< of work, expected, before a crawl is believed
+constexpr int telling_runs = 3;
+constexpr double slowest = 0.02; ///< even what stands still goes on some day
+
 } // namespace
 
 void add_run(worker& w, run_record run)
@@ -31,6 +41,39 @@
     return true;
 }
 
+void observe(worker_pace& pace, const pace_view& view)
+{
+    if (view.runs == 0) {
+        return;
+    }
+    const double kept = std::exp(-static_cast<double>(view.since.count()) / memory_ms);
+    pace.expected = pace.expected * kept + view.expected;
+    pace.advanced = pace.advanced * kept + view.advanced;
+    pace.runs = view.runs;
+}
+
+bool is_slow(const worker_pace& pace, double usual)
+{
+    const double expected = pace.expected * std::min(1.0, usual);
+    const bool still = expected >= telling_percent && pace.advanced < standing_still * expected;
+    const bool crawl = pace.runs >= telling_runs && expected >= crawl_percent &&
+                       pace.advanced < crawling * expected;
+    return still || crawl;
+}
+
+double speed_of(const worker_pace& pace)
+{
+    return pace.expected > 0 ? std::max(slowest, pace.advanced / pace.expected) : 1;
+}
+
+void avoid(worker_health& health, time_point now)
+{
+    const millis length =
+        std::min(longest_avoidance, first_avoidance * (1 << std::min(health.avoided, 4)));
+    health.avoid_until = now + length;
+    ++health.avoided;
+}
+
 void judge_end(worker_health& health, const std::string& job, bool failed, time_point now)
 {
     if (!failed) {
@@ -46,10 +89,7 @@
     if (++health.failures_in_row < failures_to_avoid) {
         return;
     }
-    const millis length =
-        std::min(longest_avoidance, first_avoidance * (1 << std::min(health.avoided, 4)));
-    health.avoid_until = now + length;
-    ++health.avoided;
+    avoid(health, now);
     health.failures_in_row = failures_to_avoid - 1; // one more failure avoids it again
 }
 
--- /dev/null
+++ b/test/pool_pace-test.cc
@@ -0,0 +1,163 @@
+// Workers that answer while their runs stand still or crawl. The load: short and long tasks on a
+// few workers, of which one stands still, crawls, or only has longer tasks than their client
+// thought.
+
+#include <criterion/criterion.h>
+
+#include "pool_fixture.h"
+
+using namespace sesamesill;
+using namespace sesamesill::pool;
+using namespace sesamesill::pool::testing;
+
+namespace {
+
+std::string job_name(int n)
+{
+    std::string id = std::to_string(n);
+    return std::string(16 - id.size(), '0') + id;
+}
+
+/// Three workers of 8 cores, each with some single tasks of 500 ms; advances in steps of 200 ms.
+struct small_pool {
+    scheduler s{1, {}, at_ms(0)};
+    std::map<std::string, double> speed;
+    std::map<std::string, std::map<std::string, std::pair<std::int64_t, double>>> runs;
+    std::map<std::string, int> started;
+    std::map<std::string, std::vector<ended_task>> ends;
+    std::vector<std::string> stopped;
+    std::int64_t now = 0;
+    int jobs = 0;
+
+    small_pool()
+    {
+        s.configure(config_of());
+        for (const char* w : {"w1", "w2", "w3"}) {
+            speed[w] = 1;
+            s.list_worker(worker_of(w), at_ms(0));
+            look(s, w, {}, 0);
+        }
+        add_jobs(60); // run times are learnt first
+        advance(30);
+        cr_assert(stopped.empty());
+    }
+
+    void add_jobs(int count, bool saves = false)
+    {
+        for (int i = 0; i < count; ++i) {
+            step_spec step = step_of(1, 2);
+            step.saves_progress = saves;
+            s.add(job_of(job_name(++jobs), {step}), wall_start_ms + now, at_ms(now));
+        }
+    }
+
+    void advance(int times)
+    {
+        constexpr std::int64_t period = 200;
+        for (int i = 0; i < times; ++i) {
+            now += period;
+            s.tick(at_ms(now));
+            s.place(at_ms(now));
+            for (const start_order& o : s.take_starts()) {
+                runs[o.worker][o.task] = {o.run, 0};
+                ++started[o.worker];
+                s.on_start(o, order_verdict::obeyed, now, at_ms(now));
+            }
+            for (const stop_order& o : s.take_stops()) {
+                stopped.push_back(o.worker);
+                runs[o.worker].erase(o.task);
+                s.on_stop(o, order_verdict::obeyed, at_ms(now));
+            }
+            for (auto& w : runs) {
+                worker_report report;
+                for (auto r = w.second.begin(); r != w.second.end();) {
+                    r->second.second += speed[w.first] * 100 * period / 500;
+                    const bool over = r->second.second >= 100;
+                    if (over) {
+                        std::vector<ended_task>& list = ends[w.first];
+                        list.push_back(
+                            end_of(list.size() + 1, r->first, r->second.first, end_reason::done));
+                    }
+                    else {
+                        report.running.push_back(
+                            {r->first, r->second.first, "", static_cast<int>(r->second.second), 0});
+                    }
+                    r = over ? w.second.erase(r) : std::next(r);
+                }
+                report.ended = ends[w.first];
+                look(s, w.first, report, now);
+            }
+        }
+    }
+};
+
+} // namespace
+
+Test(pool_pace, runs_that_stand_still_go_elsewhere_and_nothing_new_comes)
+{
+    small_pool pool;
+    pool.speed["w1"] = 0;
+    pool.add_jobs(9);
+    pool.advance(6);
+    cr_assert_gt(pool.stopped.size(), 0);
+    for (const std::string& w : pool.stopped) {
+        cr_assert(w == "w1", "%s", w.c_str());
+    }
+    const int before = pool.started["w1"];
+    pool.add_jobs(2);
+    pool.advance(4);
+    cr_assert_eq(pool.started["w1"], before, "avoided for 2 s");
+}
+
+Test(pool_pace, what_was_seen_once_is_not_held_against_a_worker_for_ever)
+{
+    small_pool pool;
+    pool.speed["w1"] = 0;
+    pool.add_jobs(12);
+    pool.advance(6);
+    cr_assert_gt(pool.stopped.size(), 0);
+    pool.speed["w1"] = 1;
+    const int before = pool.started["w1"];
+    pool.advance(12);
+    pool.add_jobs(12);
+    pool.advance(1);
+    cr_assert_gt(pool.started["w1"], before);
+}
+
+Test(pool_pace, one_task_that_is_longer_than_its_client_thought_is_left_alone)
+{
+    small_pool pool;
+    pool.speed["w1"] = 0.15;
+    pool.speed["w2"] = 0.15;
+    pool.speed["w3"] = 0.15;
+    pool.add_jobs(3);
+    pool.advance(10);
+    cr_assert_eq(pool.stopped.size(), 0);
+}
+
+Test(pool_pace, several_runs_that_crawl_on_one_worker_are_moved_where_that_is_faster)
+{
+    small_pool pool;
+    pool.speed["w1"] = 0.05;
+    pool.add_jobs(12, true);
+    pool.advance(8);
+    cr_assert_gt(pool.stopped.size(), 0);
+    for (const std::string& w : pool.stopped) {
+        cr_assert(w == "w1", "%s", w.c_str());
+    }
+}
+
+Test(pool_pace, no_more_than_a_quarter_of_the_workers_is_avoided)
+{
+    small_pool pool;
+    for (std::pair<const std::string, double>& w : pool.speed) {
+        w.second = 0;
+    }
+    pool.add_jobs(12);
+    pool.advance(10);
+    int avoided = 0;
+    for (const std::pair<const std::string, worker>& w : pool.s.workers()) {
+        avoided += w.second.health.avoid_until > at_ms(pool.now) ? 1 : 0;
+    }
+    cr_assert_leq(avoided, 1);
+}
