Let a successor read of all workers before it begins what it inherits

Two rules close this: inherited tasks wait for a read of the directory that was begun after the claim, and for looks at all that it names; and a leader uses a new worker only once a record of its own was stored that was sent after it read of the worker, so that any later claimer's read names it. Ruled out: a fence that wasn't checked (that worker had not been looked at).

--- a/bench/pool.cc
+++ b/bench/pool.cc
@@ -63,6 +63,7 @@
     for (int i = 0; i < workers * 2 + waiting; ++i) {
         s.add(job_number(i, i % 4 == 0), wall_ms, now);
     }
+    s.wrote(now + micros(1));
     s.place(now);
     s.take_starts();
     s.take_decisions();
--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -91,6 +91,9 @@
             !metrics_.listen(settings_.metrics_listen, why)) {
             return false;
         }
+        member_.on_lead([this] { directory_follower_.read_now(); });
+        directory_follower_.on_complete(
+            [this](time_point begun) { member_.directory_known(begun); });
         loop_.every(directory_check, [this] { pace_directory(); });
         declared_follower_.start();
         directory_follower_.start();
@@ -133,10 +136,6 @@
             std::max(standby_directory_pause, standby_directory_pause_a_member *
                                                   static_cast<std::int64_t>(member_.members()));
         directory_follower_.set_pace({millis(0), leads ? directory_pause : idle});
-        if (leads && !led_) {
-            directory_follower_.read_now();
-        }
-        led_ = leads;
     }
 
     void on_declared(const pool::keyed_record& record)
@@ -192,7 +191,6 @@
     pool::keyed_follower declared_follower_;
     pool::keyed_follower directory_follower_;
     std::int64_t version_ = 0;
-    bool led_ = false;
     bool leaving_ = false;
     time_point leave_until_;
 };
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -35,8 +35,13 @@
     void start();
     /// Changes the pace from the next read on.
     void set_pace(follow_pace pace) { pace_ = pace; }
-    /// Reads now, where no read is under way.
-    void read_now() { pump(); }
+    /// Reads now, or as soon as the read under way is over.
+    void read_now();
+    /// Calls `complete` after each read to the end of the log, with the time at which it was begun.
+    void on_complete(std::function<void(time_point begun)> complete)
+    {
+        complete_ = std::move(complete);
+    }
     /// Stops reading while another part appends and calls `take`.
     void pause() { paused_ = true; }
     void resume();
@@ -70,6 +75,7 @@
     std::string name_;
     follow_pace pace_;
     std::function<void(const keyed_record&)> changed_;
+    std::function<void(time_point)> complete_;
     std::map<std::string, keyed_record> values_;
     std::map<std::string, keyed_record> loading_;
     std::uint64_t loading_from_ = 0; ///< end of the log when the load began
@@ -78,6 +84,7 @@
     bool paused_ = false;
     bool reading_ = false;
     bool waiting_ = false; ///< a timer will pump
+    bool read_again_ = false;
     bool failing_ = false;
     millis backoff_{0};
     time_point read_begun_;
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -72,6 +72,10 @@
     void configure(const configuration& config);
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
+    /// Takes note that the workers' directory has been read to its end, from `begun` on.
+    void directory_known(time_point begun);
+    /// Calls `leads` when this member has taken the lead: it needs the directory at once.
+    void on_lead(std::function<void()> leads);
 
     void submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done);
     void state_of(const std::string& id, millis budget,
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -107,6 +107,13 @@
     void list_worker(const worker_entry& entry, time_point now);
     void unlist_worker(const std::string& id, time_point now);
 
+    /// Takes note that the workers' directory has been read to its end, from `begun` on. Until this
+    /// is after the claim, a worker that isn't known may run inherited tasks.
+    void directory_known(time_point begun);
+    /// Takes note that a record was stored which was sent at `sent`: whoever claims the lead after
+    /// that reads of all workers that were listed before, and looks at them. Others aren't used.
+    void wrote(time_point sent);
+
     /// Says whether the job can be served; the job isn't taken yet.
     admission_answer admit(const job_spec& spec, time_point now) const;
     /// Returns the record that makes an admitted job durable.
@@ -208,7 +215,7 @@
     void drop_missing(worker& w, const worker_report& report, time_point sent, time_point now);
     void release_run(worker& w, const run_record& run, time_point now);
     void lose_worker(worker& w, const std::string& why, time_point now);
-    void resolve_doubt(const std::string& id, time_point now);
+    void resolve_doubt(const std::string& id);
     void restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now);
 
     std::uint64_t fence_;
@@ -220,7 +227,10 @@
     std::set<std::string> dirty_;       ///< jobs whose progress has to be recorded
     std::set<std::string> dropped_;     ///< records that are no longer needed
     std::set<std::string> doubts_;      ///< workers that may run what nobody lists
+    static constexpr const char* directory_doubt =
+        ""; ///< among them: workers that aren't known yet
     time_point doubt_until_;
+    time_point restored_at_;
     std::map<std::string, class_estimate> estimates_; ///< by queue
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -64,8 +64,10 @@
 struct worker {
     worker_entry entry;
     bool listed = true;
-    bool heard = false; ///< it has answered this leader: its runs are known
-    bool lost = false;  ///< its lease has surely run out, or its process is gone
+    bool heard = false;   ///< it has answered this leader: its runs are known
+    bool lost = false;    ///< its lease has surely run out, or its process is gone
+    bool proven = false;  ///< the leader has written since it read of this worker
+    time_point listed_at; ///< when it read of it
     std::map<std::pair<std::string, std::int64_t>, run_record> runs; ///< by task and run number
     resources taken;
     std::int64_t heard_born_ms = 0; ///< start of the process that numbers the ends, by its reports
@@ -89,7 +91,7 @@
     bool is_responsive(time_point now) const { return now - last_answer < silence_limit; }
     bool is_open(time_point now) const
     {
-        return listed && heard && !lost && !entry.draining && is_responsive(now) &&
+        return listed && heard && proven && !lost && !entry.draining && is_responsive(now) &&
                now >= health.avoid_until;
     }
 
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -46,6 +46,9 @@
     bool is_idle() const { return !in_flight_ && sent_.empty(); }
     /// When an append last succeeded.
     time_point last_stored() const { return last_stored_; }
+    /// When the last batch that was stored was first sent: nobody else had claimed the lead by
+    /// then.
+    time_point last_proof() const { return last_proof_; }
     /// Returns for how long appends have been failing; 0 while they succeed.
     millis failing_for(time_point now) const;
     std::size_t appends() const { return appends_; }
@@ -81,7 +84,10 @@
     bool ended_ = false;
     time_point rest_until_;
     time_point sent_at_;
+    time_point
+        batch_begun_; ///< when the batch was first sent: any of its sends may be the stored one
     time_point last_stored_;
+    time_point last_proof_;
     time_point failing_since_;
     bool failing_ = false;
     millis backoff_{0};
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -31,6 +31,12 @@
     pump();
 }
 
+void keyed_follower::read_now()
+{
+    read_again_ = reading_;
+    pump();
+}
+
 void keyed_follower::resume()
 {
     paused_ = false;
@@ -105,9 +111,14 @@
                   }
                   on_success();
                   if (!paused_) {
+                      const time_point begun = read_begun_;
                       take(r.records, r.end);
+                      if (complete_ && next_ >= r.end) {
+                          complete_(begun);
+                      }
                   }
-                  again(next_ < r.end ? millis(0) : pace_.pause);
+                  again(next_ < r.end || read_again_ ? millis(0) : pace_.pause);
+                  read_again_ = false;
               });
 }
 
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -136,6 +136,12 @@
     scheduler_.unlist_worker(id, boot_clock::now());
 }
 
+void leader::directory_known(time_point begun)
+{
+    scheduler_.directory_known(begun);
+    soon();
+}
+
 void leader::on_peer(const std::string& name, const peer& seen)
 {
     peers_[name] = seen;
@@ -189,6 +195,7 @@
         }
     });
     const time_point now = boot_clock::now();
+    scheduler_.wrote(writer_.last_proof());
     scheduler_.tick(now);
     if (now - writer_.last_stored() > pulse_period && !writing_) {
         writing_ = true;
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -33,6 +33,7 @@
     void configure(const configuration& config);
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
+    void directory_known(time_point begun);
     void on_peer(const std::string& name, const peer& seen);
     const std::map<std::string, peer>& peers() const { return peers_; }
 
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -85,6 +85,7 @@
     std::map<std::string, worker_entry> known_workers;
     std::map<std::string, forgotten_worker> forgotten_workers;
     std::unique_ptr<leader> lead;
+    std::function<void()> on_lead;
     bool claiming = false;
     bool leaving = false;
     bool beating = false;
@@ -365,6 +366,9 @@
         lead->unlist_worker(w.first);
     }
     announce(self);
+    if (on_lead) {
+        on_lead();
+    }
 }
 
 void member::parts::lose_lead()
@@ -682,6 +686,18 @@
     }
 }
 
+void member::directory_known(time_point begun)
+{
+    if (parts_->leads()) {
+        parts_->lead->directory_known(begun);
+    }
+}
+
+void member::on_lead(std::function<void()> leads)
+{
+    parts_->on_lead = std::move(leads);
+}
+
 bool member::is_leader() const
 {
     return parts_->leads();
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -36,7 +36,7 @@
 
 } // namespace
 
-void scheduler::resolve_doubt(const std::string& id, time_point /*now*/)
+void scheduler::resolve_doubt(const std::string& id)
 {
     if (doubts_.erase(id) > 0) {
         changed_ = true;
@@ -57,9 +57,13 @@
     if (known == workers_.end()) {
         worker w;
         w.entry = entry;
+        w.listed_at = now;
         w.last_answer = now;
         w.gone_at = lease_end(now, bounds_.max_lease);
         workers_.emplace(entry.id, std::move(w));
+        if (doubts_.count(directory_doubt) > 0) {
+            doubts_.insert(entry.id); // the predecessor may have used it
+        }
         note(decision_kind::worker_joined, "", entry.id, entry.data_center + " " + entry.rack);
     }
     else {
@@ -269,7 +273,7 @@
         return;
     }
     if (verdict == order_verdict::not_sent && !w->listed && !w->heard) {
-        resolve_doubt(order.worker, now);
+        resolve_doubt(order.worker);
     }
     if (verdict == order_verdict::replaced) {
         lose_worker(*w, "another incarnation answers at its address", now);
@@ -310,7 +314,7 @@
     }
     drop_missing(*w, report, sent, now);
     judge_pace(*w, report, now);
-    resolve_doubt(order.worker, now);
+    resolve_doubt(order.worker);
 }
 
 void scheduler::take_end(worker& w, const ended_task& end, time_point now)
@@ -496,7 +500,7 @@
         const run_record run = w.runs.begin()->second;
         release_run(w, run, now);
     }
-    resolve_doubt(w.entry.id, now);
+    resolve_doubt(w.entry.id);
     changed_ = true;
 }
 
@@ -554,7 +558,7 @@
         const bool forgotten = !w->second.listed && w->second.runs.empty() &&
                                (w->second.lost || now > w->second.gone_at);
         if (forgotten) {
-            resolve_doubt(w->first, now);
+            resolve_doubt(w->first);
         }
         w = forgotten ? workers_.erase(w) : std::next(w);
     }
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -132,11 +132,30 @@
 void scheduler::restored(time_point now, time_point doubt_until)
 {
     doubt_until_ = doubt_until;
-    for (const std::pair<const std::string, worker>& w : workers_) {
+    restored_at_ = now;
+    for (std::pair<const std::string, worker>& w : workers_) {
         doubts_.insert(w.first);
+        w.second.proven = true; // read of before the claim
     }
+    doubts_.insert(directory_doubt);
     changed_ = true;
-    static_cast<void>(now);
+}
+
+void scheduler::directory_known(time_point begun)
+{
+    if (begun > restored_at_) {
+        resolve_doubt(directory_doubt);
+    }
+}
+
+void scheduler::wrote(time_point sent)
+{
+    for (std::pair<const std::string, worker>& w : workers_) {
+        if (!w.second.proven && w.second.listed_at < sent) {
+            w.second.proven = true;
+            changed_ = true;
+        }
+    }
 }
 
 admission_answer scheduler::admit(const job_spec& spec, time_point now) const
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -123,6 +123,7 @@
     waiting_.erase(waiting_.begin(), cut);
     maybe_stored_ = false;
     timeout_factor_ = 1;
+    batch_begun_ = boot_clock::now();
     send();
 }
 
@@ -231,6 +232,7 @@
     failing_ = false;
     backoff_ = millis(0);
     last_stored_ = now;
+    last_proof_ = batch_begun_;
     std::vector<entry> done;
     done.swap(sent_);
     std::vector<keyed_record> batch;
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -31,6 +31,7 @@
         s.restore(j.first, j.second.first, j.second.second, wall_start_ms + ms, at_ms(ms));
     }
     s.restored(at_ms(ms), at_ms(ms + 9000));
+    s.directory_known(at_ms(ms) + micros(1));
     return s;
 }
 
@@ -66,6 +67,7 @@
 
 std::vector<start_order> place(scheduler& s, std::int64_t ms)
 {
+    s.wrote(at_ms(ms));
     s.tick(at_ms(ms));
     s.place(at_ms(ms));
     return s.take_starts();
@@ -506,3 +508,47 @@
     look(s, "w1", old, 20);
     cr_assert_eq(place(s, 30).size(), 0, "its run is listed by the newer incarnation");
 }
+
+Test(pool_scheduler, a_successor_waits_for_workers_that_only_its_predecessor_knew)
+{
+    std::map<std::string, std::string> store;
+    {
+        scheduler first = fresh({"w1"});
+        add_job(first, store, job_of(job, {step_of(1, 8)}), 0);
+    }
+    // The predecessor has begun the task on w2, which had just joined.
+    scheduler s(2, {}, at_ms(100));
+    s.configure(config_of());
+    s.list_worker(worker_of("w1"), at_ms(100));
+    s.restore(job, *json_from(store["job/" + std::string(job)]), {}, wall_start_ms + 100,
+              at_ms(100));
+    s.restored(at_ms(100), at_ms(9000));
+    look(s, "w1", {}, 110);
+    cr_assert_eq(place(s, 112).size(), 0, "the directory hasn't been read since the claim");
+    s.directory_known(at_ms(90));
+    cr_assert_eq(place(s, 114).size(), 0, "that read was begun before the claim");
+    s.list_worker(worker_of("w2"), at_ms(120));
+    s.directory_known(at_ms(101));
+    cr_assert_eq(place(s, 122).size(), 0, "w2 hasn't been looked at");
+    worker_report report;
+    report.running = {{task(0), 1, "", 10, 0}};
+    look(s, "w2", report, 130);
+    cr_assert_eq(place(s, 140).size(), 0, "it runs there");
+}
+
+Test(pool_scheduler, a_worker_is_used_only_after_a_record_stored_since_it_joined)
+{
+    scheduler s = fresh({});
+    std::map<std::string, std::string> store;
+    s.list_worker(worker_of("w1"), at_ms(10));
+    look(s, "w1", {}, 12);
+    add_job(s, store, job_of(job, {step_of(1, 8)}), 20);
+    s.place(at_ms(21));
+    cr_assert_eq(s.take_starts().size(), 0, "a successor might not know of it");
+    s.wrote(at_ms(9));
+    s.place(at_ms(22));
+    cr_assert_eq(s.take_starts().size(), 0, "sent before it joined");
+    s.wrote(at_ms(15));
+    s.place(at_ms(30));
+    cr_assert_eq(s.take_starts().size(), 1);
+}
