Begin occurrences at their times, and restart what lasts

Their next occurrence now waits for its due time (by the leader's time of day when the job was taken), also under a successor, and its rank counts from then. Jobs of more than 50,000 tasks in all occurrences are refused: they would take a member's memory. Long-running tasks count as room that never frees in plans for gangs. Tests fail before.

--- a/include/sesamesill/pool_job.h
+++ b/include/sesamesill/pool_job.h
@@ -16,9 +16,10 @@
 
 namespace sesamesill::pool {
 
-constexpr std::size_t max_payload_bytes = 4000; ///< the platform's bound on a job's text
-constexpr int max_steps = 64;                   ///< bounds the memory that one job can take
-constexpr int max_tasks_per_step = 4096;        ///< likewise
+constexpr std::size_t max_payload_bytes = 4000;    ///< the platform's bound on a job's text
+constexpr int max_steps = 64;                      ///< bounds the memory that one job can take
+constexpr int max_tasks_per_step = 4096;           ///< likewise
+constexpr std::int64_t max_tasks_per_job = 50'000; ///< likewise, in all occurrences: some 10 MB
 
 /// A set of equal tasks.
 struct step_spec {
--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -44,6 +44,7 @@
     std::map<std::string, bool> denied;
     bool asking = false;          ///< a call for advice is under way
     time_point ask_after;         ///< no call before
+    time_point start_after;       ///< no start before, after one that was refused
     time_point asked;             ///< when the last call was begun
     std::vector<std::string> ask; ///< workers to be named in the next call; empty for none
     double score = 0;
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -64,6 +64,8 @@
     job_state state() const { return state_; }
     time_point accepted() const { return accepted_; }
     std::int64_t accepted_ms() const { return accepted_ms_; }
+    /// Returns when the occurrence may begin: at once where the job has no times.
+    time_point due(int occurrence) const;
     int occurrences() const { return static_cast<int>(occurrences_.size()); }
     step_record& step_at(int occurrence, int number)
     {
@@ -120,7 +122,7 @@
 
 job_size size_of(const job_spec& spec, const std::vector<double>& estimates_ms);
 
-/// Returns the same of what isn't done yet.
-job_size left_of(const job_progress& job, const std::vector<double>& estimates_ms);
+/// Returns the same of what isn't done yet of one occurrence.
+job_size left_of(const job_progress& job, int occurrence, const std::vector<double>& estimates_ms);
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -175,6 +175,7 @@
     void note(decision_kind kind, const std::string& job, const std::string& worker,
               std::string detail, std::int64_t age_ms = 0);
     void open_units(job_entry& entry, time_point now);
+    void open_due(time_point now);
     void close_units(const std::string& job);
     void refresh(unit& u, const job_entry& entry, time_point now);
     bool is_eligible(const worker& w, const step_spec& step, const queue_policy& queue,
@@ -188,7 +189,7 @@
     double estimate_ms(const std::string& queue, const step_spec& step) const;
     std::vector<double> estimates_of(const job_spec& spec) const;
     std::vector<unit*> ranked_units(time_point now);
-    bool may_start(const unit& u, const job_entry& entry) const;
+    bool may_start(const unit& u, const job_entry& entry, time_point now) const;
     void place_gang(unit& u, job_entry& entry, time_point now);
     void hold_back_for(unit& u, const job_entry& entry, time_point now);
     void renew_tickets(unit& u, const gang_plan& plan, const std::vector<gang_option>& options,
@@ -223,10 +224,11 @@
     configuration config_;
     std::map<std::string, worker> workers_;
     std::map<std::string, job_entry> jobs_;
-    std::map<std::string, unit> units_; ///< ready steps that aren't done, by name
-    std::set<std::string> dirty_;       ///< jobs whose progress has to be recorded
-    std::set<std::string> dropped_;     ///< records that are no longer needed
-    std::set<std::string> doubts_;      ///< workers that may run what nobody lists
+    std::map<std::string, unit> units_;                ///< ready steps that aren't done, by name
+    std::set<std::pair<time_point, std::string>> due_; ///< the next occurrences of jobs with times
+    std::set<std::string> dirty_;                      ///< jobs whose progress has to be recorded
+    std::set<std::string> dropped_;                    ///< records that are no longer needed
+    std::set<std::string> doubts_;                     ///< workers that may run what nobody lists
     static constexpr const char* directory_doubt =
         ""; ///< among them: workers that aren't known yet
     time_point doubt_until_;
--- a/src/pool_job.cc
+++ b/src/pool_job.cc
@@ -164,11 +164,19 @@
     if (spec.steps.empty() || spec.steps.size() > static_cast<std::size_t>(max_steps)) {
         return "the number of steps is out of range";
     }
+    if (spec.occurrences < 0 || spec.first_due_ms < 0 || spec.interval_ms < 0) {
+        return "negative times";
+    }
+    std::int64_t tasks = 0;
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
         std::string fault = fault_in_step(spec.steps[i], static_cast<int>(i));
         if (!fault.empty()) {
             return fault;
         }
+        tasks += spec.steps[i].tasks;
+    }
+    if (tasks * std::max(1, spec.occurrences) > max_tasks_per_job) {
+        return "more than " + std::to_string(max_tasks_per_job) + " tasks in all";
     }
     return {};
 }
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -45,9 +45,9 @@
     return all;
 }
 
-bool scheduler::may_start(const unit& u, const job_entry& entry) const
+bool scheduler::may_start(const unit& u, const job_entry& entry, time_point now) const
 {
-    return (doubts_.empty() || !entry.inherited) &&
+    return (doubts_.empty() || !entry.inherited) && now >= u.start_after &&
            entry.progress.step_at(u.first.occurrence, u.first.step).waiting > 0;
 }
 
@@ -63,7 +63,7 @@
     const queue_policy* queue = queue_of(job.spec().queue);
     const std::vector<double> estimates = estimates_of(job.spec());
     const job_size size = size_of(job.spec(), estimates);
-    const job_size left = left_of(job, estimates);
+    const job_size left = left_of(job, u.first.occurrence, estimates);
     u.run_ms = estimates[static_cast<std::size_t>(u.first.step)];
     u.rank.job_work = size.core_seconds;
     u.rank.mean_work = estimates_[job.spec().queue].mean_work;
@@ -82,11 +82,12 @@
     for (std::pair<const std::string, unit>& named : units_) {
         unit& u = named.second;
         const auto known = jobs_.find(u.first.job);
-        if (known == jobs_.end() || !may_start(u, known->second)) {
+        if (known == jobs_.end() || !may_start(u, known->second, now)) {
             continue;
         }
         refresh(u, known->second, now);
-        u.rank.waited_ms = static_cast<double>(to_millis(now - known->second.progress.accepted()));
+        u.rank.waited_ms =
+            static_cast<double>(to_millis(now - known->second.progress.due(u.first.occurrence)));
         u.score = rank_of(u.rank);
         ranked.push_back(&u);
     }
@@ -320,6 +321,10 @@
     }
     const job_progress& job = known->second.progress;
     const step_spec& step = job.spec().steps[static_cast<std::size_t>(run.task.step)];
+    constexpr millis never{3600000};
+    if (step.long_running) {
+        return now + never;
+    }
     const task_record& task = job.step_at(run.task.occurrence, run.task.step)
                                   .tasks[static_cast<std::size_t>(run.task.index)];
     double length_ms = estimate_ms(job.spec().queue, step);
@@ -514,7 +519,7 @@
         const auto known = jobs_.find(u.first.job);
         const queue_policy* queue =
             known != jobs_.end() ? queue_of(known->second.progress.spec().queue) : nullptr;
-        if (queue == nullptr || !queue->advice || !may_start(u, known->second) ||
+        if (queue == nullptr || !queue->advice || !may_start(u, known->second, now) ||
             queue->advice->base_ms > static_cast<double>(longest.count())) {
             continue;
         }
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -53,6 +53,12 @@
     }
 }
 
+time_point job_progress::due(int occurrence) const
+{
+    const std::int64_t ms = spec_.first_due_ms + occurrence * spec_.interval_ms;
+    return spec_.occurrences > 0 ? accepted_ + millis(ms - accepted_ms_) : accepted_;
+}
+
 task_record* job_progress::find(const task_id& id)
 {
     if (id.occurrence >= occurrences() || id.step >= static_cast<int>(spec_.steps.size())) {
@@ -270,10 +276,11 @@
                   [&](int i) { return spec.steps[static_cast<std::size_t>(i)].tasks; });
 }
 
-job_size left_of(const job_progress& job, const std::vector<double>& estimates_ms)
+job_size left_of(const job_progress& job, int occurrence, const std::vector<double>& estimates_ms)
 {
     return add_up(job.spec(), estimates_ms, [&](int i) {
-        return job.spec().steps[static_cast<std::size_t>(i)].tasks - job.step_at(0, i).done;
+        return job.spec().steps[static_cast<std::size_t>(i)].tasks -
+               job.step_at(occurrence, i).done;
     });
 }
 
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -32,6 +32,7 @@
 constexpr int start_attempts = 3;        ///< sends of one start before it is stopped instead
 constexpr millis stop_resend{500};       ///< a stop without an answer is repeated
 constexpr millis unhealthy_pause{1500};  ///< a worker that refused is left alone for so long
+constexpr millis refusal_pause{200};     ///< a start that the worker finds invalid may stay so
 constexpr millis unreachable_pause{700}; ///< likewise, where no connection came about
 
 } // namespace
@@ -230,15 +231,16 @@
     case order_verdict::no_room:
         w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
         break;
-    case order_verdict::no_ticket: {
+    default: {
         const auto u = units_.find(step_name(run.task));
         if (u != units_.end()) {
-            u->second.approved.erase(order.worker);
+            const bool renews = u->second.approved.erase(order.worker) > 0;
+            if (verdict != order_verdict::no_ticket || !renews) {
+                u->second.start_after = now + refusal_pause;
+            }
         }
         break;
     }
-    default:
-        break;
     }
     release_run(w, run, now);
 }
@@ -539,6 +541,7 @@
 
 void scheduler::tick(time_point now)
 {
+    open_due(now);
     for (std::pair<const std::string, worker>& entry : workers_) {
         worker& w = entry.second;
         for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -210,6 +210,10 @@
         return;
     }
     for (int k = 0; k < job.occurrences(); ++k) {
+        if (job.spec().occurrences > 0 && job.due(k) > now) {
+            due_.emplace(job.due(k), job.spec().id);
+            return; // the later ones follow
+        }
         for (int n = 0; n < static_cast<int>(job.spec().steps.size()); ++n) {
             const task_id first{job.spec().id, k, n, 0};
             const step_record& step = job.step_at(k, n);
@@ -227,6 +231,17 @@
     }
 }
 
+void scheduler::open_due(time_point now)
+{
+    while (!due_.empty() && due_.begin()->first <= now) {
+        const auto known = jobs_.find(due_.begin()->second);
+        due_.erase(due_.begin());
+        if (known != jobs_.end()) {
+            open_units(known->second, now);
+        }
+    }
+}
+
 void scheduler::close_units(const std::string& job)
 {
     auto u = units_.lower_bound(job + ".");
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -552,3 +552,82 @@
     s.place(at_ms(30));
     cr_assert_eq(s.take_starts().size(), 1);
 }
+
+Test(pool_scheduler, occurrences_begin_at_their_times_and_may_overlap)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    job_spec spec = job_of(job, {step_of(1, 1)});
+    spec.occurrences = 3;
+    spec.first_due_ms = wall_start_ms + 1000;
+    spec.interval_ms = 500;
+    add_job(s, store, spec, 0);
+    cr_assert_eq(place(s, 999).size(), 0);
+    const std::vector<start_order> first = place(s, 1000);
+    cr_assert_eq(first.size(), 1);
+    cr_assert(first[0].task == std::string(job) + ".0.0.0");
+    obey(s, first, 1001);
+    cr_assert_eq(place(s, 1499).size(), 0);
+    const std::vector<start_order> second = place(s, 1500);
+    cr_assert_eq(second.size(), 1, "while the first still runs");
+    cr_assert(second[0].task == std::string(job) + ".1.0.0");
+    obey(s, second, 1501);
+    worker_report report;
+    report.ended = {end_of(1, first[0].task, first[0].run, end_reason::done),
+                    end_of(2, second[0].task, second[0].run, end_reason::done)};
+    look(s, "w1", report, 1600);
+    record_all(s, store, 1601);
+    cr_assert(s.shown(job) == job_state::running, "the third is still to come");
+    // A successor keeps the times, and what is done.
+    scheduler next = successor_of(store, 2, {"w1"}, 1700, config_of());
+    look(next, "w1", {}, 1710);
+    cr_assert_eq(place(next, 1999).size(), 0);
+    const std::vector<start_order> third = place(next, 2000);
+    cr_assert_eq(third.size(), 1);
+    cr_assert(third[0].task == std::string(job) + ".2.0.0");
+}
+
+Test(pool_scheduler, a_long_running_task_is_restarted_however_it_ends_and_ends_with_its_cancel)
+{
+    scheduler s = fresh({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    step_spec step = step_of(1, 1);
+    step.long_running = true;
+    add_job(s, store, job_of(job, {step}), 0);
+    std::map<std::string, std::uint64_t> ends;
+    std::map<std::string, worker_report> reports;
+    std::int64_t ms = 0;
+    for (int n = 0; n < 8; ++n) {
+        ms += 300;
+        const std::vector<start_order> orders = place(s, ms);
+        cr_assert_eq(orders.size(), 1, "after %d ends", n);
+        obey(s, orders, ms + 1);
+        reports[orders[0].worker].ended.push_back(
+            end_of(++ends[orders[0].worker], orders[0].task, orders[0].run,
+                   n % 2 == 0 ? end_reason::failed : end_reason::done));
+        ms += 10;
+        look(s, orders[0].worker, reports[orders[0].worker], ms);
+    }
+    record_all(s, store, ms);
+    cr_assert(s.shown(job) == job_state::running);
+    ms += 300;
+    obey(s, place(s, ms), ms + 1);
+    cr_assert(s.cancel(job, at_ms(ms + 10)) == cancel_answer::cancelled);
+    cr_assert_eq(s.take_stops().size(), 1);
+}
+
+Test(pool_scheduler, a_start_that_a_worker_finds_invalid_is_not_repeated_at_once)
+{
+    scheduler s = fresh({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    int starts = 0;
+    for (std::int64_t ms = 1; ms < 1000; ms += 2) {
+        for (const start_order& o : place(s, ms)) {
+            ++starts;
+            s.on_start(o, order_verdict::no_ticket, 0, at_ms(ms + 1));
+        }
+    }
+    cr_assert_geq(starts, 2);
+    cr_assert_leq(starts, 6);
+}
