Refuse jobs that no worker can run, by label and by the width of gangs

Change: the workers, if they were empty, must hold one task, or the whole gang, by size, label and tasks a worker; lapsed entries of workers that may live count, as the store may be away.

--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -80,6 +80,10 @@
     bool preferred = false; ///< its rack holds the data
 };
 
+/// Returns whether the worker is of the queue's service and has the size and label that a task of
+/// the step needs.
+bool may_run(const worker_entry& entry, const step_spec& step, const queue_policy& queue);
+
 /// Returns how many tasks of `need` fit into `room`, at most `limit`.
 int fitting(const resources& need, const resources& room, int limit);
 
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -115,7 +115,7 @@
     void wrote(time_point sent);
 
     /// Says whether the job can be served; the job isn't taken yet.
-    admission_answer admit(const job_spec& spec, time_point now) const;
+    admission_answer admit(const job_spec& spec) const;
     /// Returns the record that makes an admitted job durable.
     static keyed_record record_of(const job_spec& spec, std::int64_t wall_ms);
     /// Takes a job whose record is stored.
@@ -178,6 +178,7 @@
     void open_due(time_point now);
     void close_units(const std::string& job);
     void refresh(unit& u, const job_entry& entry, time_point now);
+    int most_at_once(const step_spec& step, const queue_policy& queue) const;
     bool is_eligible(const worker& w, const step_spec& step, const queue_policy& queue,
                      time_point now) const;
     std::vector<worker*> workers_for(const unit& u, const step_spec& step,
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -521,7 +521,7 @@
         pending->second.waiting.push_back(std::move(done));
         return;
     }
-    const admission_answer admitted = scheduler_.admit(spec, now);
+    const admission_answer admitted = scheduler_.admit(spec);
     if (admitted.verdict == admission::known) {
         done({submit_verdict::accepted, "known", millis(0)});
         return;
--- a/src/pool_order.cc
+++ b/src/pool_order.cc
@@ -55,6 +55,14 @@
     return rank * std::exp(-(in.objective_ms - end_ms) / slack_scale_ms);
 }
 
+bool may_run(const worker_entry& entry, const step_spec& step, const queue_policy& queue)
+{
+    const bool labelled =
+        step.required_label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
+                                                 step.required_label) != entry.labels.end();
+    return labelled && entry.service == queue.service && fits(step.need, entry.capacity);
+}
+
 int fitting(const resources& need, const resources& room, int limit)
 {
     std::int64_t count = limit;
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -10,12 +10,6 @@
 constexpr std::size_t max_named = 100; ///< workers in one call for advice; the platform's bound
 constexpr std::int64_t runs_a_fence = 1000; ///< run numbers of one task that a leader may use
 
-bool has_label(const worker& w, const std::string& label)
-{
-    return label.empty() ||
-           std::find(w.entry.labels.begin(), w.entry.labels.end(), label) != w.entry.labels.end();
-}
-
 int active_on(const worker& w, const task_id& step)
 {
     int count = 0;
@@ -99,8 +93,7 @@
 bool scheduler::is_eligible(const worker& w, const step_spec& step, const queue_policy& queue,
                             time_point now) const
 {
-    return w.is_open(now) && w.entry.service == queue.service &&
-           has_label(w, step.required_label) && fits(step.need, w.entry.capacity);
+    return w.is_open(now) && may_run(w.entry, step, queue);
 }
 
 /// Returns the workers that may run the step: those approved, or all where nobody has to approve.
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -65,7 +65,11 @@
         if (doubts_.count(directory_doubt) > 0) {
             doubts_.insert(entry.id); // the predecessor may have used it
         }
-        note(decision_kind::worker_joined, "", entry.id, entry.data_center + " " + entry.rack);
+        std::string labels;
+        for (const std::string& l : entry.labels) {
+            labels.append(" ").append(l);
+        }
+        note(decision_kind::worker_joined, "", entry.id, entry.data_center + labels);
     }
     else {
         worker& w = known->second;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -158,7 +158,22 @@
     }
 }
 
-admission_answer scheduler::admit(const job_spec& spec, time_point now) const
+/// Returns how many tasks of the step the workers could hold if they were empty, at most all.
+/// Workers whose entries have lapsed count while they may live: the store may have been away.
+int scheduler::most_at_once(const step_spec& step, const queue_policy& queue) const
+{
+    const int a_worker = step.max_per_worker > 0 ? step.max_per_worker : step.tasks;
+    int held = 0;
+    for (const std::pair<const std::string, worker>& w : workers_) {
+        const bool lives = w.second.listed || !w.second.lost;
+        if (held < step.tasks && lives && may_run(w.second.entry, step, queue)) {
+            held += fitting(taken_by(step), w.second.entry.capacity, a_worker);
+        }
+    }
+    return std::min(held, step.tasks);
+}
+
+admission_answer scheduler::admit(const job_spec& spec) const
 {
     const auto known = jobs_.find(spec.id);
     if (known != jobs_.end()) {
@@ -170,16 +185,14 @@
         return {admission::refuse, "no such queue in this member's configuration", come_back};
     }
     for (const step_spec& step : spec.steps) {
-        const bool fits_somewhere = std::any_of(
-            workers_.begin(), workers_.end(), [&](const std::pair<const std::string, worker>& w) {
-                return w.second.listed && w.second.entry.service == queue->service &&
-                       fits(step.need, w.second.entry.capacity);
-            });
-        if (!fits_somewhere) {
-            return {admission::refuse, "no worker is large enough for one of its tasks", come_back};
+        const int at_once = step.gang ? step.tasks : 1; // the others can follow one by one
+        if (most_at_once(step, *queue) < at_once) {
+            return {admission::refuse,
+                    step.gang ? "the pool couldn't hold one of its gangs, even when empty"
+                              : "no worker has the size and the label for one of its tasks",
+                    come_back};
         }
     }
-    static_cast<void>(now);
     return {admission::accept, "", millis(0)};
 }
 
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -321,7 +321,7 @@
 Test(pool_scheduler, a_job_that_fits_no_worker_is_refused)
 {
     const scheduler s = fresh({"w1"});
-    const admission_answer answer = s.admit(job_of(job, {step_of(1, 9)}), at_ms(1));
+    const admission_answer answer = s.admit(job_of(job, {step_of(1, 9)}));
     cr_assert_eq(answer.verdict, admission::refuse);
     cr_assert_gt(answer.retry_after.count(), 0);
 }
@@ -631,3 +631,21 @@
     cr_assert_geq(starts, 2);
     cr_assert_leq(starts, 6);
 }
+
+Test(pool_scheduler, what_no_worker_can_run_is_refused_at_once)
+{
+    scheduler s = fresh({"w1", "w2"});
+    step_spec step = step_of(1, 2);
+    cr_assert(s.admit(job_of(job, {step})).verdict == admission::accept);
+    step.required_label = "b";
+    cr_assert(s.admit(job_of(job, {step})).verdict == admission::refuse);
+    cr_assert(s.admit(job_of(job, {step_of(1, 9)})).verdict == admission::refuse);
+    cr_assert(s.admit(job_of(job, {step_of(5, 4)})).verdict == admission::accept, "one by one");
+    cr_assert(s.admit(job_of(job, {step_of(4, 4, true)})).verdict == admission::accept);
+    const admission_answer wide = s.admit(job_of(job, {step_of(5, 4, true)}));
+    cr_assert(wide.verdict == admission::refuse, "a gang has to fit whole");
+    cr_assert_gt(wide.retry_after.count(), 0);
+    step_spec apart = step_of(3, 1, true);
+    apart.max_per_worker = 1;
+    cr_assert(s.admit(job_of(job, {apart})).verdict == admission::refuse);
+}
