--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -192,7 +192,6 @@
 
 struct advice_answer {
     bool good = false;
-    bool busy = false; ///< refused: too many calls wait
     std::vector<approval> approved;
     millis valid{0}; ///< how long the tickets are good
     error why;
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -105,7 +105,7 @@
     void restored(time_point now, time_point doubt_until);
 
     void list_worker(const worker_entry& entry, time_point now);
-    void unlist_worker(const std::string& id, time_point now);
+    void unlist_worker(const std::string& id);
 
     /// Takes note that the workers' directory has been read to its end, from `begun` on. Until this
     /// is after the claim, a worker that isn't known may run inherited tasks.
@@ -150,7 +150,7 @@
     /// Returns what is to be recorded next; nothing while an earlier batch is under way, as its
     /// ends aren't recorded yet.
     record_batch take_records(std::int64_t wall_ms);
-    void recorded(const record_batch& batch, time_point now);
+    void recorded(const record_batch& batch);
     /// Returns a batch that couldn't be stored, so that it goes into the next one.
     void not_recorded(const record_batch& batch);
     std::vector<decision> take_decisions();
@@ -228,7 +228,6 @@
     std::map<std::string, unit> units_;                ///< ready steps that aren't done, by name
     std::set<std::pair<time_point, std::string>> due_; ///< the next occurrences of jobs with times
     std::set<std::string> dirty_;                      ///< jobs whose progress has to be recorded
-    std::set<std::string> dropped_;                    ///< records that are no longer needed
     std::set<std::string> doubts_;                     ///< workers that may run what nobody lists
     static constexpr const char* directory_doubt =
         ""; ///< among them: workers that aren't known yet
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -133,7 +133,7 @@
 
 void leader::unlist_worker(const std::string& id)
 {
-    scheduler_.unlist_worker(id, boot_clock::now());
+    scheduler_.unlist_worker(id);
 }
 
 void leader::directory_known(time_point begun)
@@ -460,7 +460,7 @@
         return;
     }
     if (batch.records.empty()) {
-        scheduler_.recorded(batch, boot_clock::now());
+        scheduler_.recorded(batch);
         return;
     }
     writing_ = true;
@@ -474,7 +474,7 @@
             answer_cancels(batch.finals, false);
             return;
         }
-        scheduler_.recorded(batch, boot_clock::now());
+        scheduler_.recorded(batch);
         answer_cancels(batch.finals, true);
         if (scheduler_.workers().size() <= many_workers) {
             for (const std::pair<const std::string, std::uint64_t>& end : batch.ends) {
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -86,7 +86,7 @@
     changed_ = true;
 }
 
-void scheduler::unlist_worker(const std::string& id, time_point /*now*/)
+void scheduler::unlist_worker(const std::string& id)
 {
     worker* w = find_worker(id);
     if (w != nullptr && w->listed) {
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -384,7 +384,7 @@
     return batch;
 }
 
-void scheduler::recorded(const record_batch& batch, time_point /*now*/)
+void scheduler::recorded(const record_batch& batch)
 {
     batch_under_way_ = false;
     for (const std::string& id : batch.finals) {
--- a/test/pool_fixture.h
+++ b/test/pool_fixture.h
@@ -93,7 +93,7 @@
             store[r.key] = r.value;
         }
     }
-    s.recorded(batch, at_ms(ms));
+    s.recorded(batch);
 }
 
 /// Returns a successor that has read `store` and knows the workers, all in doubt.
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -354,7 +354,7 @@
     cr_assert(s.has_unrecorded_ends("w1"));
     const record_batch again = s.take_records(wall_start_ms);
     cr_assert_eq(again.records.size(), 1);
-    s.recorded(again, at_ms(20));
+    s.recorded(again);
     cr_assert_not(s.has_unrecorded_ends("w1"));
 }
 
