Let the stand-in client keep to entries that take connections

Trace (load1.jsonl): all six entries were killed; the call, cut at e6, was repeated five times within a second, each time at an entry drawn from all twelve, and each draw fell on a dead one, while six new ones took connections. With no entry ready the client drew blindly: one cut call in 32 is lost so. The product was not asked. Now the client draws from those that are ready, else from those that take connections, else from all, as a balancer does; the check and its bound are as before, and more calls reach entries that aren't ready yet.

--- a/test/standin/caller.cc
+++ b/test/standin/caller.cc
@@ -115,6 +115,7 @@
     endpoint address;
     std::string name;
     bool ready = true;
+    bool connects = true; ///< as far as is known
 };
 
 struct pending_request {
@@ -196,6 +197,7 @@
             client_.send(e.address, std::move(call),
                          [&e](const std::optional<http_reply>& reply, const error&) {
                              e.ready = reply && reply->status == 200;
+                             e.connects = reply.has_value();
                          });
         }
     }
@@ -299,16 +301,22 @@
         return digest_of(text);
     }
 
+    /// Draws one of those that are ready, else of those that take connections, else of all.
     entry_state& choose()
     {
         std::vector<entry_state*> ready;
+        std::vector<entry_state*> connecting;
         for (entry_state& e : entries_) {
             if (e.ready) {
                 ready.push_back(&e);
             }
+            if (e.connects) {
+                connecting.push_back(&e);
+            }
         }
-        return ready.empty() ? entries_[random_() % entries_.size()]
-                             : *ready[random_() % ready.size()];
+        const std::vector<entry_state*>& best = ready.empty() ? connecting : ready;
+        return best.empty() ? entries_[random_() % entries_.size()]
+                            : *best[random_() % best.size()];
     }
 
     void note(const std::string& event, const pending_request& r, const std::string& entry,
@@ -371,6 +379,7 @@
     void take_failure(const request_pointer& r, entry_state& e, bool unconnected, bool waited)
     {
         e.ready = e.ready && waited;
+        e.connects = e.connects && !unconnected;
         const std::string ending = unconnected ? "unconnected" : waited ? "timed_out" : "cut";
         note("answered", *r, e.name, ending, "");
         r->open = r->open || !unconnected;
