Split the long files of the pool by subject

Cause: pool_member.cc (827 lines), pool_reports.cc (595) and pool_placing.cc (543) each held several jobs. Pure moves: calls of clients and members to pool_calls.cc, runs and orders to pool_runs.cc, gangs to pool_gangs.cc, advice from both sides to pool_advice.cc. No statement changes but where the incarnation is drawn (in the constructor).

--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -1,4 +1,4 @@
-// Passes clients' requests to the leader, follows the log, and takes the lead when it falls vacant.
+// A member beside its calls: follows the log, and takes the lead when it falls vacant.
 
 #include "sesamesill/pool_member.h"
 
@@ -6,10 +6,8 @@
 #include <random>
 
 #include "pool_keys.h"
-#include "pool_leader.h"
+#include "pool_member_parts.h"
 #include "sesamesill/log.h"
-#include "sesamesill/names.h"
-#include "sesamesill/rpc.h"
 
 namespace sesamesill::pool {
 namespace {
@@ -20,105 +18,22 @@
 constexpr millis heartbeat_timeout{400};
 constexpr millis election_period{20};
 constexpr millis standby_pause{200};  ///< a standby is at most this far behind the log
-constexpr millis retry_pause{60};     ///< before a request is passed on again
-constexpr millis answer_reserve{250}; ///< of a client's time, kept for the answer's way
-constexpr millis longest_try{600};    ///< of one pass: by then a lost leader is replaced; a
-                                      ///< repeat to the same leader joins the first
-constexpr millis come_back{1000};     ///< to clients, while the pool has no leader
 constexpr millis worker_memory{8000}; ///< entries that expired: longest lease and a margin
 constexpr std::uint32_t max_claim_delay_ms = 60; ///< spreads the claims of like members
 constexpr millis smaller_member_delay{60}; ///< leaves the claim to a member with more processor
 
-constexpr name_table<submit_verdict, 4> verdict_names{{{submit_verdict::accepted, "accepted"},
-                                                       {submit_verdict::refused, "refused"},
-                                                       {submit_verdict::unknown, "unknown"},
-                                                       {submit_verdict::moved, "moved"}}};
-
 std::string random_text()
 {
     std::random_device device;
     return std::to_string(device()) + "-" + std::to_string(device());
 }
 
-struct known_peer {
-    endpoint address;
-    double processor_share = 1;
-};
-
-struct forgotten_worker {
-    worker_entry entry;
-    time_point since;
-};
-
-/// A request that is passed on until it is answered or its time is over.
-struct passing {
-    std::string path;
-    std::string method;
-    std::string body;
-    time_point until;
-    bool maybe_done = false;               ///< some try had no answer
-    std::function<void(millis left)> here; ///< serves it where this member has come to lead
-    std::function<void(std::optional<Json::Value>, bool maybe_done)> done;
-};
-
 } // namespace
 
-std::string_view name_of(submit_verdict verdict)
-{
-    return name_in(verdict_names, verdict);
-}
-
-struct member::parts {
-    event_loop& loop;
-    member_settings settings;
-    record_log& log;
-    worker_gateway& workers;
-    advisor& advice;
-    http_client peers;
-    http_server peer_server;
-    rpc_server rpc;
-    std::string incarnation = random_text();
-    election vote;
-    keyed_follower follower;
-    configuration config;
-    std::map<std::string, known_peer> known_peers; ///< from heartbeats, or from the leader
-    std::map<std::string, worker_entry> known_workers;
-    std::map<std::string, forgotten_worker> forgotten_workers;
-    std::unique_ptr<leader> lead;
-    std::function<void()> on_lead;
-    bool claiming = false;
-    bool leaving = false;
-    bool beating = false;
-
-    parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w, advisor& a);
-
-    bool start(error& why);
-    void on_record(const keyed_record& record);
-    void heartbeat();
-    void heartbeat_later();
-    void elect();
-    void claim();
-    void append_claim();
-    void take_lead(std::uint64_t claim_offset);
-    void lose_lead();
-    void learn_leader(const Json::Value& value);
-    void learn_peers(const Json::Value& addresses);
-    void ask_peers_for_leader();
-    void announce(const leader_record& self);
-    bool leads() const { return lead != nullptr; }
-
-    void pass_on(const std::shared_ptr<passing>& request);
-    void serve_peers();
-    std::optional<Json::Value> on_heartbeat(const Json::Value& params, error& why);
-    void serve_submit(const http_request& request, const http_respond& respond);
-    void serve_advise(const http_request& request, const http_respond& respond);
-    std::vector<worker_entry> all_workers() const;
-};
-
 member::parts::parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w,
                      advisor& a)
     : loop(l), settings(std::move(s)), log(records), workers(w), advice(a),
-      peers(l, settings.name, 16), peer_server(l),
+      peers(l, settings.name, 16), peer_server(l), incarnation(random_text()),
       vote(incarnation, millis(std::hash<std::string>{}(settings.name) % max_claim_delay_ms),
            boot_clock::now()),
       follower(l, records, "pool", {millis(0), standby_pause},
@@ -126,8 +41,6 @@
 {
 }
 
-namespace {
-
 Json::Value to_json(const leader_record& leader)
 {
     Json::Value value;
@@ -138,8 +51,6 @@
     return value;
 }
 
-} // namespace
-
 /// Takes word of a leader from another member: one that is cut off from the store passes requests
 /// on all the same. A claim of one's own rests on the log alone.
 void member::parts::learn_leader(const Json::Value& value)
@@ -421,228 +332,6 @@
     return answer;
 }
 
-namespace {
-
-Json::Value to_json(const submit_answer& a)
-{
-    Json::Value value;
-    value["verdict"] = static_cast<int>(a.verdict);
-    value["reason"] = a.reason;
-    value["retry_after_ms"] = static_cast<Json::Int64>(a.retry_after.count());
-    return value;
-}
-
-submit_answer submit_answer_from(const Json::Value& value)
-{
-    submit_answer a;
-    const int verdict = value["verdict"].asInt();
-    a.verdict = verdict == static_cast<int>(submit_verdict::accepted)  ? submit_verdict::accepted
-                : verdict == static_cast<int>(submit_verdict::refused) ? submit_verdict::refused
-                                                                       : submit_verdict::unknown;
-    a.reason = value["reason"].asString();
-    a.retry_after = millis(value["retry_after_ms"].asInt64());
-    return a;
-}
-
-Json::Value to_json(const state_answer& a)
-{
-    Json::Value value;
-    value["found"] = static_cast<int>(a.found);
-    value["state"] = std::string(name_of(a.state));
-    return value;
-}
-
-state_answer state_answer_from(const Json::Value& value)
-{
-    const std::optional<job_state> state = job_state_from(value["state"].asString());
-    const int found = value["found"].asInt();
-    if (!state || found == static_cast<int>(lookup::unavailable)) {
-        return {};
-    }
-    return {found == static_cast<int>(lookup::found) ? lookup::found : lookup::not_known, *state};
-}
-
-constexpr int not_leading = 421;     ///< HTTP: misdirected request
-constexpr int outcome_unknown = 504; ///< HTTP: gateway time-out
-
-void respond_json(const http_respond& respond, const Json::Value& value)
-{
-    http_reply reply;
-    reply.body = to_text(value);
-    respond(std::move(reply));
-}
-
-void respond_not_leading(const http_respond& respond)
-{
-    http_reply reply;
-    reply.status = not_leading;
-    respond(std::move(reply));
-}
-
-std::string query_value(const http_request& request, const char* name)
-{
-    const auto known = request.query.find(name);
-    return known != request.query.end() ? known->second : std::string();
-}
-
-} // namespace
-
-void member::parts::serve_submit(const http_request& request, const http_respond& respond)
-{
-    const std::optional<Json::Value> body = json_from(request.body);
-    error why{error_code::corrupt, step::rpc, request.peer, "not JSON"};
-    const std::optional<job_spec> spec =
-        body ? job_spec_from(*body, why) : std::optional<job_spec>();
-    if (!spec) {
-        log_error("submit_unreadable", why);
-        respond_json(respond, to_json(submit_answer{submit_verdict::refused, why.reason}));
-        return;
-    }
-    lead->submit(*spec, [respond](const submit_answer& a) {
-        if (a.verdict == submit_verdict::moved) {
-            respond_not_leading(respond);
-            return;
-        }
-        if (a.verdict == submit_verdict::unknown) {
-            http_reply reply; // the sender asks the next leader, which reads the log
-            reply.status = outcome_unknown;
-            respond(std::move(reply));
-            return;
-        }
-        respond_json(respond, to_json(a));
-    });
-}
-
-void member::parts::serve_advise(const http_request& request, const http_respond& respond)
-{
-    const std::optional<Json::Value> body = json_from(request.body);
-    if (!body || !body->isObject()) {
-        http_reply reply;
-        reply.status = 400;
-        respond(std::move(reply));
-        return;
-    }
-    std::vector<std::string> names;
-    for (const Json::Value& w : (*body)["workers"]) {
-        names.push_back(w.asString());
-    }
-    advice.advise((*body)["step"].asString(), names, millis((*body)["timeout_ms"].asInt64()),
-                  [respond](const advice_answer& a) {
-                      Json::Value value;
-                      value["good"] = a.good;
-                      value["valid_ms"] = static_cast<Json::Int64>(a.valid.count());
-                      value["reason"] = a.why.reason;
-                      for (const approval& row : a.approved) {
-                          Json::Value pair;
-                          pair.append(row.worker);
-                          pair.append(row.ticket);
-                          value["approved"].append(pair);
-                      }
-                      respond_json(respond, value);
-                  });
-}
-
-void member::parts::serve_peers()
-{
-    rpc.add("heartbeat",
-            [this](const Json::Value& params, error& why) { return on_heartbeat(params, why); });
-    rpc.add("leader", [this](const Json::Value& params, error&) {
-        learn_leader(params);
-        return std::optional<Json::Value>(vote.leader() ? to_json(*vote.leader())
-                                                        : Json::Value(Json::objectValue));
-    });
-    rpc.add("succeed", [this](const Json::Value& params, error&) {
-        const bool newest = vote.leader() && vote.leader()->fence <= params["fence"].asUInt64();
-        if (newest && !leaving) {
-            vote.on_nominated(boot_clock::now());
-        }
-        return std::optional<Json::Value>(Json::Value(newest && !leaving));
-    });
-    peer_server.route("POST", "/rpc",
-                      [this](const http_request& request, const http_respond& respond) {
-                          http_reply reply;
-                          reply.body = rpc.handle(request.body);
-                          respond(std::move(reply));
-                      });
-    peer_server.route("POST", "/pool/advise",
-                      [this](const http_request& request, const http_respond& respond) {
-                          serve_advise(request, respond);
-                      });
-    const auto leading_only = [this](auto handler) {
-        return [this, handler](const http_request& request, const http_respond& respond) {
-            if (!leads()) {
-                respond_not_leading(respond);
-                return;
-            }
-            handler(request, respond);
-        };
-    };
-    peer_server.route(
-        "POST", "/pool/submit",
-        leading_only([this](const http_request& request, const http_respond& respond) {
-            serve_submit(request, respond);
-        }));
-    peer_server.route(
-        "GET", "/pool/state",
-        leading_only([this](const http_request& request, const http_respond& respond) {
-            respond_json(respond, to_json(lead->state_of(query_value(request, "id"))));
-        }));
-    peer_server.route(
-        "POST", "/pool/cancel",
-        leading_only([this](const http_request& request, const http_respond& respond) {
-            lead->cancel(query_value(request, "id"),
-                         [respond](const state_answer& a) { respond_json(respond, to_json(a)); });
-        }));
-    peer_server.route(
-        "GET", "/pool/waiting",
-        leading_only([this](const http_request& request, const http_respond& respond) {
-            Json::Value value;
-            value["count"] = lead->waiting_in(query_value(request, "queue"));
-            respond_json(respond, value);
-        }));
-}
-
-void member::parts::pass_on(const std::shared_ptr<passing>& request)
-{
-    const time_point now = boot_clock::now();
-    const millis left(to_millis(request->until - now));
-    if (left <= millis(0)) {
-        request->done(std::nullopt, request->maybe_done);
-        return;
-    }
-    if (leads()) {
-        request->here(left + answer_reserve);
-        return;
-    }
-    const auto again = [this, request] {
-        loop.after(retry_pause, [this, request] { pass_on(request); });
-    };
-    if (!vote.leader() || vote.is_own()) {
-        again(); // no leader yet, or this member's own lead is beginning or ending
-        return;
-    }
-    http_call call;
-    call.method = request->method;
-    call.path = request->path;
-    call.body = request->body;
-    call.timeout = std::min(left, longest_try);
-    peers.send(vote.leader()->address, std::move(call),
-               [this, request, again, asked = vote.leader()->incarnation](
-                   const std::optional<http_reply>& reply, const error& why) {
-                   if (reply && reply->status == 200) {
-                       request->done(json_from(reply->body), request->maybe_done);
-                       return;
-                   }
-                   const bool not_done =
-                       reply ? reply->status == not_leading : why.code == error_code::unavailable;
-                   request->maybe_done = request->maybe_done || !not_done;
-                   if (!reply && not_done && vote.leader() && vote.leader()->incarnation == asked) {
-                       vote.on_leader_gone(boot_clock::now());
-                   }
-                   again();
-               });
-}
-
 member::member(event_loop& loop, member_settings settings, record_log& log, worker_gateway& workers,
                advisor& advice)
     : parts_(std::make_unique<parts>(loop, std::move(settings), log, workers, advice))
@@ -722,106 +411,4 @@
     }
 }
 
-namespace {
-
-time_point answer_by(millis budget)
-{
-    return boot_clock::now() + std::max(millis(50), budget - answer_reserve);
-}
-
-} // namespace
-
-void member::submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done)
-{
-    parts& p = *parts_;
-    if (p.leads()) {
-        const time_point until = boot_clock::now() + budget;
-        p.lead->submit(spec, [this, spec, until, done = std::move(done)](const submit_answer& a) {
-            const millis left(to_millis(until - boot_clock::now()));
-            const bool ask_successor =
-                a.verdict == submit_verdict::unknown || a.verdict == submit_verdict::moved;
-            if (ask_successor && left > answer_reserve + retry_pause) {
-                // The lead was lost meanwhile; the successor knows whether the job is stored.
-                parts_->loop.after(retry_pause, [this, spec, left, done] {
-                    submit(spec, left - retry_pause, done);
-                });
-                return;
-            }
-            done(a);
-        });
-        return;
-    }
-    const std::shared_ptr<passing> request = std::make_shared<passing>();
-    request->method = "POST";
-    request->path = "/pool/submit";
-    request->body = to_text(pool::to_json(spec));
-    request->until = answer_by(budget);
-    request->here = [this, spec, done](millis left) { submit(spec, left, done); };
-    request->done = [done](const std::optional<Json::Value>& answer, bool maybe_done) {
-        if (answer) {
-            done(submit_answer_from(*answer));
-            return;
-        }
-        done({maybe_done ? submit_verdict::unknown : submit_verdict::refused,
-              "no leader answered in time", come_back});
-    };
-    p.pass_on(request);
-}
-
-void member::state_of(const std::string& id, millis budget,
-                      const std::function<void(state_answer)>& done)
-{
-    parts& p = *parts_;
-    if (p.leads()) {
-        done(p.lead->state_of(id));
-        return;
-    }
-    const std::shared_ptr<passing> request = std::make_shared<passing>();
-    request->method = "GET";
-    request->path = "/pool/state?id=" + id;
-    request->until = answer_by(budget);
-    request->here = [this, id, done](millis left) { state_of(id, left, done); };
-    request->done = [done](const std::optional<Json::Value>& answer, bool) {
-        done(answer ? state_answer_from(*answer) : state_answer{});
-    };
-    p.pass_on(request);
-}
-
-void member::cancel(const std::string& id, millis budget, std::function<void(state_answer)> done)
-{
-    parts& p = *parts_;
-    if (p.leads()) {
-        p.lead->cancel(id, std::move(done));
-        return;
-    }
-    const std::shared_ptr<passing> request = std::make_shared<passing>();
-    request->method = "POST";
-    request->path = "/pool/cancel?id=" + id;
-    request->until = answer_by(budget);
-    request->here = [this, id, done](millis left) { cancel(id, left, done); };
-    request->done = [done](const std::optional<Json::Value>& answer, bool) {
-        done(answer ? state_answer_from(*answer) : state_answer{});
-    };
-    p.pass_on(request);
-}
-
-void member::waiting_in(const std::string& queue, millis budget,
-                        const std::function<void(waiting_answer)>& done)
-{
-    parts& p = *parts_;
-    if (p.leads()) {
-        done({lookup::found, p.lead->waiting_in(queue)});
-        return;
-    }
-    const std::shared_ptr<passing> request = std::make_shared<passing>();
-    request->method = "GET";
-    request->path = "/pool/waiting?queue=" + queue;
-    request->until = answer_by(budget);
-    request->here = [this, queue, done](millis left) { waiting_in(queue, left, done); };
-    request->done = [done](const std::optional<Json::Value>& answer, bool) {
-        done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()} : waiting_answer{});
-    };
-    p.pass_on(request);
-}
-
 } // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_member_parts.h
@@ -0,0 +1,90 @@
+// What the two halves of a member share: its parts, and requests on their way to the leader.
+// `pool_member.cc` keeps the lead, `pool_calls.cc` the calls of clients and of other members.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+#include "pool_leader.h"
+#include "sesamesill/pool_member.h"
+#include "sesamesill/rpc.h"
+
+namespace sesamesill::pool {
+
+struct known_peer {
+    endpoint address;
+    double processor_share = 1;
+};
+
+struct forgotten_worker {
+    worker_entry entry;
+    time_point since;
+};
+
+/// A request that is passed on until it is answered or its time is over.
+struct passing {
+    std::string path;
+    std::string method;
+    std::string body;
+    time_point until;
+    bool maybe_done = false;               ///< some try had no answer
+    std::function<void(millis left)> here; ///< serves it where this member has come to lead
+    std::function<void(std::optional<Json::Value>, bool maybe_done)> done;
+};
+
+Json::Value to_json(const leader_record& leader);
+
+struct member::parts {
+    event_loop& loop;
+    member_settings settings;
+    record_log& log;
+    worker_gateway& workers;
+    advisor& advice;
+    http_client peers;
+    http_server peer_server;
+    rpc_server rpc;
+    std::string incarnation;
+    election vote;
+    keyed_follower follower;
+    configuration config;
+    std::map<std::string, known_peer> known_peers; ///< from heartbeats, or from the leader
+    std::map<std::string, worker_entry> known_workers;
+    std::map<std::string, forgotten_worker> forgotten_workers;
+    std::unique_ptr<leader> lead;
+    std::function<void()> on_lead;
+    bool claiming = false;
+    bool leaving = false;
+    bool beating = false;
+
+    parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w, advisor& a);
+
+    bool start(error& why);
+    void on_record(const keyed_record& record);
+    void heartbeat();
+    void heartbeat_later();
+    void elect();
+    void claim();
+    void append_claim();
+    void take_lead(std::uint64_t claim_offset);
+    void lose_lead();
+    void learn_leader(const Json::Value& value);
+    void learn_peers(const Json::Value& addresses);
+    void ask_peers_for_leader();
+    void announce(const leader_record& self);
+    bool leads() const { return lead != nullptr; }
+
+    void pass_on(const std::shared_ptr<passing>& request);
+    void serve_peers();
+    std::optional<Json::Value> on_heartbeat(const Json::Value& params, error& why);
+    void serve_submit(const http_request& request, const http_respond& respond);
+    void serve_advise(const http_request& request, const http_respond& respond);
+    std::vector<worker_entry> all_workers() const;
+};
+
+} // namespace sesamesill::pool
--- /dev/null
+++ b/src/pool_runs.cc
@@ -0,0 +1,203 @@
+// What becomes of orders to workers: starts that are refused or get no answer, stops, and the room
+// of runs that are over.
+
+#include <algorithm>
+
+#include "sesamesill/names.h"
+#include "sesamesill/pool_scheduler.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr name_table<order_verdict, 11> verdict_names{{{order_verdict::obeyed, "obeyed"},
+                                                       {order_verdict::fenced, "fenced"},
+                                                       {order_verdict::superseded, "superseded"},
+                                                       {order_verdict::late, "late"},
+                                                       {order_verdict::no_room, "no_room"},
+                                                       {order_verdict::no_ticket, "no_ticket"},
+                                                       {order_verdict::unhealthy, "unhealthy"},
+                                                       {order_verdict::replaced, "replaced"},
+                                                       {order_verdict::invalid, "invalid"},
+                                                       {order_verdict::not_sent, "not_sent"},
+                                                       {order_verdict::unknown, "unknown"}}};
+
+constexpr int start_attempts = 3;        ///< sends of one start before it is stopped instead
+constexpr millis unhealthy_pause{1500};  ///< a worker that refused is left alone for so long
+constexpr millis unreachable_pause{700}; ///< likewise, where no connection came about
+constexpr millis refusal_pause{200};     ///< a start that the worker finds invalid may stay so
+
+} // namespace
+
+void scheduler::send_stop(worker& w, run_record& run, time_point now)
+{
+    run.phase = run_phase::stopping;
+    run.ordered = now;
+    stops_.push_back({w.entry.id, w.entry.address, to_string(run.task), run.run, fence_});
+}
+
+void scheduler::stop_task(const task_id& id, time_point now)
+{
+    const auto known = jobs_.find(id.job);
+    task_record* task = known != jobs_.end() ? known->second.progress.find(id) : nullptr;
+    if (task == nullptr || task->worker.empty() ||
+        (task->phase != task_phase::starting && task->phase != task_phase::running)) {
+        return;
+    }
+    worker* w = find_worker(task->worker);
+    if (w == nullptr) {
+        return;
+    }
+    const auto run = w->runs.find({to_string(id), task->run});
+    if (run == w->runs.end() || run->second.phase == run_phase::stopping ||
+        run->second.phase == run_phase::pinned) {
+        return;
+    }
+    known->second.progress.stopping(id);
+    send_stop(*w, run->second, now);
+    note(decision_kind::stopped, id.job, w->entry.id, to_string(id));
+}
+
+/// Gives the room of a run back; its task waits again unless it has another run.
+void scheduler::release_run(worker& w, const run_record& run, time_point now)
+{
+    const run_record copy = run;
+    remove_run(w, to_string(copy.task), copy.run);
+    changed_ = true;
+    const auto known = jobs_.find(copy.task.job);
+    if (known == jobs_.end()) {
+        return;
+    }
+    task_record* task = known->second.progress.find(copy.task);
+    const bool current = task != nullptr && task->worker == w.entry.id && task->run == copy.run &&
+                         task->phase != task_phase::waiting && task->phase != task_phase::done;
+    if (current) {
+        known->second.progress.release(copy.task);
+        restart_gang_if_broken(known->second, copy.task, now);
+    }
+}
+
+/// A gang that has lost a member can't go on: stops the others, so that all start again together.
+void scheduler::restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now)
+{
+    const step_spec& spec = entry.progress.spec().steps[static_cast<std::size_t>(id.step)];
+    if (!spec.gang || is_final(entry.progress.state())) {
+        return;
+    }
+    task_id other = id;
+    for (other.index = 0; other.index < spec.tasks; ++other.index) {
+        stop_task(other, now);
+    }
+}
+
+void scheduler::on_start(const start_order& order, order_verdict verdict, std::int64_t clock_ms,
+                         time_point now)
+{
+    worker* w = find_worker(order.worker);
+    if (w == nullptr) {
+        return;
+    }
+    const auto known = w->runs.find({order.task, order.run});
+    if (known == w->runs.end()) {
+        return;
+    }
+    run_record& run = known->second;
+    if (verdict == order_verdict::obeyed) {
+        w->last_answer = now;
+        if (clock_ms > 0) {
+            w->clock_ms = clock_ms;
+            w->clock_read = now;
+        }
+        if (!run.confirmed) {
+            run.confirmed = now;
+            if (clock_ms > 0 && order.checkpoint.empty()) {
+                run.percent = 0; // what resumes is compared from the first look on
+                run.percent_clock_ms = clock_ms;
+            }
+        }
+        if (run.phase == run_phase::starting) {
+            run.phase = run_phase::running;
+            const auto job = jobs_.find(run.task.job);
+            if (job != jobs_.end()) {
+                job->second.progress.confirm(run.task);
+            }
+        }
+        return;
+    }
+    note(decision_kind::start_failed, run.task.job, order.worker,
+         order.task + ": " + std::string(name_in(verdict_names, verdict)),
+         to_millis(now - run.ordered));
+    if (run.phase != run_phase::starting) {
+        return; // being stopped, or listed by its worker in the meantime
+    }
+    take_refusal(*w, run, order, verdict, now);
+}
+
+/// Decides what becomes of a run whose start wasn't obeyed.
+void scheduler::take_refusal(worker& w, run_record& run, const start_order& order,
+                             order_verdict verdict, time_point now)
+{
+    switch (verdict) {
+    case order_verdict::unknown:
+        if (order.attempts < start_attempts) {
+            start_order again = order;
+            again.until_ms = std::max(order.until_ms, w.clock_at(now) + start_validity.count());
+            run.until_ms = again.until_ms;
+            starts_.push_back(std::move(again));
+            return;
+        }
+        stop_task(run.task, now);
+        return;
+    case order_verdict::not_sent:
+        if (order.attempts > 1) {
+            stop_task(run.task, now); // an earlier send may have been carried out
+            return;
+        }
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
+        break;
+    case order_verdict::superseded:
+        // An earlier send may have been carried out, and the run has ended since: a look tells.
+        run.phase = run_phase::running;
+        run.confirmed = run.confirmed.value_or(now);
+        return;
+    case order_verdict::fenced:
+        fenced_ = true;
+        break;
+    case order_verdict::unhealthy:
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unhealthy_pause);
+        break;
+    case order_verdict::no_room:
+        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
+        break;
+    default: {
+        const auto u = units_.find(step_name(run.task));
+        if (u != units_.end()) {
+            const bool renews = u->second.approved.erase(order.worker) > 0;
+            if (verdict != order_verdict::no_ticket || !renews) {
+                u->second.start_after = now + refusal_pause;
+            }
+        }
+        break;
+    }
+    }
+    release_run(w, run, now);
+}
+
+void scheduler::on_stop(const stop_order& order, order_verdict verdict, time_point now)
+{
+    worker* w = find_worker(order.worker);
+    if (w == nullptr) {
+        return;
+    }
+    fenced_ = fenced_ || verdict == order_verdict::fenced;
+    const auto known = w->runs.find({order.task, order.run});
+    if (known == w->runs.end()) {
+        return;
+    }
+    const bool obeyed = verdict == order_verdict::obeyed || verdict == order_verdict::superseded;
+    if (obeyed && known->second.phase == run_phase::stopping) {
+        known->second.phase = run_phase::pinned;
+        known->second.pinned_at = now;
+    }
+}
+
+} // namespace sesamesill::pool
