Read settings files in one place

Cause: both daemons had the same function for reading settings, and both tables of settings the same row type. Now read_settings_file and ini_setting serve both; nothing else changes.

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -2,9 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <gflags/gflags.h>
 
@@ -16,6 +14,7 @@
 #include "sesamesill/pool_follower.h"
 #include "sesamesill/pool_member.h"
 #include "sesamesill/pool_settings.h"
+#include "sesamesill/settings_file.h"
 #include "store.h"
 #include "workers.h"
 
@@ -27,7 +26,6 @@
 
 using namespace sesamesill;
 
-constexpr int exit_bad_settings = 2;
 constexpr std::size_t idle_connections = 16; ///< kept to each peer
 constexpr millis configuration_wait{2000};   ///< a read waits so long for a new version
 constexpr millis configuration_pause{20};    ///< between reads, against a busy loop
@@ -40,23 +38,6 @@
 constexpr millis log_period{20};            ///< lines below a warning are gathered so long
 constexpr millis serve_while_leaving{2500}; ///< the balancer notices within about 2 s
 
-std::optional<pool::daemon_settings> read_settings(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": cannot be read\n";
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    std::vector<fault> faults;
-    std::optional<pool::daemon_settings> settings = pool::parse_daemon_settings(text.str(), faults);
-    for (const fault& f : faults) {
-        std::cerr << path << ": " << to_string(f) << '\n';
-    }
-    return settings;
-}
-
 /// The processes' parts, and what follows the platform's store for them.
 class daemon_parts {
 public:
@@ -210,7 +191,8 @@
     gflags::SetVersionString(SESAMESILL_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::string path = settings_path();
-    const std::optional<pool::daemon_settings> settings = read_settings(path);
+    const std::optional<pool::daemon_settings> settings =
+        read_settings_file(path, pool::parse_daemon_settings);
     if (!settings) {
         return exit_bad_settings;
     }
@@ -231,7 +213,7 @@
     loop.on_signal(SIGTERM, [&parts] { parts.leave(); });
     loop.on_signal(SIGINT, [&parts] { parts.leave(); });
     loop.on_signal(SIGHUP, [&path] {
-        const bool good = read_settings(path).has_value();
+        const bool good = read_settings_file(path, pool::parse_daemon_settings).has_value();
         log_event(log_level::info, "reload", {{"good", good ? "yes" : "no"}});
     });
     loop.every(log_period, flush_log);
--- a/daemon/sesamesilld.cc
+++ b/daemon/sesamesilld.cc
@@ -1,15 +1,14 @@
 // The daemon: reads its settings, runs one node until it is told to stop.
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <gflags/gflags.h>
 
 #include "sesamesill/log.h"
 #include "sesamesill/node.h"
 #include "sesamesill/settings.h"
+#include "sesamesill/settings_file.h"
 
 DEFINE_string(settings, "", "file with the settings of this member, INI");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -17,26 +16,6 @@
 
 namespace {
 
-constexpr int exit_bad_settings = 2;
-
-std::optional<sesamesill::node_settings> read_settings(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": cannot be read\n";
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    std::vector<sesamesill::fault> faults;
-    std::optional<sesamesill::node_settings> settings =
-        sesamesill::parse_settings(text.str(), faults);
-    for (const sesamesill::fault& f : faults) {
-        std::cerr << path << ": " << to_string(f) << '\n';
-    }
-    return settings;
-}
-
 sesamesill::log_level level_from(const std::string& name)
 {
     if (name == "debug") {
@@ -55,9 +34,10 @@
     gflags::SetUsageMessage("one member of a sesamesill cell\n  sesamesilld --settings FILE");
     gflags::SetVersionString(SESAMESILL_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const std::optional<sesamesill::node_settings> settings = read_settings(FLAGS_settings);
+    const std::optional<sesamesill::node_settings> settings =
+        sesamesill::read_settings_file(FLAGS_settings, sesamesill::parse_settings);
     if (!settings) {
-        return exit_bad_settings;
+        return sesamesill::exit_bad_settings;
     }
     if (FLAGS_check) {
         std::cout << FLAGS_settings << ": good\n";
--- a/src/ini_text.h
+++ b/src/ini_text.h
@@ -22,6 +22,15 @@
     std::vector<ini_entry> entries;
 };
 
+/// A setting of a file, and the member that takes it.
+template<typename Member>
+struct ini_setting {
+    std::string_view section;
+    std::string_view key;
+    Member member{};
+    bool required = false;
+};
+
 /// Returns the sections in order, or nothing and the fault at which reading ended.
 std::optional<std::vector<ini_section>> read_ini_text(std::string_view text,
                                                       std::vector<fault>& faults);
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -14,12 +14,7 @@
     std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
                  double daemon_settings::*, millis platform_bounds::*, double platform_bounds::*>;
 
-struct setting {
-    std::string_view section;
-    std::string_view key;
-    member_pointer member;
-    bool required;
-};
+using setting = ini_setting<member_pointer>;
 
 const std::vector<setting> known_settings{
     {"member", "name", &daemon_settings::name, true},
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -15,12 +15,7 @@
 using member_pointer = std::variant<std::string node_settings::*, endpoint node_settings::*,
                                     millis node_settings::*, bool node_settings::*>;
 
-struct setting {
-    std::string_view section;
-    std::string_view key;
-    member_pointer member;
-    bool required;
-};
+using setting = ini_setting<member_pointer>;
 
 const std::vector<setting> known_settings{
     {"node", "name", &node_settings::name, true},
