Log the age of the directory read behind each start, and repeated starts

The hypotheses of the DRAIN incident differ in the age of a leader's view of the workers and in the attempts of an order; the logs told neither. task_started and job_begun carry directory_age_ms, start_repeated and start_confirmed tell later attempts, leading tells the view's age at the claim, worker_drains the time that is left, and a gauge the age now. No decision changes.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -34,6 +34,8 @@
     begun, ///< the first task of a job was started
     started,
     start_failed,
+    start_repeated,
+    start_confirmed, ///< logged only for a start that was sent more than once
     ended,
     stopped,
     cancelled,
@@ -59,6 +61,8 @@
     std::string worker; ///< empty if the decision concerns only a job
     std::string detail;
     std::int64_t age_ms = 0; ///< age of the deciding input
+    /// Age of the directory read that a start order is based on.
+    std::optional<std::int64_t> directory_age_ms;
 };
 
 enum class admission : std::uint8_t { accept, known, refuse };
@@ -110,8 +114,9 @@
     void list_worker(const worker_entry& entry, time_point now);
     void unlist_worker(const std::string& id);
 
-    /// Handles a complete read of the worker directory that was begun at `begun`. Until a read that
-    /// began after the restore is complete, an undiscovered worker may run inherited tasks.
+    /// Handles a complete read of the worker directory that was begun at `begun`, by this leader or
+    /// before its claim. Until a read that began after the restore is complete, an undiscovered
+    /// worker may run inherited tasks.
     void on_directory_loaded(time_point begun);
     /// Handles the storing of a record that was sent at `sent`. A later leader learns of all
     /// workers that were listed before that time and polls them, so only those workers get tasks.
@@ -149,6 +154,12 @@
     std::vector<std::string> worker_ids() const;
     /// Returns whether the worker has reported ends that are not recorded yet.
     bool has_unrecorded_ends(const std::string& worker) const;
+    /// Returns the time since the start of the last complete read of the worker directory. A change
+    /// of an entry within that time may be unknown.
+    millis directory_age(time_point now) const
+    {
+        return millis(to_millis(now - directory_read_at_));
+    }
 
     /// Returns the next records to store. The batch is empty while an earlier one is in flight,
     /// because the ends of that one are not recorded yet.
@@ -179,6 +190,8 @@
     worker* find_worker(const std::string& id);
     void add_decision(decision_kind kind, const std::string& job, const std::string& worker,
                       std::string detail, std::int64_t age_ms = 0);
+    void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
+                            std::string detail, std::int64_t age_ms, time_point now);
     void add_waiting_steps(job_entry& entry, time_point now);
     void add_due_steps(time_point now);
     void remove_waiting_steps(const std::string& job);
@@ -241,6 +254,7 @@
     static constexpr const char* undiscovered_workers = "";
     time_point verify_until_;
     time_point restored_at_;
+    time_point directory_read_at_; ///< when the last complete read of the directory began
     std::map<std::string, queue_estimate> estimates_; ///< by queue
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -91,7 +91,8 @@
 }
 
 void leader::restore(const std::map<std::string, keyed_record>& records,
-                     const std::vector<worker_entry>& known_workers, const configuration& config)
+                     const std::vector<worker_entry>& known_workers, time_point directory_read,
+                     const configuration& config)
 {
     const time_point now = boot_clock::now();
     const std::int64_t wall_ms = wall_clock_ms();
@@ -122,6 +123,7 @@
     for (const std::pair<const std::string, std::pair<Json::Value, Json::Value>>& j : jobs) {
         scheduler_.restore(j.first, j.second.first, j.second.second, wall_ms, now);
     }
+    scheduler_.on_directory_loaded(directory_read);
     const time_point verify_until =
         lease_end(now + unconfirmed_order_limit, settings_.bounds.max_lease);
     scheduler_.finish_restore(now, verify_until);
@@ -129,7 +131,8 @@
     log_event(log_level::info, "leading",
               {{"fence", static_cast<std::int64_t>(self_.fence)},
                {"jobs", static_cast<std::int64_t>(jobs.size())},
-               {"workers", static_cast<std::int64_t>(known_workers.size())}});
+               {"workers", static_cast<std::int64_t>(known_workers.size())},
+               {"directory_age_ms", scheduler_.directory_age(now).count()}});
     tick();
     schedule_update();
 }
@@ -212,6 +215,10 @@
     const time_point now = boot_clock::now();
     scheduler_.on_record_stored(writer_.lead_confirmed_at());
     scheduler_.tick(now);
+    process_metrics().gauge(
+        "sesamesill_pool_directory_age_seconds",
+        "Time since the start of the leader's last complete read of the workers' directory") =
+        static_cast<double>(scheduler_.directory_age(now).count()) / ms_per_second;
     if (now - writer_.last_stored() > idle_record_period && !writing_) {
         writing_ = true;
         writer_.add({{idle_record_key, std::to_string(self_.fence), 0}}, millis(0),
@@ -526,13 +533,25 @@
                               {{"queue", d.queue}})
                 .observe(static_cast<double>(d.age_ms) / ms_per_second);
         }
+        const std::int64_t fence = static_cast<std::int64_t>(self_.fence);
+        if (d.directory_age_ms) {
+            log_event(log_level::info, kind,
+                      {{"job", d.job},
+                       {"queue", d.queue},
+                       {"worker", d.worker},
+                       {"detail", d.detail},
+                       {"age_ms", d.age_ms},
+                       {"directory_age_ms", *d.directory_age_ms},
+                       {"fence", fence}});
+            continue;
+        }
         log_event(log_level::info, kind,
                   {{"job", d.job},
                    {"queue", d.queue},
                    {"worker", d.worker},
                    {"detail", d.detail},
                    {"age_ms", d.age_ms},
-                   {"fence", static_cast<std::int64_t>(self_.fence)}});
+                   {"fence", fence}});
     }
 }
 
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -30,9 +30,11 @@
     leader& operator=(leader&&) = delete;
 
     /// Restores the scheduler's state from the log's records. `known_workers` includes workers that
-    /// recently left the directory, as their runs may go on.
+    /// recently left the directory, as their runs may go on; `directory_read` is when the last
+    /// complete read of the directory began.
     void restore(const std::map<std::string, keyed_record>& records,
-                 const std::vector<worker_entry>& known_workers, const configuration& config);
+                 const std::vector<worker_entry>& known_workers, time_point directory_read,
+                 const configuration& config);
     void configure(const configuration& config);
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -283,7 +283,7 @@
         [this](const std::vector<keyed_record>& records, std::uint64_t end) {
             follower.apply_records(records, end);
         });
-    lead->restore(follower.values(), all_workers(), config);
+    lead->restore(follower.values(), all_workers(), directory_read, config);
     for (const std::pair<const std::string, removed_worker>& w : removed_workers) {
         lead->unlist_worker(w.first);
     }
@@ -389,6 +389,7 @@
 
 void member::on_directory_loaded(time_point begun)
 {
+    parts_->directory_read = begun;
     if (parts_->leads()) {
         parts_->lead->on_directory_loaded(begun);
     }
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -60,6 +60,7 @@
     std::map<std::string, known_peer> known_peers;     ///< by name
     std::map<std::string, worker_entry> known_workers; ///< in the directory, by id
     std::map<std::string, removed_worker> removed_workers;
+    time_point directory_read;     ///< when the last complete read of the directory began
     std::unique_ptr<leader> lead;  ///< null if this member isn't the leader
     std::function<void()> on_lead; ///< runs when this member becomes the leader
     bool claiming = false;         ///< a claim is in progress
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -224,10 +224,10 @@
     record.allocated = capacity_used_by(spec);
     record.ordered_at = now;
     record.until_ms = order.until_ms;
+    add_start_decision(first_start ? decision_kind::begun : decision_kind::started, record,
+                       w.entry.id, "", to_millis(now - job.accepted()), now);
     add_run(w, std::move(record));
     w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, start_validity));
-    add_decision(first_start ? decision_kind::begun : decision_kind::started, id.job, w.entry.id,
-                 order.task + " run " + std::to_string(run), to_millis(now - job.accepted()));
     starts_.push_back(std::move(order));
 }
 
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -61,7 +61,8 @@
         worker& w = known->second;
         if (entry.draining && !w.entry.draining) {
             add_decision(decision_kind::worker_drains, "", entry.id,
-                         "its directory entry says that it drains");
+                         "its directory entry says that it drains; it stops in " +
+                             std::to_string(entry.remaining.count()) + " ms or later");
         }
         const std::int64_t previous_start_ms = w.entry.start_time_ms;
         w.entry = entry;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -102,6 +102,11 @@
     }
     run_record& run = known->second;
     if (verdict == order_verdict::accepted) {
+        if (order.attempts > 1) {
+            add_start_decision(decision_kind::start_confirmed, run, order.worker,
+                               ": attempt " + std::to_string(order.attempts),
+                               to_millis(now - run.ordered_at), now);
+        }
         w->last_answer = now;
         if (clock_ms > 0) {
             w->clock_ms = clock_ms;
@@ -142,6 +147,9 @@
             start_order resend = order;
             resend.until_ms = std::max(order.until_ms, w.clock_at(now) + start_validity.count());
             run.until_ms = resend.until_ms;
+            add_start_decision(decision_kind::start_repeated, run, order.worker,
+                               ": attempt " + std::to_string(order.attempts + 1),
+                               to_millis(now - run.ordered_at), now);
             starts_.push_back(std::move(resend));
             return;
         }
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -11,7 +11,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 20> decision_names{
+constexpr name_table<decision_kind, 22> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
@@ -19,6 +19,8 @@
      {decision_kind::begun, "job_begun"},
      {decision_kind::started, "task_started"},
      {decision_kind::start_failed, "start_failed"},
+     {decision_kind::start_repeated, "start_repeated"},
+     {decision_kind::start_confirmed, "start_confirmed"},
      {decision_kind::ended, "task_ended"},
      {decision_kind::stopped, "task_stopped"},
      {decision_kind::cancelled, "job_cancelled"},
@@ -51,7 +53,18 @@
     const auto known = jobs_.find(job);
     const std::string queue =
         known != jobs_.end() ? known->second.progress.spec().queue : std::string();
-    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms});
+    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms, std::nullopt});
+}
+
+/// Adds a decision about the start order of a run, with the age of the directory read.
+void scheduler::add_start_decision(decision_kind kind, const run_record& run,
+                                   const std::string& worker, std::string detail,
+                                   std::int64_t age_ms, time_point now)
+{
+    add_decision(kind, run.task.job, worker,
+                 to_string(run.task) + " run " + std::to_string(run.run) + std::move(detail),
+                 age_ms);
+    decisions_.back().directory_age_ms = directory_age(now).count();
 }
 
 void scheduler::configure(const configuration& config)
@@ -145,6 +158,7 @@
 
 void scheduler::on_directory_loaded(time_point begun)
 {
+    directory_read_at_ = std::max(directory_read_at_, begun);
     if (begun > restored_at_) {
         mark_verified(undiscovered_workers);
     }
