--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -254,3 +254,20 @@
     cr_assert_eq(follower.values().count("k1"), 0, "k1 must go: it was removed during the outage");
     cr_assert_eq(removed.size(), 2);
 }
+
+Test(pool_log, a_long_pause_that_has_begun_does_not_delay_the_reads_of_a_shorter_one)
+{
+    event_loop loop;
+    fake_log log(loop);
+    keyed_follower follower(loop, log, "test", {millis(0), millis(2000)},
+                            [](const keyed_record&) {});
+    follower.start();
+    loop.after(millis(50), [&] {
+        follower.set_timing({millis(0), millis(20)});
+        follower.read_now();
+    });
+    loop.after(millis(150), [&] { log.store({{"k", "v", 0}}, 0); });
+    loop.after(millis(400), [&] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(follower.values().count("k"), 1);
+}
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -657,3 +657,21 @@
     spread.max_per_worker = 1;
     cr_assert(s.admit(job_of(job, {spread})).verdict == admission::refuse);
 }
+
+Test(pool_scheduler, no_task_starts_by_a_directory_read_that_misses_drains_beyond_their_limit)
+{
+    // Like a new leader whose last read of the directory is that of a standby of a large cell.
+    scheduler s(2, {}, at_ms(5000));
+    s.configure(config_of());
+    s.list_worker(worker_of("w1"), at_ms(5000));
+    s.on_directory_loaded(at_ms(5000));
+    s.finish_restore(at_ms(9000), at_ms(18000));
+    poll_worker(s, "w1", {}, 9001);
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 9002);
+    s.place(at_ms(9003));
+    cr_assert_eq(s.take_starts().size(), 0, "w1 may have drained for longer than the limit");
+    s.on_directory_loaded(at_ms(9004));
+    s.place(at_ms(9005));
+    cr_assert_eq(s.take_starts().size(), 1);
+}
