Let a shorter pause between reads end a longer one that has begun

What callers saw: tasks started on workers that had said more than 3 s before that they leave; they were lost with their worker or started anew elsewhere (DRAIN). Cause: a standby of a cell of 42 members reads the workers' directory every 4.2 s, the leader every 0.3 s. A member that took the lead read at once, but the timer of its last pause as a standby stayed, and no other was set beside it. So the next read came up to 4.2 s after the take-over, whatever the new pace. With 6 members the pause is 1 s, which hid it. Change: a read replaces the timer, an earlier time replaces a later one, and a new timing shortens the pause in progress.

--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "sesamesill/clock.h"
@@ -33,8 +34,8 @@
     keyed_follower& operator=(keyed_follower&&) = delete;
 
     void start();
-    /// Sets the timing of all reads after the current one.
-    void set_timing(follow_timing timing) { timing_ = timing; }
+    /// Sets the timing of all reads after the current one. Ends a longer pause that has begun.
+    void set_timing(follow_timing timing);
     /// Reads now, or right after the read in progress.
     void read_now();
     /// Calls `callback` after each read that reached the end of the log, with the time at which
@@ -84,8 +85,8 @@
     bool loaded_ = false;
     bool paused_ = false;
     bool reading_ = false;
-    bool timer_set_ = false;      ///< a timer will call `read_next`
-    bool read_requested_ = false; ///< `read_now` was called during the read in progress
+    bool read_requested_ = false;            ///< `read_now` was called during the read in progress
+    std::optional<time_point> next_read_at_; ///< set while a timer waits to call `read_next`
     bool failing_ = false;
     millis backoff_{0};
     time_point read_started_;
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -45,15 +45,25 @@
     read_next();
 }
 
+void keyed_follower::set_timing(follow_timing timing)
+{
+    timing_ = timing;
+    if (next_read_at_ && !failing_) {
+        schedule_read(timing_.pause);
+    }
+}
+
+/// Schedules the next read, unless an earlier one is scheduled.
 void keyed_follower::schedule_read(millis delay)
 {
-    if (timer_set_) {
+    const time_point at = boot_clock::now() + delay;
+    if (next_read_at_ && *next_read_at_ <= at) {
         return;
     }
-    timer_set_ = true;
-    loop_.after(delay, [this, alive = alive_] {
-        if (*alive) {
-            timer_set_ = false;
+    next_read_at_ = at;
+    loop_.after(delay, [this, at, alive = alive_] {
+        if (*alive && next_read_at_ == at) { // an earlier read has not replaced this one
+            next_read_at_.reset();
             read_next();
         }
     });
@@ -87,6 +97,7 @@
     if (paused_ || reading_) {
         return;
     }
+    next_read_at_.reset();
     if (!loaded_) {
         loading_.clear();
         load("");
