Bound a start order by the age of the directory read it rests on

Cause: a start was valid for 1.5 s from each send, however old the leader's read of the workers' directory; a start without an answer was sent up to three times without another look at the worker. The platform's drain limit was in the settings and in no decision. Change: a start expires before a worker that began to drain right after the last read passes its drain limit; where too little is left, starts are held until the next read (starts_held, starts_resumed with the read's age). A repeat is bounded alike, extends the lease it grants, and is not sent to a worker that may get no new runs. While reads fail, the age stands still: nobody can announce a drain in a directory that is down, and running jobs go on. The leader's pace of reads follows the drain limit. Why it works: a read begun at t shows all drains acknowledged before t; any later one allows starts until t + limit at least, and the worker refuses the order from t + limit - 5% on.

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -29,7 +29,9 @@
 constexpr std::size_t max_idle_connections = 16; ///< for each peer
 constexpr millis configuration_wait{2000};       ///< how long a read waits for a new version
 constexpr millis configuration_pause{20};        ///< time between reads, prevents a busy loop
-constexpr millis directory_pause{300};           ///< a draining worker must get no task after 2 s
+constexpr millis max_directory_pause{300};
+/// Reads of the directory by the leader within the time in which a draining worker may start tasks.
+constexpr int reads_per_drain_limit = 6;
 constexpr millis standby_directory_pause{1000};
 constexpr millis standby_directory_pause_per_member{100}; ///< about 10 reads a second in all
 constexpr millis directory_timing_period{100};
@@ -55,7 +57,7 @@
           operator_follower_(loop, operator_log_, "declared",
                              {configuration_wait, configuration_pause},
                              [this](const pool::keyed_record& r) { on_operator_record(r); }),
-          directory_follower_(loop, directory_log_, "directory", {millis(0), directory_pause},
+          directory_follower_(loop, directory_log_, "directory", {millis(0), max_directory_pause},
                               [this](const pool::keyed_record& r) { on_directory_record(r); })
     {
         metrics_.route("GET", "/metrics", [](const http_request&, const http_respond& respond) {
@@ -78,6 +80,7 @@
         member_.on_lead([this] { directory_follower_.read_now(); });
         directory_follower_.on_complete(
             [this](time_point started) { member_.on_directory_loaded(started); });
+        directory_follower_.on_lost([this] { member_.on_directory_lost(); });
         loop_.every(directory_timing_period, [this] { update_directory_timing(); });
         operator_follower_.start();
         directory_follower_.start();
@@ -120,10 +123,12 @@
     void update_directory_timing()
     {
         const bool is_leader = member_.is_leader();
+        const millis pause =
+            std::min(max_directory_pause, settings_.bounds.drain_limit / reads_per_drain_limit);
         const millis idle =
             std::max(standby_directory_pause, standby_directory_pause_per_member *
                                                   static_cast<std::int64_t>(member_.members()));
-        directory_follower_.set_timing({millis(0), is_leader ? directory_pause : idle});
+        directory_follower_.set_timing({millis(0), is_leader ? pause : idle});
     }
 
     void on_operator_record(const pool::keyed_record& record)
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -44,6 +44,8 @@
     {
         on_complete_ = std::move(callback);
     }
+    /// Calls `callback` when reads begin to fail, until the next complete read.
+    void on_lost(std::function<void()> callback) { on_lost_ = std::move(callback); }
     /// Stops reading while the owner appends to the log and calls `apply_records`.
     void pause() { paused_ = true; }
     void resume();
@@ -78,6 +80,7 @@
     follow_timing timing_;
     std::function<void(const keyed_record&)> on_record_;
     std::function<void(time_point)> on_complete_;
+    std::function<void()> on_lost_;
     std::map<std::string, keyed_record> values_;
     std::map<std::string, keyed_record> loading_;
     std::uint64_t load_end_ = 0; ///< end of the log when the load began
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -76,6 +76,8 @@
     void unlist_worker(const std::string& id);
     /// Notes that a complete read of the workers' directory, begun at `begun`, has ended.
     void on_directory_loaded(time_point begun);
+    /// Notes that reads of the workers' directory fail.
+    void on_directory_lost();
     /// Sets a callback that runs when this member becomes the leader, which needs the workers'
     /// directory at once.
     void on_lead(std::function<void()> leads);
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -33,6 +33,8 @@
     advice_failed,
     begun, ///< the first task of a job was started
     started,
+    starts_held, ///< no task starts until the worker directory has been read again
+    starts_resumed,
     start_failed,
     start_repeated,
     start_confirmed, ///< logged only for a start that was sent more than once
@@ -118,6 +120,9 @@
     /// before its claim. Until a read that began after the restore is complete, an undiscovered
     /// worker may run inherited tasks.
     void on_directory_loaded(time_point begun);
+    /// Handles failing reads of the worker directory, until the next complete one. While the
+    /// directory is down, no worker can announce that it drains.
+    void on_directory_lost(time_point now) { directory_lost_at_ = now; }
     /// Handles the storing of a record that was sent at `sent`. A later leader learns of all
     /// workers that were listed before that time and polls them, so only those workers get tasks.
     void on_record_stored(time_point sent);
@@ -192,6 +197,10 @@
                       std::string detail, std::int64_t age_ms = 0);
     void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
                             std::string detail, std::int64_t age_ms, time_point now);
+    millis order_validity(time_point now) const;
+    bool may_send_starts(time_point now) const;
+    void update_hold(time_point now);
+    void set_expiry(worker& w, run_record& run, start_order& order, time_point now);
     void add_waiting_steps(job_entry& entry, time_point now);
     void add_due_steps(time_point now);
     void remove_waiting_steps(const std::string& job);
@@ -255,6 +264,8 @@
     time_point verify_until_;
     time_point restored_at_;
     time_point directory_read_at_; ///< when the last complete read of the directory began
+    std::optional<time_point> directory_lost_at_; ///< set while reads of the directory fail
+    bool starts_held_ = false; ///< the last read of the directory is too old for new starts
     std::map<std::string, queue_estimate> estimates_; ///< by queue
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -75,7 +75,11 @@
         log_event(log_level::warning, "log_lost",
                   {{"log", name_}, {"reason", why.reason}, {"peer", why.peer}});
     }
+    const bool lost = !failing_;
     failing_ = true;
+    if (lost && on_lost_) {
+        on_lost_();
+    }
     backoff_ = std::min(max_backoff, std::max(initial_backoff, backoff_ * 2));
     schedule_read(backoff_);
 }
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -160,6 +160,11 @@
     schedule_update();
 }
 
+void leader::on_directory_lost(time_point now)
+{
+    scheduler_.on_directory_lost(now);
+}
+
 void leader::on_peer(const std::string& name, const peer& seen)
 {
     peers_[name] = seen;
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -39,6 +39,7 @@
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
     void on_directory_loaded(time_point begun);
+    void on_directory_lost(time_point now);
     void on_peer(const std::string& name, const peer& seen);
     const std::map<std::string, peer>& peers() const { return peers_; }
 
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -284,6 +284,9 @@
             follower.apply_records(records, end);
         });
     lead->restore(follower.values(), all_workers(), directory_read, config);
+    if (directory_lost_at) {
+        lead->on_directory_lost(*directory_lost_at);
+    }
     for (const std::pair<const std::string, removed_worker>& w : removed_workers) {
         lead->unlist_worker(w.first);
     }
@@ -390,11 +393,20 @@
 void member::on_directory_loaded(time_point begun)
 {
     parts_->directory_read = begun;
+    parts_->directory_lost_at.reset();
     if (parts_->leads()) {
         parts_->lead->on_directory_loaded(begun);
     }
 }
 
+void member::on_directory_lost()
+{
+    parts_->directory_lost_at = boot_clock::now();
+    if (parts_->leads()) {
+        parts_->lead->on_directory_lost(*parts_->directory_lost_at);
+    }
+}
+
 void member::on_lead(std::function<void()> leads)
 {
     parts_->on_lead = std::move(leads);
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -60,11 +60,12 @@
     std::map<std::string, known_peer> known_peers;     ///< by name
     std::map<std::string, worker_entry> known_workers; ///< in the directory, by id
     std::map<std::string, removed_worker> removed_workers;
-    time_point directory_read;     ///< when the last complete read of the directory began
-    std::unique_ptr<leader> lead;  ///< null if this member isn't the leader
-    std::function<void()> on_lead; ///< runs when this member becomes the leader
-    bool claiming = false;         ///< a claim is in progress
-    bool leaving = false;          ///< a planned stop has begun: claims no lead
+    time_point directory_read; ///< when the last complete read of the directory began
+    std::optional<time_point> directory_lost_at; ///< set while reads of the directory fail
+    std::unique_ptr<leader> lead;                ///< null if this member isn't the leader
+    std::function<void()> on_lead;               ///< runs when this member becomes the leader
+    bool claiming = false;                       ///< a claim is in progress
+    bool leaving = false;                        ///< a planned stop has begun: claims no lead
     bool heartbeat_in_flight = false;
 
     parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w, advisor& a);
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -194,6 +194,43 @@
     return highest + 1;
 }
 
+/// Returns how long a start order sent now stays valid. A worker that began to drain right after
+/// the last read of the directory must not execute the order after its drain limit.
+millis scheduler::order_validity(time_point now) const
+{
+    constexpr int margin_divisor = 20; ///< for the worker's clock and the time between its reports
+    const millis unnoticed(to_millis(directory_lost_at_.value_or(now) - directory_read_at_));
+    return std::min(start_validity,
+                    bounds_.drain_limit - bounds_.drain_limit / margin_divisor - unnoticed);
+}
+
+/// Returns whether orders sent now would be valid long enough to reach their workers.
+bool scheduler::may_send_starts(time_point now) const
+{
+    constexpr int min_validity_divisor = 8;
+    return order_validity(now) >= bounds_.drain_limit / min_validity_divisor;
+}
+
+void scheduler::update_hold(time_point now)
+{
+    const bool held = !may_send_starts(now);
+    if (held != starts_held_) {
+        add_decision(held ? decision_kind::starts_held : decision_kind::starts_resumed, "", "",
+                     "by the age of the last read of the worker directory");
+        decisions_.back().directory_age_ms = directory_age(now).count();
+    }
+    starts_held_ = held;
+}
+
+/// Sets the expiry of a start order that is sent now, and the end of the lease that it grants.
+void scheduler::set_expiry(worker& w, run_record& run, start_order& order, time_point now)
+{
+    const millis validity = order_validity(now);
+    order.until_ms = std::max(order.until_ms, w.clock_at(now) + validity.count());
+    run.until_ms = order.until_ms;
+    w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, validity));
+}
+
 void scheduler::start_task(waiting_step& ws, job_entry& entry, int index, worker& w,
                            std::int64_t run, time_point now)
 {
@@ -210,7 +247,6 @@
     order.run = run;
     order.payload = job.spec().payload;
     order.fence = fence_;
-    order.until_ms = w.clock_at(now) + start_validity.count();
     if (spec.saves_progress || spec.gang) {
         order.checkpoint = job.find(id)->checkpoint;
     }
@@ -223,11 +259,10 @@
     record.run = run;
     record.allocated = capacity_used_by(spec);
     record.ordered_at = now;
-    record.until_ms = order.until_ms;
+    set_expiry(w, record, order, now);
     add_start_decision(first_start ? decision_kind::begun : decision_kind::started, record,
                        w.entry.id, "", to_millis(now - job.accepted()), now);
     add_run(w, std::move(record));
-    w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, start_validity));
     starts_.push_back(std::move(order));
 }
 
@@ -265,7 +300,8 @@
 
 void scheduler::place(time_point now)
 {
-    if (!placing_needed_) {
+    update_hold(now);
+    if (!placing_needed_ || starts_held_) {
         return;
     }
     placing_needed_ = false;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -144,9 +144,11 @@
     switch (verdict) {
     case order_verdict::unknown:
         if (order.attempts < start_attempts) {
+            if (!w.is_schedulable(now) || !may_send_starts(now)) {
+                return; // the next poll tells whether the worker has begun the run
+            }
             start_order resend = order;
-            resend.until_ms = std::max(order.until_ms, w.clock_at(now) + start_validity.count());
-            run.until_ms = resend.until_ms;
+            set_expiry(w, run, resend, now);
             add_start_decision(decision_kind::start_repeated, run, order.worker,
                                ": attempt " + std::to_string(order.attempts + 1),
                                to_millis(now - run.ordered_at), now);
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -11,13 +11,15 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 22> decision_names{
+constexpr name_table<decision_kind, 24> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
      {decision_kind::advice_failed, "advice_failed"},
      {decision_kind::begun, "job_begun"},
      {decision_kind::started, "task_started"},
+     {decision_kind::starts_held, "starts_held"},
+     {decision_kind::starts_resumed, "starts_resumed"},
      {decision_kind::start_failed, "start_failed"},
      {decision_kind::start_repeated, "start_repeated"},
      {decision_kind::start_confirmed, "start_confirmed"},
@@ -159,6 +161,8 @@
 void scheduler::on_directory_loaded(time_point begun)
 {
     directory_read_at_ = std::max(directory_read_at_, begun);
+    directory_lost_at_.reset();
+    placing_needed_ = true;
     if (begun > restored_at_) {
         mark_verified(undiscovered_workers);
     }
--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -271,3 +271,21 @@
     loop.run();
     cr_assert_eq(follower.values().count("k"), 1);
 }
+
+Test(pool_log, a_follower_reports_once_that_its_reads_fail)
+{
+    event_loop loop;
+    fake_log log(loop);
+    int lost = 0;
+    int completed_after = 0;
+    keyed_follower follower(loop, log, "test", {millis(0), millis(10)}, [](const keyed_record&) {});
+    follower.on_lost([&] { ++lost; });
+    follower.on_complete([&](time_point) { completed_after += lost; });
+    follower.start();
+    loop.after(millis(50), [&] { log.unavailable = true; });
+    loop.after(millis(500), [&] { log.unavailable = false; });
+    loop.after(millis(1500), [&] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(lost, 1);
+    cr_assert_gt(completed_after, 0);
+}
--- a/test/pool_pace-test.cc
+++ b/test/pool_pace-test.cc
@@ -56,6 +56,7 @@
         constexpr std::int64_t period = 200;
         for (int i = 0; i < times; ++i) {
             now += period;
+            s.on_directory_loaded(at_ms(now));
             s.on_record_stored(at_ms(now));
             s.tick(at_ms(now));
             s.place(at_ms(now));
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -67,7 +67,8 @@
     s.add(spec, wall_start_ms + ms, at_ms(ms));
 }
 
-std::vector<start_order> place(scheduler& s, std::int64_t ms)
+/// Places without another read of the worker directory.
+std::vector<start_order> place_by_last_read(scheduler& s, std::int64_t ms)
 {
     s.on_record_stored(at_ms(ms));
     s.tick(at_ms(ms));
@@ -75,6 +76,12 @@
     return s.take_starts();
 }
 
+std::vector<start_order> place(scheduler& s, std::int64_t ms)
+{
+    s.on_directory_loaded(at_ms(ms));
+    return place_by_last_read(s, ms);
+}
+
 void accept_starts(scheduler& s, const std::vector<start_order>& orders, std::int64_t ms)
 {
     for (const start_order& o : orders) {
@@ -529,17 +536,18 @@
               at_ms(100));
     s.finish_restore(at_ms(100), at_ms(9000));
     poll_worker(s, "w1", {}, 110);
-    cr_assert_eq(place(s, 112).size(), 0,
+    cr_assert_eq(place_by_last_read(s, 112).size(), 0,
                  "the directory hasn't been read since the claim of the lead");
     s.on_directory_loaded(at_ms(90));
-    cr_assert_eq(place(s, 114).size(), 0, "the read of the directory began before the claim");
+    cr_assert_eq(place_by_last_read(s, 114).size(), 0,
+                 "the read of the directory began before the claim");
     s.list_worker(worker_of("w2"), at_ms(120));
     s.on_directory_loaded(at_ms(101));
-    cr_assert_eq(place(s, 122).size(), 0, "w2 hasn't been polled");
+    cr_assert_eq(place_by_last_read(s, 122).size(), 0, "w2 hasn't been polled");
     worker_report report;
     report.running = {{task(0), 1, "", 10, 0}};
     poll_worker(s, "w2", report, 130);
-    cr_assert_eq(place(s, 140).size(), 0, "the task runs on w2");
+    cr_assert_eq(place_by_last_read(s, 140).size(), 0, "the task runs on w2");
 }
 
 Test(pool_scheduler, a_worker_is_used_only_after_a_record_stored_since_it_joined)
@@ -549,6 +557,7 @@
     s.list_worker(worker_of("w1"), at_ms(10));
     poll_worker(s, "w1", {}, 12);
     add_job(s, store, job_of(job, {step_of(1, 8)}), 20);
+    s.on_directory_loaded(at_ms(20));
     s.place(at_ms(21));
     cr_assert_eq(s.take_starts().size(), 0, "a successor might not know of w1");
     s.on_record_stored(at_ms(9));
@@ -675,3 +684,58 @@
     s.place(at_ms(9005));
     cr_assert_eq(s.take_starts().size(), 1);
 }
+
+Test(pool_scheduler, a_start_expires_before_an_unnoticed_drain_passes_its_limit)
+{
+    scheduler s = scheduler_with({"w1"});
+    std::map<std::string, std::string> store;
+    s.on_directory_loaded(at_ms(0));
+    add_job(s, store, job_of(job, {step_of(2, 1)}), 900);
+    const std::int64_t limit = platform_bounds{}.drain_limit.count();
+    for (const start_order& first : place_by_last_read(s, 1000)) {
+        cr_assert_gt(first.until_ms, 1000);
+        cr_assert_leq(first.until_ms, limit);
+        s.on_start(first, order_verdict::unknown, 0, at_ms(1130));
+    }
+    const std::vector<start_order> repeated = s.take_starts();
+    cr_assert_eq(repeated.size(), 2);
+    for (const start_order& r : repeated) {
+        cr_assert_leq(r.until_ms, limit);
+    }
+    for (const start_order& r : repeated) {
+        s.on_start(r, order_verdict::unknown, 0, at_ms(1900));
+    }
+    cr_assert_eq(s.take_starts().size(), 0, "a repeat could arrive after the limit");
+}
+
+Test(pool_scheduler, a_start_without_an_answer_is_not_repeated_on_a_worker_that_drains)
+{
+    scheduler s = scheduler_with({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    const std::vector<start_order> orders = place(s, 1);
+    cr_assert_eq(orders.size(), 1);
+    worker_entry leaving = worker_of("w1");
+    leaving.draining = true;
+    s.list_worker(leaving, at_ms(100));
+    s.list_worker(worker_of("w2"), at_ms(100));
+    poll_worker(s, "w2", {}, 101);
+    s.on_start(orders[0], order_verdict::unknown, 0, at_ms(131));
+    cr_assert_eq(s.take_starts().size(), 0);
+    cr_assert_eq(place(s, 140).size(), 0, "w1 may still execute the order");
+    poll_worker(s, "w1", {}, orders[0].until_ms + 1);
+    const std::vector<start_order> next = place(s, orders[0].until_ms + 10);
+    cr_assert_eq(next.size(), 1, "the order expired without an effect");
+    cr_assert(next[0].worker == "w2");
+}
+
+Test(pool_scheduler, tasks_go_on_starting_while_the_worker_directory_is_down)
+{
+    scheduler s = scheduler_with({"w1"});
+    std::map<std::string, std::string> store;
+    s.on_directory_loaded(at_ms(1000));
+    s.on_directory_lost(at_ms(1300));
+    poll_worker(s, "w1", {}, 8000);
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 8001);
+    cr_assert_eq(place_by_last_read(s, 8002).size(), 1);
+}
