Ignore a directory entry that is older than the known one

A heartbeat written late, or an entry of the worker's previous process, could turn a draining worker back to ready. Change: entries carry the revision of the worker's report (Seq); an entry with an earlier start, or with the same start and a lower revision, is ignored by leaders and standbys and logged as worker_entry_outdated. A restart known from a poll makes the entry of the previous process outdated. Test pool_scheduler/a_delayed_directory_entry_does_not_make_a_draining_worker_schedulable_again: fails with the check switched off (the worker gets the task), passes with it.

--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -91,8 +91,12 @@
     bool draining = false;
     millis remaining{0}; ///< while draining: the least time until it stops; 0 if it isn't known
     std::int64_t start_time_ms = 0; ///< Unix time at which the worker started
+    std::uint64_t revision = 0; ///< rises with each report of one incarnation; 0 if it isn't known
 };
 
+/// Returns whether `entry` was written before `known`, another entry of the same worker.
+bool is_outdated(const worker_entry& entry, const worker_entry& known);
+
 /// Why a run of a task ended.
 enum class end_reason : std::uint8_t {
     done,
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -44,6 +44,7 @@
     finished,
     worker_joined,
     worker_drains,
+    entry_ignored, ///< a directory entry older than the known one
     worker_left,
     worker_lost,
     worker_restarted,
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -370,6 +370,14 @@
 
 void member::list_worker(const worker_entry& entry)
 {
+    const auto known = parts_->known_workers.find(entry.id);
+    if (known != parts_->known_workers.end() && is_outdated(entry, known->second)) {
+        log_event(log_level::info, "worker_entry_outdated",
+                  {{"worker", entry.id},
+                   {"revision", static_cast<std::int64_t>(entry.revision)},
+                   {"known", static_cast<std::int64_t>(known->second.revision)}});
+        return;
+    }
     parts_->known_workers[entry.id] = entry;
     parts_->removed_workers.erase(entry.id);
     if (parts_->leads()) {
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -59,17 +59,19 @@
     }
     else {
         worker& w = known->second;
+        if (is_outdated(entry, w.entry)) {
+            add_decision(decision_kind::entry_ignored, "", entry.id,
+                         "revision " + std::to_string(entry.revision) + " after " +
+                             std::to_string(w.entry.revision));
+            return;
+        }
         if (entry.draining && !w.entry.draining) {
             add_decision(decision_kind::worker_drains, "", entry.id,
                          "its directory entry says that it drains; it stops in " +
                              std::to_string(entry.remaining.count()) + " ms or later");
         }
-        const std::int64_t previous_start_ms = w.entry.start_time_ms;
         w.entry = entry;
         w.listed = true;
-        if (previous_start_ms != 0 && entry.start_time_ms < previous_start_ms) {
-            w.entry.start_time_ms = previous_start_ms;
-        }
     }
     placing_needed_ = true;
 }
@@ -117,7 +119,10 @@
         w->acknowledged_end = 0;
     }
     w->reported_start_ms = report.start_time_ms;
-    w->entry.start_time_ms = std::max(w->entry.start_time_ms, report.start_time_ms);
+    if (report.start_time_ms > w->entry.start_time_ms) {
+        w->entry.start_time_ms = report.start_time_ms;
+        w->entry.revision = 0; // the entry in the directory is still that of the previous process
+    }
     if (w->lost) {
         w->lost = false;
         placing_needed_ = true;
--- a/src/pool_worker.cc
+++ b/src/pool_worker.cc
@@ -26,6 +26,14 @@
 
 } // namespace
 
+bool is_outdated(const worker_entry& entry, const worker_entry& known)
+{
+    if (entry.start_time_ms != known.start_time_ms) {
+        return entry.start_time_ms < known.start_time_ms;
+    }
+    return entry.revision < known.revision;
+}
+
 void add_run(worker& w, run_record run)
 {
     w.allocated += run.allocated;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -69,6 +69,7 @@
     cr_assert(entry->machine == "m1");
     cr_assert_eq(entry->capacity.cpu_millis, 16000);
     cr_assert_eq(entry->start_time_ms, 17);
+    cr_assert_eq(entry->revision, 4);
     cr_assert_not(entry->draining);
 }
 
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -739,3 +739,33 @@
     add_job(s, store, job_of(job, {step_of(1, 1)}), 8001);
     cr_assert_eq(place_by_last_read(s, 8002).size(), 1);
 }
+
+Test(pool_scheduler, a_delayed_directory_entry_does_not_make_a_draining_worker_schedulable_again)
+{
+    scheduler s = scheduler_with({"w1"});
+    std::map<std::string, std::string> store;
+    add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+    worker_entry leaving = worker_of("w1");
+    leaving.revision = 8;
+    leaving.draining = true;
+    s.list_worker(leaving, at_ms(10));
+    worker_entry delayed = worker_of("w1");
+    delayed.revision = 7;
+    s.list_worker(delayed, at_ms(20));
+    cr_assert_eq(place(s, 21).size(), 0);
+    worker_entry previous_process = worker_of("w1");
+    previous_process.revision = 90;
+    previous_process.start_time_ms -= 1000;
+    s.list_worker(previous_process, at_ms(30));
+    cr_assert_eq(place(s, 31).size(), 0);
+    worker_entry restarted = worker_of("w1");
+    restarted.revision = 1;
+    restarted.start_time_ms += 1000;
+    worker_report report;
+    report.start_time_ms = restarted.start_time_ms;
+    poll_worker(s, "w1", report, 40);
+    s.list_worker(leaving, at_ms(50));
+    cr_assert_eq(place(s, 51).size(), 0, "the entry of the process that drained");
+    s.list_worker(restarted, at_ms(60));
+    cr_assert_eq(place(s, 61).size(), 1);
+}
