Keep a leaving notice that is newer than the health check which denies it

An executor says in an answer that it drains; the answer to a health check sent before that said 'not draining' and withdrew the notice, so calls went to the executor again, which answered them unstarted. Change: a check withdraws a notice only if it was sent after it. Test drain/a_health_check_sent_before_the_notice_does_not_withdraw_it: fails with the comparison switched off, passes with it.

--- a/include/sesamesill/drain.h
+++ b/include/sesamesill/drain.h
@@ -21,8 +21,9 @@
     bool on_leaving_notice(const std::string& name, leaving_source source, time_point now);
     /// Withdraws the notice of the VM list, which shows the endpoint as live.
     void on_listed_live(const std::string& name);
-    /// Withdraws the endpoint's own notice: its health check reports that it isn't draining.
-    void on_healthy(const std::string& name);
+    /// Withdraws the endpoint's own notice: a health check sent at `probed` reports that it isn't
+    /// draining. A check sent before the notice has no effect.
+    void on_healthy(const std::string& name, time_point probed);
     void remove(const std::string& name) { leaving_.erase(name); }
 
     bool is_leaving(const std::string& name) const { return leaving_.count(name) > 0; }
@@ -36,6 +37,7 @@
     struct record {
         bool by_list = false;
         bool by_endpoint = false; ///< at least one of by_list and by_endpoint is true
+        time_point last_notice;   ///< of the endpoint itself
         time_point last_probe;
     };
 
--- a/src/drain.cc
+++ b/src/drain.cc
@@ -14,6 +14,7 @@
     }
     else {
         r.by_endpoint = true;
+        r.last_notice = now;
         r.last_probe = now;
     }
     return first;
@@ -30,10 +31,10 @@
     }
 }
 
-void leaving_endpoints::on_healthy(const std::string& name)
+void leaving_endpoints::on_healthy(const std::string& name, time_point probed)
 {
     const auto found = leaving_.find(name);
-    if (found != leaving_.end()) {
+    if (found != leaving_.end() && probed >= found->second.last_notice) {
         found->second.by_endpoint = false;
         if (!found->second.by_list) {
             leaving_.erase(found);
--- a/src/executor_pool.cc
+++ b/src/executor_pool.cc
@@ -257,8 +257,8 @@
     call.timeout = probe_timeout;
     call.connect_timeout = max_connect_timeout;
     client_.send(e->target.address, std::move(call),
-                 [this, e](const std::optional<http_reply>& reply, const error&) {
-                     on_health_reply(e, reply);
+                 [this, e, sent = now](const std::optional<http_reply>& reply, const error&) {
+                     on_health_reply(e, reply, sent);
                      if (e->owned && on_free_) {
                          on_free_(e->target.service);
                      }
@@ -266,7 +266,7 @@
 }
 
 void executor_pool::on_health_reply(const executor_pointer& e,
-                                    const std::optional<http_reply>& reply)
+                                    const std::optional<http_reply>& reply, time_point sent)
 {
     const time_point now = boot_clock::now();
     const Json::Value health = reply && reply->status == 200
@@ -290,7 +290,7 @@
         }
     }
     else if (readable) {
-        leaving_.on_healthy(name);
+        leaving_.on_healthy(name, sent);
     }
 }
 
--- a/src/executor_pool.h
+++ b/src/executor_pool.h
@@ -82,7 +82,8 @@
                        time_point until);
     void probe_all();
     void probe(const executor_pointer& e, time_point now);
-    void on_health_reply(const executor_pointer& e, const std::optional<http_reply>& reply);
+    void on_health_reply(const executor_pointer& e, const std::optional<http_reply>& reply,
+                         time_point sent);
 
     event_loop& loop_;
     http_client& client_;
--- a/test/drain-test.cc
+++ b/test/drain-test.cc
@@ -24,12 +24,22 @@
     l.on_listed_live("x1"); // the VM list lags behind
     cr_assert(l.is_leaving("x1"));
     cr_assert_not(l.on_leaving_notice("x1", leaving_source::vm_list, at(5)));
-    l.on_healthy("x1");
+    l.on_healthy("x1", at(6));
     cr_assert(l.is_leaving("x1"), "the notice of the VM list still holds");
     l.on_listed_live("x1");
     cr_assert_not(l.is_leaving("x1"));
 }
 
+Test(drain, a_health_check_sent_before_the_notice_does_not_withdraw_it)
+{
+    leaving_endpoints l;
+    l.on_leaving_notice("x1", leaving_source::endpoint, at(100));
+    l.on_healthy("x1", at(99));
+    cr_assert(l.is_leaving("x1"));
+    l.on_healthy("x1", at(2100));
+    cr_assert_not(l.is_leaving("x1"));
+}
+
 Test(drain, an_endpoint_that_reported_itself_as_leaving_is_probed)
 {
     leaving_endpoints l;
