Let a leader say that a job is unknown only while its lead is confirmed

A GET for a job that the successor had accepted was answered 410, and the count of waiting jobs came from its old queue. Change: the check that gates orders (a record stored within 2.5 s, or half of the members agree) also gates what a leader doesn't know and what it counts. Another member's request is turned to the next leader; a client of its own gets 503 with Retry-After. States of jobs it knows are still told.

--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -194,7 +194,12 @@
     peer_server.route(
         "GET", "/pool/state",
         leading_only([this](const http_request& request, const http_respond& respond) {
-            respond_json(respond, to_json(lead->state_of(query_value(request, "id"))));
+            const state_answer a = lead->state_of(query_value(request, "id"));
+            if (a.found == lookup::unavailable) {
+                respond_not_leading(respond); // the sender asks the next leader
+                return;
+            }
+            respond_json(respond, to_json(a));
         }));
     peer_server.route(
         "POST", "/pool/cancel",
@@ -205,8 +210,13 @@
     peer_server.route(
         "GET", "/pool/waiting",
         leading_only([this](const http_request& request, const http_respond& respond) {
+            const waiting_answer a = lead->waiting_in(query_value(request, "queue"));
+            if (a.found == lookup::unavailable) {
+                respond_not_leading(respond);
+                return;
+            }
             Json::Value value;
-            value["count"] = lead->waiting_in(query_value(request, "queue"));
+            value["count"] = a.count;
             respond_json(respond, value);
         }));
 }
@@ -341,7 +351,7 @@
 {
     parts& p = *parts_;
     if (p.leads()) {
-        done({lookup::found, p.lead->waiting_in(queue)});
+        done(p.lead->waiting_in(queue));
         return;
     }
     const std::shared_ptr<forwarded_request> request = std::make_shared<forwarded_request>();
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -193,7 +193,7 @@
         deposed_();
         return;
     }
-    if (may_order(now)) {
+    if (lead_is_confirmed(now)) {
         if (now >= place_after_) {
             scheduler_.place(now);
             const time_point placed = boot_clock::now();
@@ -316,9 +316,10 @@
              });
 }
 
-/// Returns whether this leader may send orders: it stored a record lately, or at least half of the
-/// other members sent a heartbeat lately and know of no newer claim.
-bool leader::may_order(time_point now) const
+/// Returns whether this leader may send orders and say what it doesn't know: it stored a record
+/// lately, or at least half of the other members sent a heartbeat lately and know of no newer
+/// claim.
+bool leader::lead_is_confirmed(time_point now) const
 {
     if (now - writer_.last_stored() < unconfirmed_order_limit) {
         return true;
@@ -363,7 +364,7 @@
 void leader::send_polls()
 {
     const time_point now = boot_clock::now();
-    if (!may_order(now)) {
+    if (!lead_is_confirmed(now)) {
         return;
     }
     for (const std::pair<const std::string, worker>& w : scheduler_.workers()) {
@@ -622,7 +623,19 @@
         return {lookup::found, job_state::queued};
     }
     const std::optional<job_state> state = scheduler_.visible_state(id);
-    return state ? state_answer{lookup::found, *state} : state_answer{lookup::not_known};
+    if (state) {
+        return {lookup::found, *state};
+    }
+    // A newer leader may have accepted the job.
+    return lead_is_confirmed(boot_clock::now()) ? state_answer{lookup::not_known} : state_answer{};
+}
+
+waiting_answer leader::waiting_in(const std::string& queue) const
+{
+    if (!lead_is_confirmed(boot_clock::now())) {
+        return {};
+    }
+    return {lookup::found, scheduler_.waiting_in(queue)};
 }
 
 void leader::cancel(const std::string& id, std::function<void(state_answer)> done)
@@ -640,7 +653,7 @@
     }
     const cancel_answer answer = scheduler_.cancel(id, boot_clock::now());
     if (answer == cancel_answer::not_known) {
-        done({lookup::not_known});
+        done(state_of(id));
         return;
     }
     const std::optional<job_state> visible_state = scheduler_.visible_state(id);
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -46,7 +46,7 @@
     void submit(const job_spec& spec, std::function<void(submit_answer)> done);
     state_answer state_of(const std::string& id) const;
     void cancel(const std::string& id, std::function<void(state_answer)> done);
-    int waiting_in(const std::string& queue) const { return scheduler_.waiting_in(queue); }
+    waiting_answer waiting_in(const std::string& queue) const;
     std::uint64_t fence() const { return self_.fence; }
 
     /// Begins to hand the lead over: pauses writes and asks another member to claim. `why` must
@@ -86,7 +86,7 @@
     void nominate_successor();
     void answer_cancels(const std::vector<std::string>& final_jobs, bool stored);
     void answer_submit(const std::string& id, const submit_answer& answer);
-    bool may_order(time_point now) const;
+    bool lead_is_confirmed(time_point now) const;
 
     event_loop& loop_;
     const member_settings& settings_;
--- /dev/null
+++ b/test/fake_log.h
@@ -0,0 +1,115 @@
+// A log in memory for tests: loses answers, refuses, stores late, is trimmed or unavailable.
+
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sesamesill/pool_ports.h"
+
+namespace sesamesill::pool::testing {
+
+/// A log in memory. Each append uses up the first of `faults`.
+class fake_log : public record_log {
+public:
+    enum class fault { none, lost_answer, lost_request, refused, delayed };
+
+    explicit fake_log(event_loop& loop) : loop_(loop) {}
+
+    void append(const std::vector<keyed_record>& added, std::uint64_t at, millis timeout,
+                std::function<void(append_result)> done) override
+    {
+        ++appends;
+        fault now = fault::none;
+        if (!faults.empty()) {
+            now = faults.front();
+            faults.pop_front();
+        }
+        append_result r;
+        if (now == fault::refused) {
+            r.verdict = append_verdict::refused;
+        }
+        else if (now == fault::lost_request) {
+            r.verdict = append_verdict::unknown;
+        }
+        else if (now == fault::delayed) {
+            loop_.after(timeout * 2, [this, added, at] { store(added, at); });
+            r.verdict = append_verdict::unknown;
+        }
+        else {
+            r = store(added, at);
+            if (now == fault::lost_answer) {
+                r = {};
+            }
+        }
+        loop_.after(millis(2), [r, done = std::move(done)] { done(r); });
+    }
+
+    void read(std::uint64_t from, millis /*wait*/, millis /*timeout*/,
+              std::function<void(read_result)> done) override
+    {
+        read_result r;
+        r.end = records.size();
+        r.trimmed = from < first_retained;
+        r.ok = !r.trimmed && !unavailable;
+        for (std::uint64_t i = from; r.ok && i < records.size(); ++i) {
+            r.records.push_back(records[i]);
+        }
+        loop_.after(millis(1), [r, done = std::move(done)] { done(r); });
+    }
+
+    void newest(const std::string& after, millis /*timeout*/,
+                std::function<void(newest_result)> done) override
+    {
+        constexpr std::size_t page_size = 2;
+        std::map<std::string, keyed_record> latest;
+        for (const keyed_record& r : records) {
+            latest[r.key] = r;
+        }
+        newest_result result;
+        result.ok = !unavailable;
+        result.end = records.size();
+        for (auto r = latest.upper_bound(after); r != latest.end(); ++r) {
+            if (r->second.value.empty()) {
+                continue;
+            }
+            if (result.records.size() == page_size) {
+                result.more = true;
+                break;
+            }
+            result.records.push_back(r->second);
+        }
+        loop_.after(millis(1), [result, done = std::move(done)] { done(result); });
+    }
+
+    append_result store(const std::vector<keyed_record>& added, std::uint64_t at)
+    {
+        append_result r;
+        r.end = records.size();
+        if (at != records.size()) {
+            r.verdict = append_verdict::conflict;
+            return r;
+        }
+        r.verdict = append_verdict::stored;
+        r.first = at;
+        for (keyed_record record : added) {
+            record.offset = records.size();
+            records.push_back(record);
+        }
+        r.end = records.size();
+        return r;
+    }
+
+    std::vector<keyed_record> records;
+    std::deque<fault> faults;
+    std::uint64_t first_retained = 0;
+    bool unavailable = false;
+    int appends = 0;
+
+private:
+    event_loop& loop_;
+};
+
+} // namespace sesamesill::pool::testing
