Let the soak see starts on draining workers

Why the soak missed the incident: its workers stopped 2.5 s after they said that they drain, and the check allowed starts for 2.5 s; any fault within 3 s, also of another member, switched the check off; six members read the directory at least every second. Tests of the check: soak/a_start_on_a_draining_worker_breaks_a_promise_..., a_faulty_leader_excuses_....

--- a/test/platform_standin/workers.cc
+++ b/test/platform_standin/workers.cc
@@ -94,7 +94,7 @@
     entry["born"] = static_cast<Json::Int64>(start_time_ms_);
     if (draining_) {
         entry["RemainingMs"] =
-            static_cast<Json::Int64>(std::max<std::int64_t>(0, leaves_at_ms_ - clock_ms()));
+            static_cast<Json::Int64>(std::max<std::int64_t>(0, earliest_stop_ms_ - clock_ms()));
     }
     fleet_.store_.put("keyed.servers", id_, to_text(entry));
     fleet_.loop_.after(fleet_.bounds_.heartbeat, [this, alive = alive_] {
@@ -104,10 +104,11 @@
     });
 }
 
-void fleet_worker::drain(millis remaining)
+void fleet_worker::drain(millis remaining, millis linger)
 {
     draining_ = true;
-    leaves_at_ms_ = clock_ms() + remaining.count();
+    earliest_stop_ms_ = clock_ms() + remaining.count();
+    stops_at_ms_ = earliest_stop_ms_ + linger.count();
     fleet_.observer_.on_draining(id_);
     heartbeat();
 }
@@ -455,7 +456,7 @@
     }
     for (const std::string& id : ids()) {
         const fleet_worker& w = *workers_[id];
-        if (w.draining_ && w.clock_ms() >= w.leaves_at_ms_) {
+        if (w.draining_ && w.clock_ms() >= w.stops_at_ms_) {
             crash(id);
             stale_entries_.erase(id);
             store_.put("keyed.servers", id, "");
--- a/test/platform_standin/workers.h
+++ b/test/platform_standin/workers.h
@@ -56,7 +56,8 @@
 
     bool start(error& why);
     void set_faults(const worker_faults& faults) { faults_ = faults; }
-    void drain(millis remaining);
+    /// Reports in its entry that it stops after `remaining`, and stops `linger` later than that.
+    void drain(millis remaining, millis linger);
     const std::string& id() const { return id_; }
     const worker_place& place() const { return place_; }
     bool draining() const { return draining_; }
@@ -116,7 +117,8 @@
     std::list<waiting_poll> polls_;
     std::uint64_t seq_ = 0;
     bool draining_ = false;
-    std::int64_t leaves_at_ms_ = 0;
+    std::int64_t earliest_stop_ms_ = 0; ///< as reported, on this worker's clock
+    std::int64_t stops_at_ms_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -1,5 +1,7 @@
 // Guards against soak checks that miss a kind of broken promise or report one that is kept.
 
+#include <thread>
+
 #include <criterion/criterion.h>
 
 #include "soak/plan.h"
@@ -178,3 +180,27 @@
         cr_assert(!name_of(first[i].kind).empty());
     }
 }
+
+Test(soak, a_start_on_a_draining_worker_breaks_a_promise_whatever_happened_to_other_members)
+{
+    checked_job w;
+    w.checks.set_leader_check([] { return true; });
+    w.checks.on_fault(); // of a member that doesn't lead
+    w.checks.on_draining("w1");
+    std::this_thread::sleep_for(promise_bounds{}.drain_limit / 2);
+    w.start(0, 0, 1);
+    cr_assert_str_eq(w.violations().c_str(), "");
+    std::this_thread::sleep_for(promise_bounds{}.drain_limit / 2 + millis(50));
+    w.start(0, 1, 1);
+    cr_assert_str_eq(w.violations().c_str(), "drain");
+}
+
+Test(soak, a_faulty_leader_excuses_a_start_on_a_draining_worker)
+{
+    checked_job w;
+    w.checks.set_leader_check([] { return false; });
+    w.checks.on_draining("w1");
+    std::this_thread::sleep_for(promise_bounds{}.drain_limit + millis(50));
+    w.start(0, 0, 1);
+    cr_assert_str_eq(w.violations().c_str(), "");
+}
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -15,7 +15,6 @@
 constexpr int ports_per_member = 10;
 constexpr int ports_per_worker = 2;
 constexpr int members_offset = 10;
-constexpr int workers_offset = 200;
 constexpr std::int64_t worker_cores = 8;
 constexpr int workers_per_rack = 4;
 constexpr millis restart_delay{300};
@@ -35,6 +34,7 @@
 {
     store_.serve(store_server_);
     fleet_.serve_advice(advice_server_);
+    checks_.set_leader_check([this] { return leader_is_sound(); });
 }
 
 endpoint cell::member_port(int member, int which) const
@@ -45,6 +45,7 @@
 
 endpoint cell::worker_port(int place, int which) const
 {
+    const int workers_offset = members_offset + settings_.members * ports_per_member;
     return {"127.0.0.1", static_cast<std::uint16_t>(settings_.first_port + workers_offset +
                                                     place * ports_per_worker + which)};
 }
@@ -96,7 +97,10 @@
         }
         start_member(m);
     }
-    loop_.every(collect_period, [this] { collect_exited(); });
+    loop_.every(collect_period, [this] {
+        collect_exited();
+        watch_leader();
+    });
     return true;
 }
 
@@ -147,6 +151,7 @@
         return;
     }
     expected_signals_.erase(name);
+    disturb(member);
     processes_.start(name,
                      {settings_.program, "--settings", settings_.run_dir + "/" + name + ".ini"},
                      settings_.run_dir + "/" + name + ".log");
@@ -187,6 +192,27 @@
     return record && record->isObject() ? std::stoi((*record)["name"].asString().substr(1)) : -1;
 }
 
+void cell::watch_leader()
+{
+    const int now_leading = leader();
+    if (now_leading != last_leader_) {
+        last_leader_ = now_leading;
+        leader_since_ = boot_clock::now();
+    }
+}
+
+/// Returns whether the leader has led so long that orders of the previous one have expired, and
+/// neither it nor the store nor a link had a fault lately.
+bool cell::leader_is_sound() const
+{
+    constexpr millis order_validity{1600};
+    const time_point now = boot_clock::now();
+    const millis quiet = checks_.bounds().fault_free_period;
+    const auto own = disturbed_.find(last_leader_);
+    return last_leader_ >= 0 && now - leader_since_ > order_validity &&
+           now - all_disturbed_ > quiet && (own == disturbed_.end() || now - own->second > quiet);
+}
+
 int cell::target_member(const planned_fault& fault) const
 {
     return static_cast<int>(fault.target % static_cast<std::uint32_t>(settings_.members));
@@ -236,6 +262,7 @@
 
 void cell::kill(int member)
 {
+    disturb(member);
     expected_signals_[member_name(member)] = SIGKILL;
     processes_.signal(member_name(member), SIGKILL);
 }
@@ -244,7 +271,11 @@
 {
     const std::string name = member_name(member);
     if (processes_.signal(name, SIGSTOP)) {
-        after(length, [this, name] { processes_.signal(name, SIGCONT); });
+        disturb(member);
+        after(length, [this, name, member] {
+            processes_.signal(name, SIGCONT);
+            disturb(member);
+        });
     }
 }
 
@@ -257,6 +288,7 @@
 {
     const std::string name = member_name(target_member(fault));
     if (expected_signals_.count(name) == 0 && processes_.signal(name, SIGTERM)) {
+        disturb(target_member(fault));
         expected_signals_[name] = SIGTERM;
         stop_deadlines_[name] = boot_clock::now() + stop_grace + paused_process_grace;
     }
@@ -290,6 +322,7 @@
 
 void cell::settings_reread(const planned_fault& fault)
 {
+    disturb(target_member(fault));
     processes_.signal(member_name(target_member(fault)), SIGHUP);
 }
 
@@ -306,16 +339,22 @@
         fault.kind == fault_kind::link_held_down || fault.kind == fault_kind::link_cut;
     proxy& link = *links_[fault.target % links_.size()];
     link.set_faults(faults);
-    after(fault.length, [&link] { link.set_faults({}); });
+    disturb_all();
+    after(fault.length, [this, &link] {
+        link.set_faults({});
+        disturb_all();
+    });
 }
 
 void cell::link_reset(const planned_fault& fault)
 {
+    disturb_all();
     links_[fault.target % links_.size()]->reset();
 }
 
 void cell::link_silenced(const planned_fault& fault)
 {
+    disturb_all();
     links_[fault.target % links_.size()]->silence();
 }
 
@@ -331,11 +370,16 @@
         faults.lost_answers = 0.3;
     }
     store_.set_faults(faults);
-    after(fault.length, [this] { store_.set_faults({}); });
+    disturb_all();
+    after(fault.length, [this] {
+        store_.set_faults({});
+        disturb_all();
+    });
 }
 
 void cell::store_trimmed(const planned_fault& /*fault*/)
 {
+    disturb_all();
     for (const char* topic : {"keyed.pool", "keyed.op", "keyed.servers"}) {
         store_.trim(topic);
     }
@@ -358,9 +402,9 @@
 {
     fleet_worker* w = target_worker(fault);
     if (w != nullptr && !w->draining()) {
-        w->drain(drain_notice);
+        w->drain(drain_notice, fault.length);
         const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
-        add_worker_later(place, "", drain_notice + fault.length);
+        add_worker_later(place, "", drain_notice + 2 * fault.length);
     }
 }
 
@@ -434,6 +478,7 @@
 void cell::heal()
 {
     ++heal_count_;
+    disturb_all();
     store_.set_faults({});
     for (const std::unique_ptr<proxy>& link : links_) {
         link->set_faults({});
--- a/test/soak/cell.h
+++ b/test/soak/cell.h
@@ -61,6 +61,12 @@
     bool add_worker(int place, const std::string& id, error& why);
     void add_worker_later(int place, const std::string& id, millis delay);
     void after(millis delay, std::function<void()> action);
+    /// Notes a fault of one member.
+    void disturb(int member) { disturbed_[member] = boot_clock::now(); }
+    /// Notes a fault that concerns all members.
+    void disturb_all() { all_disturbed_ = boot_clock::now(); }
+    void watch_leader();
+    bool leader_is_sound() const;
 
     void kill(int member);
     void pause(int member, millis length);
@@ -94,6 +100,10 @@
     std::map<std::string, int> expected_signals_; ///< by member: the signal that was sent to end it
     std::map<std::string, time_point> stop_deadlines_; ///< of members that got SIGTERM
     int version_ = 0;
+    std::map<int, time_point> disturbed_; ///< by member: its last fault, or its last start
+    time_point all_disturbed_ = boot_clock::now();
+    int last_leader_ = -1;
+    time_point leader_since_;
     int heal_count_ = 0; ///< calls of `heal`; a timer set before the last one does nothing
 };
 
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -53,6 +53,11 @@
     return sesamesill::name_in(fault_names, kind);
 }
 
+std::optional<fault_kind> fault_kind_from(std::string_view name)
+{
+    return sesamesill::value_in(fault_names, name);
+}
+
 std::vector<planned_fault> draw_faults(std::uint64_t seed, millis duration, millis gap)
 {
     std::mt19937_64 random(seed);
@@ -83,4 +88,26 @@
     return faults;
 }
 
+std::vector<planned_fault> repeat_series(const std::vector<fault_kind>& kinds, std::uint64_t seed,
+                                         millis duration, millis period)
+{
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<std::int64_t> length(min_fault_length.count(),
+                                                       max_fault_length.count());
+    std::vector<planned_fault> faults;
+    for (millis begin{0}; begin < duration; begin += period) {
+        millis at = begin;
+        for (const fault_kind kind : kinds) {
+            planned_fault fault;
+            fault.at = at;
+            fault.kind = kind;
+            fault.target = static_cast<std::uint32_t>(random());
+            fault.length = millis(length(random));
+            faults.push_back(fault);
+            at += series_gap;
+        }
+    }
+    return faults;
+}
+
 } // namespace soak
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -47,6 +48,7 @@
 constexpr std::size_t fault_kinds = 28;
 
 std::string_view name_of(fault_kind kind);
+std::optional<fault_kind> fault_kind_from(std::string_view name);
 
 struct planned_fault {
     millis at{0};
@@ -58,4 +60,9 @@
 /// Draws faults for `duration`, with `gap` between them on average, sorted by time.
 std::vector<planned_fault> draw_faults(std::uint64_t seed, millis duration, millis gap);
 
+/// Repeats the series of `kinds` for `duration`, one series each `period`. Draws targets and
+/// lengths from `seed`.
+std::vector<planned_fault> repeat_series(const std::vector<fault_kind>& kinds, std::uint64_t seed,
+                                         millis duration, millis period);
+
 } // namespace soak
--- a/test/soak/promises.cc
+++ b/test/soak/promises.cc
@@ -236,8 +236,8 @@
         violate("twice", name + " began after its job was shown as complete");
     }
     const auto draining = draining_.find(start.worker);
-    if (draining != draining_.end() && now - draining->second > bounds_.drain_lag &&
-        no_recent_fault()) {
+    if (draining != draining_.end() && now - draining->second > bounds_.drain_limit &&
+        leader_is_sound_()) {
         violate("drain", name + " began at " + start.worker + ", which is draining");
     }
 }
--- a/test/soak/promises.h
+++ b/test/soak/promises.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,13 +24,20 @@
     millis visibility_lag{3000};      ///< after it, all members know an accepted job
     millis cancel_lag{3000};          ///< after an acknowledged cancel; no run starts later
     millis acknowledgement_lag{1000}; ///< after a job was shown as complete; no run starts later
-    millis drain_lag{2500};           ///< after a worker reported draining; no run starts later
+    millis drain_limit{2000};         ///< after a worker reported draining; no run starts later
     millis fault_free_period{3000};   ///< bounds in time hold after this long without a fault
 };
 
 class promises : public run_observer {
 public:
     explicit promises(promise_bounds bounds) : bounds_(bounds) {}
+    promises(const promises&) = delete;
+    promises& operator=(const promises&) = delete;
+    promises(promises&&) = delete;
+    promises& operator=(promises&&) = delete;
+    ~promises() override = default;
+
+    const promise_bounds& bounds() const { return bounds_; }
 
     /// Declares a job that a client is about to submit. For each step, `runs_fail` holds how many
     /// runs of its first task fail because of the task itself.
@@ -43,6 +51,9 @@
     /// Records a broken promise that was detected elsewhere.
     void report(const std::string& promise, const std::string& what) { violate(promise, what); }
     void on_fault() { last_fault_ = boot_clock::now(); }
+    /// Sets a check whether neither the leader nor the store had a fault lately. Faults of other
+    /// members don't excuse a start on a draining worker.
+    void set_leader_check(std::function<bool()> check) { leader_is_sound_ = std::move(check); }
     void on_worker(const std::string& worker, const resources& capacity);
 
     std::optional<run_facts> facts_of(const pool::task_id& task, std::int64_t run) override;
@@ -121,6 +132,7 @@
         unacknowledged_; ///< by worker: tasks with unacknowledged ends
     std::vector<std::string> violations_;
     time_point last_fault_ = boot_clock::now();
+    std::function<bool()> leader_is_sound_ = [this] { return no_recent_fault(); };
     std::size_t starts_ = 0;
 };
 
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <sstream>
 
 #include <gflags/gflags.h>
 
@@ -21,6 +22,9 @@
 DEFINE_int32(job_gap_ms, 80, "mean time between jobs");
 DEFINE_int32(first_port, 24000, "first of about 300 ports in use");
 DEFINE_string(only, "", "apply only faults of this kind");
+DEFINE_string(
+    series, "",
+    "instead of random faults, repeat these kinds, one series each fault_gap_ms: KIND,KIND");
 DEFINE_bool(verbose, false, "print each fault when it is applied");
 
 namespace {
@@ -35,6 +39,21 @@
 constexpr millis post_recovery_load{3000}; ///< time of submitting jobs after the recovery
 constexpr std::size_t served_divisor = 4;  ///< at least a quarter of these jobs has to be accepted
 
+/// Returns the kinds named in a list with commas, or nothing if one is unknown.
+std::optional<std::vector<fault_kind>> kinds_in(const std::string& list)
+{
+    std::vector<fault_kind> kinds;
+    std::istringstream names(list);
+    for (std::string name; std::getline(names, name, ',');) {
+        const std::optional<fault_kind> kind = fault_kind_from(name);
+        if (!kind) {
+            return std::nullopt;
+        }
+        kinds.push_back(*kind);
+    }
+    return kinds;
+}
+
 class run {
 public:
     explicit run(event_loop& loop)
@@ -81,11 +100,18 @@
     }
 
 private:
+    static std::vector<planned_fault> faults_of(millis duration)
+    {
+        const millis gap(FLAGS_fault_gap_ms);
+        return FLAGS_series.empty()
+                   ? draw_faults(FLAGS_seed, duration, gap)
+                   : repeat_series(*kinds_in(FLAGS_series), FLAGS_seed, duration, gap);
+    }
+
     void plan()
     {
         const millis duration(FLAGS_seconds * 1000);
-        for (const planned_fault& f :
-             draw_faults(FLAGS_seed, duration, millis(FLAGS_fault_gap_ms))) {
+        for (const planned_fault& f : faults_of(duration)) {
             if (!FLAGS_only.empty() && FLAGS_only != name_of(f.kind)) {
                 continue;
             }
@@ -149,6 +175,10 @@
 {
     gflags::SetUsageMessage("runs the control plane under random faults and checks its promises");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (!kinds_in(FLAGS_series)) {
+        std::cerr << "--series: unknown kind of fault in " << FLAGS_series << '\n';
+        return 2;
+    }
     event_loop loop;
     run soak(loop);
     error why;
