--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -120,6 +120,28 @@
     });
 }
 
+void member::parts::serve_state(const http_request& request, const http_respond& respond) const
+{
+    const state_answer a = lead->state_of(query_value(request, "id"));
+    if (a.found == lookup::unavailable) {
+        respond_not_leading(respond); // the sender asks the next leader
+        return;
+    }
+    respond_json(respond, to_json(a));
+}
+
+void member::parts::serve_waiting(const http_request& request, const http_respond& respond) const
+{
+    const waiting_answer a = lead->waiting_in(query_value(request, "queue"));
+    if (a.found == lookup::unavailable) {
+        respond_not_leading(respond);
+        return;
+    }
+    Json::Value value;
+    value["count"] = a.count;
+    respond_json(respond, value);
+}
+
 void member::parts::serve_advise(const http_request& request, const http_respond& respond)
 {
     const std::optional<Json::Value> body = json_from(request.body);
@@ -194,12 +216,7 @@
     peer_server.route(
         "GET", "/pool/state",
         leading_only([this](const http_request& request, const http_respond& respond) {
-            const state_answer a = lead->state_of(query_value(request, "id"));
-            if (a.found == lookup::unavailable) {
-                respond_not_leading(respond); // the sender asks the next leader
-                return;
-            }
-            respond_json(respond, to_json(a));
+            serve_state(request, respond);
         }));
     peer_server.route(
         "POST", "/pool/cancel",
@@ -210,14 +227,7 @@
     peer_server.route(
         "GET", "/pool/waiting",
         leading_only([this](const http_request& request, const http_respond& respond) {
-            const waiting_answer a = lead->waiting_in(query_value(request, "queue"));
-            if (a.found == lookup::unavailable) {
-                respond_not_leading(respond);
-                return;
-            }
-            Json::Value value;
-            value["count"] = a.count;
-            respond_json(respond, value);
+            serve_waiting(request, respond);
         }));
 }
 
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -89,6 +89,8 @@
     void serve_peers();
     std::optional<Json::Value> on_heartbeat(const Json::Value& params, error& why);
     void serve_submit(const http_request& request, const http_respond& respond);
+    void serve_state(const http_request& request, const http_respond& respond) const;
+    void serve_waiting(const http_request& request, const http_respond& respond) const;
     void serve_advise(const http_request& request, const http_respond& respond);
     std::vector<worker_entry> all_workers() const;
 };
