--- a/include/sesamesill/log.h
+++ b/include/sesamesill/log.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "sesamesill/error.h"
 
@@ -35,6 +36,7 @@
 /// Writes one line with the time, the level, the event and `fields`.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
+void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields);
 
 /// Writes one warning with the step, code, peer and reason of `e`.
 void log_error(std::string_view event, const error& e);
--- a/src/log.cc
+++ b/src/log.cc
@@ -143,7 +143,10 @@
 
 } // namespace
 
-void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+namespace {
+
+template<typename Fields>
+void write_event(log_level level, std::string_view event, const Fields& fields)
 {
     std::int64_t dropped_before = 0;
     if (level < current_log().lowest || !within_budget(event, dropped_before)) {
@@ -163,6 +166,18 @@
     }
 }
 
+} // namespace
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    write_event(level, event, fields);
+}
+
+void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields)
+{
+    write_event(level, event, fields);
+}
+
 void log_error(std::string_view event, const error& e)
 {
     log_event(log_level::warning, event,
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -539,25 +539,14 @@
                               {{"queue", d.queue}})
                 .observe(static_cast<double>(d.age_ms) / ms_per_second);
         }
-        const std::int64_t fence = static_cast<std::int64_t>(self_.fence);
+        std::vector<log_field> fields{
+            {"job", d.job},       {"queue", d.queue},
+            {"worker", d.worker}, {"detail", d.detail},
+            {"age_ms", d.age_ms}, {"fence", static_cast<std::int64_t>(self_.fence)}};
         if (d.directory_age_ms) {
-            log_event(log_level::info, kind,
-                      {{"job", d.job},
-                       {"queue", d.queue},
-                       {"worker", d.worker},
-                       {"detail", d.detail},
-                       {"age_ms", d.age_ms},
-                       {"directory_age_ms", *d.directory_age_ms},
-                       {"fence", fence}});
-            continue;
+            fields.push_back({"directory_age_ms", *d.directory_age_ms});
         }
-        log_event(log_level::info, kind,
-                  {{"job", d.job},
-                   {"queue", d.queue},
-                   {"worker", d.worker},
-                   {"detail", d.detail},
-                   {"age_ms", d.age_ms},
-                   {"fence", fence}});
+        log_event(log_level::info, kind, fields);
     }
 }
 
