Keep the phase of a follower's reads when it reads now

Cause: also dropped the pending timer with each read. All large members read when they try to claim the lead, so from then on they read at the same moment; an outage of the store that ends at the wrong one left only small members to take over, and the lead moved on again and again.

--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -62,7 +62,7 @@
     }
     next_read_at_ = at;
     loop_.after(delay, [this, at, alive = alive_] {
-        if (*alive && next_read_at_ == at) { // an earlier read has not replaced this one
+        if (*alive && next_read_at_ == at) { // no earlier read was scheduled since
             next_read_at_.reset();
             read_next();
         }
@@ -101,7 +101,6 @@
     if (paused_ || reading_) {
         return;
     }
-    next_read_at_.reset();
     if (!loaded_) {
         loading_.clear();
         load("");
