--- a/review/lab/cases.cc
+++ b/review/lab/cases.cc
@@ -8,6 +8,7 @@
 {
     static const std::map<std::string, int (*)(const arguments&)> known{
         {"large_job", large_job},
+        {"cut_worker", cut_worker},
     };
     return known;
 }
--- a/review/lab/cases.h
+++ b/review/lab/cases.h
@@ -41,5 +41,6 @@
 }
 
 int large_job(const arguments& a);
+int cut_worker(const arguments& a);
 
 } // namespace lab
