Count a worker as verified by evidence only, not by failed connections

Cause: scheduler::note_unsent_poll took a poll that was not sent to a worker without an entry for the end of the worker. never_sent() also holds for a connection that was not established in time, which is silence. A refused connection is no proof either: a cut can answer with resets.

Ruled out: the lease arithmetic (verify_until_ is the end of the predecessor's last lease) and the reports of reachable workers; with the poll ignored, the inherited task waits until 14.0 s in the test and starts once.

Change: run_evidence names what shows that a leader knows all earlier runs on a worker; each place that verifies a worker passes one, and worker_verified logs it. A refused connection (order_verdict::no_listener, apart from not_sent now) counts only for a worker that drained and whose entry is gone. A connection that this process can't open itself is reported as unreachable, not as a closed port.

--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -142,12 +142,13 @@
     superseded, ///< a run of the task with this number or a higher one has ended at this worker
     expired,    ///< the order expired before it arrived
     no_room,
-    no_ticket, ///< the ticket is unknown or has expired
-    unhealthy, ///< the worker is unhealthy and did nothing
-    replaced,  ///< another incarnation answers at this address
-    invalid,   ///< the worker can't read the order
-    not_sent,  ///< there was no connection, so the worker did nothing
-    unknown    ///< no answer came: the worker may have carried it out, or may do so later
+    no_ticket,   ///< the ticket is unknown or has expired
+    unhealthy,   ///< the worker is unhealthy and did nothing
+    replaced,    ///< another incarnation answers at this address
+    invalid,     ///< the worker can't read the order
+    not_sent,    ///< no connection was established in time, so this order had no effect
+    no_listener, ///< the worker's address refused the connection, so this order had no effect
+    unknown      ///< no answer came: the worker may have carried it out, or may do so later
 };
 
 struct start_order {
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -50,6 +50,7 @@
     entry_ignored, ///< a directory entry older than the known one
     worker_left,
     worker_lost,
+    worker_verified, ///< its predecessors' runs are known to have ended, without a report
     worker_restarted,
     worker_avoided,
     run_missing,
@@ -291,13 +292,13 @@
     void release_missing_runs(worker& w, const worker_report& report, time_point sent,
                               time_point now);
     void release_run(worker& w, const run_record& run, time_point now);
-    void note_unsent_poll(worker& w, const poll_order& order);
+    void note_unsent_poll(worker& w, const poll_order& order, order_verdict verdict);
     void note_process(worker& w, std::int64_t start_time_ms);
     void note_first_answer(worker& w, time_point now);
     void mark_older_incarnations_lost(const worker_entry& entry, time_point now);
     bool has_newer_incarnation(const worker_entry& entry) const;
-    void mark_worker_lost(worker& w, const std::string& why, time_point now);
-    void mark_verified(const std::string& id);
+    void mark_worker_lost(worker& w, run_evidence evidence, time_point now);
+    void mark_verified(const std::string& id, run_evidence evidence);
     void restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now);
 
     std::uint64_t fence_;
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "sesamesill/clock.h"
 #include "sesamesill/pool_job.h"
@@ -25,6 +26,19 @@
     stop_acknowledged ///< the worker has accepted the stop: the run has ended or will never begin
 };
 
+/// What shows that a leader knows all runs that its predecessors started on a worker. Silence and
+/// connections that fail are no evidence: a worker that is cut off runs on until its lease expires.
+enum class run_evidence : std::uint8_t {
+    report,            ///< the worker has listed its runs
+    other_incarnation, ///< another incarnation answers at its address
+    newer_incarnation, ///< the directory has a newer incarnation on its machine
+    left_as_announced, ///< it drained, its entry was removed, and nothing listens at its address
+    lease_expired,     ///< all leases that it may have been granted have expired
+    complete_directory ///< a read of the directory that shows every live worker
+};
+
+std::string_view name_of(run_evidence evidence);
+
 /// A run that has capacity allocated, from its start order until the worker lists its end.
 struct run_record {
     task_id task;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -346,7 +346,7 @@
             std::unique_ptr<exchange> failed(static_cast<exchange*>(argument));
             const std::string peer = to_string(failed->to);
             complete(std::move(failed), std::nullopt,
-                     {error_code::unavailable, step::http, peer, "cannot connect"});
+                     {error_code::unreachable, step::http, peer, "cannot open a connection"});
         },
         x, &now);
 }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -22,10 +22,14 @@
 
 } // namespace
 
-void scheduler::mark_verified(const std::string& id)
+void scheduler::mark_verified(const std::string& id, run_evidence evidence)
 {
-    if (unverified_workers_.erase(id) > 0) {
-        placing_needed_ = true;
+    if (unverified_workers_.erase(id) == 0) {
+        return;
+    }
+    placing_needed_ = true;
+    if (evidence != run_evidence::report) {
+        add_decision(decision_kind::worker_verified, "", id, std::string(name_of(evidence)));
     }
 }
 
@@ -39,7 +43,7 @@
         const worker_entry& older = other.second.entry;
         if (older.machine == entry.machine && other.first != entry.id &&
             older.start_time_ms < entry.start_time_ms && !other.second.lost) {
-            mark_worker_lost(other.second, "its machine runs a newer incarnation", now);
+            mark_worker_lost(other.second, run_evidence::newer_incarnation, now);
         }
     }
 }
@@ -86,7 +90,7 @@
         }
         add_decision(decision_kind::worker_joined, "", entry.id, entry.data_center + labels);
         if (has_newer_incarnation(entry)) {
-            mark_worker_lost(added, "its machine runs a newer incarnation", now);
+            mark_worker_lost(added, run_evidence::newer_incarnation, now);
         }
     }
     else {
@@ -127,14 +131,14 @@
 }
 
 /// Handles a poll that the worker has not seen, nor the lease that it carried.
-void scheduler::note_unsent_poll(worker& w, const poll_order& order)
+void scheduler::note_unsent_poll(worker& w, const poll_order& order, order_verdict verdict)
 {
     if (order.until_ms && order.until_ms == w.poll_until_ms) {
         w.lease_expires_at = w.lease_before_poll;
         w.poll_until_ms.reset();
     }
-    if (!w.listed && !w.heard) {
-        mark_verified(order.worker);
+    if (verdict == order_verdict::no_listener && w.entry.draining && !w.listed && !w.heard) {
+        mark_verified(order.worker, run_evidence::left_as_announced);
     }
 }
 
@@ -165,11 +169,11 @@
         fenced_ = true;
         return;
     }
-    if (verdict == order_verdict::not_sent) {
-        note_unsent_poll(*w, order);
+    if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
+        note_unsent_poll(*w, order, verdict);
     }
     if (verdict == order_verdict::replaced) {
-        mark_worker_lost(*w, "another incarnation answers at its address", now);
+        mark_worker_lost(*w, run_evidence::other_incarnation, now);
         return;
     }
     if (verdict != order_verdict::accepted) {
@@ -203,7 +207,7 @@
         release_missing_runs(*w, report, sent, now);
     }
     update_progress_rate(*w, report, now);
-    mark_verified(order.worker);
+    mark_verified(order.worker, run_evidence::report);
 }
 
 void scheduler::handle_end(worker& w, const ended_task& end, time_point now)
@@ -383,10 +387,10 @@
     }
 }
 
-void scheduler::mark_worker_lost(worker& w, const std::string& why, time_point now)
+void scheduler::mark_worker_lost(worker& w, run_evidence evidence, time_point now)
 {
     if (!w.lost) {
-        add_decision(decision_kind::worker_lost, "", w.entry.id, why,
+        add_decision(decision_kind::worker_lost, "", w.entry.id, std::string(name_of(evidence)),
                      to_millis(now - w.last_answer));
     }
     w.lost = true;
@@ -395,7 +399,7 @@
         const run_record run = w.runs.begin()->second;
         release_run(w, run, now);
     }
-    mark_verified(w.entry.id);
+    mark_verified(w.entry.id, evidence);
     placing_needed_ = true;
 }
 
@@ -410,18 +414,20 @@
             }
         }
         if (!w.lost && now > w.lease_expires_at && !w.is_responsive(now)) {
-            mark_worker_lost(w, "no answer until its lease expired", now);
+            mark_worker_lost(w, run_evidence::lease_expired, now);
         }
     }
     if (!unverified_workers_.empty() && now > verify_until_) {
-        unverified_workers_.clear();
-        placing_needed_ = true;
+        while (!unverified_workers_.empty()) {
+            const std::string id = *unverified_workers_.begin();
+            mark_verified(id, run_evidence::lease_expired);
+        }
     }
     for (auto w = workers_.begin(); w != workers_.end();) {
         const bool removable = !w->second.listed && w->second.runs.empty() &&
                                (w->second.lost || now > w->second.lease_expires_at);
         if (removable) {
-            mark_verified(w->first);
+            mark_verified(w->first, run_evidence::lease_expired);
             workers_with_ends_.erase(w->first);
             workers_by_number_[w->second.number] = nullptr;
         }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -9,7 +9,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<order_verdict, 11> verdict_names{{{order_verdict::accepted, "obeyed"},
+constexpr name_table<order_verdict, 12> verdict_names{{{order_verdict::accepted, "obeyed"},
                                                        {order_verdict::fenced, "fenced"},
                                                        {order_verdict::superseded, "superseded"},
                                                        {order_verdict::expired, "late"},
@@ -19,6 +19,7 @@
                                                        {order_verdict::replaced, "replaced"},
                                                        {order_verdict::invalid, "invalid"},
                                                        {order_verdict::not_sent, "not_sent"},
+                                                       {order_verdict::no_listener, "no_listener"},
                                                        {order_verdict::unknown, "unknown"}}};
 
 constexpr int start_attempts = 3;        ///< sends of a start without an answer before its stop
@@ -158,6 +159,7 @@
         stop_task(run.task, now);
         return;
     case order_verdict::not_sent:
+    case order_verdict::no_listener:
         if (order.attempts > 1) {
             stop_task(run.task, now); // the worker may have accepted an earlier send
             return;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -12,7 +12,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 25> decision_names{
+constexpr name_table<decision_kind, 26> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
@@ -33,6 +33,7 @@
      {decision_kind::entry_ignored, "worker_entry_outdated"},
      {decision_kind::worker_left, "worker_left"},
      {decision_kind::worker_lost, "worker_lost"},
+     {decision_kind::worker_verified, "worker_verified"},
      {decision_kind::worker_restarted, "worker_reborn"},
      {decision_kind::worker_avoided, "worker_avoided"},
      {decision_kind::run_missing, "run_vanished"},
@@ -236,7 +237,7 @@
     directory_lost_at_.reset();
     placing_needed_ = true;
     if (begun > restored_at_ && begun >= entries_back_at_) {
-        mark_verified(undiscovered_workers);
+        mark_verified(undiscovered_workers, run_evidence::complete_directory);
     }
 }
 
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -1048,3 +1048,38 @@
     cr_assert_eq(s.workers().count("answers"), 0);
     cr_assert_eq(s.workers().count("silent"), 1);
 }
+
+Test(pool_scheduler, tasks_of_a_cut_off_worker_without_an_entry_wait_for_its_lease)
+{
+    // Guards against tasks that start twice: a worker that is cut off loses its entry and can't be
+    // connected to, but runs on until the lease that the predecessor granted has expired.
+    for (const order_verdict failure : {order_verdict::not_sent, order_verdict::no_listener}) {
+        std::map<std::string, std::string> store;
+        scheduler first = scheduler_with({"w1", "w2"});
+        add_job(first, store, job_of(job, {step_of(1, 1)}), 0);
+        scheduler s = successor_of(store, 50, {"w1", "w2"}, 5000, config_of());
+        s.unlist_worker("w1");
+        poll_worker(s, "w2", {}, 5010);
+        const std::optional<poll_order> order = s.next_poll("w1", millis(0), at_ms(5010));
+        s.on_poll(*order, at_ms(5010), failure, {}, at_ms(5500));
+        cr_assert_eq(place(s, 5501).size(), 0, "w1 may run the task");
+        poll_worker(s, "w2", {}, 13990);
+        cr_assert_eq(place(s, 14001).size(), 1, "its lease has expired");
+    }
+}
+
+Test(pool_scheduler, tasks_of_a_worker_that_drained_and_left_do_not_wait_for_its_lease)
+{
+    std::map<std::string, std::string> store;
+    scheduler first = scheduler_with({"w1", "w2"});
+    add_job(first, store, job_of(job, {step_of(1, 1)}), 0);
+    scheduler s = successor_of(store, 50, {"w1", "w2"}, 5000, config_of());
+    worker_entry leaving = worker_of("w1");
+    leaving.draining = true;
+    s.list_worker(leaving, at_ms(5001));
+    s.unlist_worker("w1");
+    poll_worker(s, "w2", {}, 5010);
+    const std::optional<poll_order> order = s.next_poll("w1", millis(0), at_ms(5010));
+    s.on_poll(*order, at_ms(5010), order_verdict::no_listener, {}, at_ms(5012));
+    cr_assert_eq(place(s, 5013).size(), 1);
+}
