Keep what is known of a job's attempts until the client is answered

Cause: member::submit handed the job in again as a new forwarded request, whose maybe_executed is false, so that running out of time became a refusal. The refusals for a full window or budget forgot the first attempt, too.

Ruled out: the writer, which reports such a batch as unknown; a successor's own refusal, which is right, as it has read the log up to its claim.

Change: one submission lives until the client is answered; give_up() answers unknown (504) once an attempt may have been stored. On the related path, an attempt delayed in the network could be accepted by a later lead of the same member, after another leader had refused the job: a forwarded job names the fence of the leader it is meant for, and any other claim refuses it (421).

--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -97,6 +97,11 @@
 
 void member::parts::serve_submit(const http_request& request, const http_respond& respond)
 {
+    const std::string fence = query_value(request, "fence");
+    if (!fence.empty() && fence != std::to_string(lead->fence())) {
+        respond_not_leading(respond);
+        return;
+    }
     error why;
     const std::optional<job_spec> spec = decode_job_spec(request.body, why);
     if (!spec) {
@@ -257,7 +262,7 @@
         return;
     }
     if (leads()) {
-        request->serve_locally(left + answer_reserve);
+        request->serve_locally(left + answer_reserve, request->maybe_executed);
         return;
     }
     const auto retry = [this, request] {
@@ -270,6 +275,9 @@
     http_call call;
     call.method = request->method;
     call.path = request->path;
+    if (request->names_fence) {
+        call.path += "&fence=" + std::to_string(leader_election.leader()->fence);
+    }
     call.body = request->body;
     call.timeout = std::min(left, attempt_timeout);
     if (request->windowed) {
@@ -331,51 +339,64 @@
 
 void member::submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done)
 {
-    parts& p = *parts_;
-    if (p.leads()) {
-        const time_point until = boot_clock::now() + budget;
-        p.lead->submit(spec, "",
-                       [this, spec, until, done = std::move(done)](const submit_answer& a) {
-                           const millis left(to_millis(until - boot_clock::now()));
-                           const bool ask_successor = a.verdict == submit_verdict::unknown ||
-                                                      a.verdict == submit_verdict::leader_changed;
-                           if (ask_successor && left > answer_reserve + retry_pause) {
-                               // This member lost the lead; its successor knows whether the job is
-                               // stored.
-                               parts_->loop.after(retry_pause, [this, spec, left, done] {
-                                   submit(spec, left - retry_pause, done);
-                               });
-                               return;
-                           }
-                           done(a);
-                       });
+    parts_->submit(std::make_shared<submission>(
+        submission{spec, boot_clock::now() + budget, false, std::move(done)}));
+}
+
+/// Hands the job to this member's own leader. If the lead is lost first, the successor knows
+/// whether the job is stored.
+void member::parts::submit_locally(const std::shared_ptr<submission>& job)
+{
+    lead->submit(job->spec, "", [this, job](const submit_answer& a) {
+        const bool ask_successor =
+            a.verdict == submit_verdict::unknown || a.verdict == submit_verdict::leader_changed;
+        if (!ask_successor) {
+            job->done(a);
+            return;
+        }
+        job->maybe_stored = job->maybe_stored || a.verdict == submit_verdict::unknown;
+        if (job->until - boot_clock::now() > answer_reserve + retry_pause) {
+            loop.after(retry_pause, [this, job] { submit(job); });
+            return;
+        }
+        job->give_up(a.reason, a.retry_after);
+    });
+}
+
+void member::parts::submit(const std::shared_ptr<submission>& job)
+{
+    if (leads()) {
+        submit_locally(job);
         return;
     }
     const time_point now = boot_clock::now();
-    if (p.submit_window.free() == 0 || !p.submit_budget.allows(now)) {
-        done({submit_verdict::refused, "the leader answers late: too many jobs wait for it",
-              congestion_retry_after});
+    if (submit_window.free() == 0 || !submit_budget.allows(now)) {
+        job->give_up("the leader answers late: too many jobs wait for it", congestion_retry_after);
         return;
     }
     const std::shared_ptr<forwarded_request> request = std::make_shared<forwarded_request>();
     request->windowed = true;
+    request->names_fence = true;
+    request->maybe_executed = job->maybe_stored;
     request->method = "POST";
-    request->path =
-        "/pool/submit?request=" + p.incarnation + "-" + std::to_string(++p.forwarded_jobs);
-    request->body = encode(spec);
-    p.submit_budget.take(static_cast<double>(request->body.size()));
-    request->until = answer_by(budget);
-    request->serve_locally = [this, spec, done](millis left) { submit(spec, left, done); };
-    request->done = [done, retry = p.retry_after_outage_of(spec)](
+    request->path = "/pool/submit?request=" + incarnation + "-" + std::to_string(++forwarded_jobs);
+    request->body = encode(job->spec);
+    submit_budget.take(static_cast<double>(request->body.size()));
+    request->until = answer_by(millis(to_millis(job->until - now)));
+    request->serve_locally = [this, job](millis /*left*/, bool maybe_executed) {
+        job->maybe_stored = maybe_executed;
+        submit_locally(job);
+    };
+    request->done = [job, retry = retry_after_outage_of(job->spec)](
                         const std::optional<Json::Value>& answer, bool maybe_executed) {
         if (answer) {
-            done(submit_answer_from(*answer));
+            job->done(submit_answer_from(*answer));
             return;
         }
-        done({maybe_executed ? submit_verdict::unknown : submit_verdict::refused,
-              "no leader answered before the deadline", retry});
+        job->maybe_stored = maybe_executed;
+        job->give_up("no leader answered before the deadline", retry);
     };
-    p.forward_request(request);
+    forward_request(request);
 }
 
 void member::state_of(const std::string& id, millis budget,
@@ -390,7 +411,7 @@
     request->method = "GET";
     request->path = "/pool/state?id=" + id;
     request->until = answer_by(budget);
-    request->serve_locally = [this, id, done](millis left) { state_of(id, left, done); };
+    request->serve_locally = [this, id, done](millis left, bool) { state_of(id, left, done); };
     request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? state_answer_from(*answer) : state_answer{});
     };
@@ -408,7 +429,7 @@
     request->method = "POST";
     request->path = "/pool/cancel?id=" + id;
     request->until = answer_by(budget);
-    request->serve_locally = [this, id, done](millis left) { cancel(id, left, done); };
+    request->serve_locally = [this, id, done](millis left, bool) { cancel(id, left, done); };
     request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? state_answer_from(*answer) : state_answer{});
     };
@@ -427,7 +448,9 @@
     request->method = "GET";
     request->path = "/pool/waiting?queue=" + queue;
     request->until = answer_by(budget);
-    request->serve_locally = [this, queue, done](millis left) { waiting_in(queue, left, done); };
+    request->serve_locally = [this, queue, done](millis left, bool) {
+        waiting_in(queue, left, done);
+    };
     request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()} : waiting_answer{});
     };
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -45,11 +45,31 @@
     bool windowed = false; ///< counts in the window of forwarded jobs
     /// An attempt had no clear answer, so the leader may have executed it.
     bool maybe_executed = false;
+    /// The leader that an attempt is sent to refuses it if its claim isn't the newest one that this
+    /// member knows: an attempt that is delayed has no effect on a later lead of the same member.
+    bool names_fence = false;
     /// Serves the request if this member has become the leader.
-    std::function<void(millis left)> serve_locally;
+    std::function<void(millis left, bool maybe_executed)> serve_locally;
     std::function<void(std::optional<Json::Value>, bool maybe_executed)> done;
 };
 
+/// A client's job until it's answered. Its attempts share what is known of them: once the outcome
+/// of one is unknown, only a later leader, which has read the log, can tell that the job isn't
+/// stored.
+struct submission {
+    job_spec spec;
+    time_point until;          ///< the client waits until then
+    bool maybe_stored = false; ///< an attempt had no clear answer
+    std::function<void(submit_answer)> done;
+
+    /// Answers without a leader's word: refuses the job unless it may be stored.
+    void give_up(const std::string& reason, millis retry_after) const
+    {
+        done({maybe_stored ? submit_verdict::unknown : submit_verdict::refused, reason,
+              retry_after});
+    }
+};
+
 Json::Value to_json(const leader_record& leader);
 
 struct member::parts {
@@ -110,6 +130,8 @@
     bool leads() const { return lead != nullptr; }
 
     millis retry_after_outage_of(const job_spec& spec) const;
+    void submit(const std::shared_ptr<submission>& job);
+    void submit_locally(const std::shared_ptr<submission>& job);
     void forward_request(const std::shared_ptr<forwarded_request>& request);
     void add_rpc_methods();
     void serve_peers();
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -504,3 +504,114 @@
     cr_assert_geq(fresh, 2, "one in each 400 ms");
     cr_assert_leq(f.leader.heartbeats.size() - before, 12, "7 by the period, and the reports");
 }
+
+namespace {
+
+/// Workers that answer polls without runs, until they report that they know a newer leader.
+class answering_workers : public worker_gateway {
+public:
+    explicit answering_workers(event_loop& loop) : loop_(loop) {}
+
+    void start(const start_order& order, millis /*timeout*/, order_done done) override
+    {
+        started.push_back(order.task);
+        loop_.after(millis(1), [done = std::move(done)] { done(order_verdict::accepted, 1, {}); });
+    }
+    void stop(const stop_order&, millis, order_done) override {}
+    void poll(const poll_order& order, millis /*timeout*/, poll_done done) override
+    {
+        const order_verdict verdict = fenced ? order_verdict::fenced : order_verdict::accepted;
+        loop_.after(std::max(millis(1), order.wait / 10), [verdict, done = std::move(done)] {
+            worker_report report;
+            report.clock_ms = to_millis(boot_clock::now().time_since_epoch());
+            report.start_time_ms = wall_start_ms;
+            done(verdict, report, {});
+        });
+    }
+
+    bool fenced = false;
+    std::vector<std::string> started; ///< tasks, in order
+
+private:
+    event_loop& loop_;
+};
+
+/// A member on `port` without other members, whose workers answer.
+struct lone_scheduler {
+    event_loop loop;
+    fake_log log{loop};
+    answering_workers workers{loop};
+    no_advisor advice;
+    member m;
+
+    explicit lone_scheduler(std::uint16_t port)
+        : m(loop, settings_of("m1", port), log, workers, advice)
+    {
+    }
+
+    void start()
+    {
+        error why;
+        cr_assert(m.start(why), "%s", why.reason.c_str());
+        m.configure(config_of());
+    }
+
+    void run(millis duration)
+    {
+        loop.after(duration, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+} // namespace
+
+Test(pool_member, a_job_that_may_be_stored_is_not_refused_by_a_leader_that_loses_the_lead)
+{
+    // Guards against a job that runs although its client was told that it never will: the leader
+    // stores the job, gets no answer, and learns of its successor by a worker.
+    lone_scheduler f(28701);
+    f.start();
+    f.m.list_worker(worker_of("w1"));
+    std::optional<submit_answer> answer;
+    f.loop.after(millis(400), [&] {
+        cr_assert(f.m.is_leader());
+        f.log.faults = {fake_log::fault::lost_answer};
+        f.log.unavailable = true;
+        f.m.submit(job_of("00000000000000aa", {step_of(1, 1)}), millis(1500),
+                   [&](const submit_answer& a) { answer = a; });
+    });
+    f.loop.after(millis(500), [&] { f.workers.fenced = true; });
+    f.run(millis(2200));
+    cr_assert(answer.has_value());
+    cr_assert(answer->verdict == submit_verdict::unknown, "%s: %s",
+              std::string(name_of(answer->verdict)).c_str(), answer->reason.c_str());
+}
+
+Test(pool_member, an_attempt_that_names_an_earlier_claim_is_not_executed)
+{
+    // Guards against a job that runs although its client was told that it never will: an attempt is
+    // delayed while another member leads and refuses the job, and arrives when this one leads
+    // again.
+    constexpr std::uint16_t port = 28731;
+    lone_scheduler f(port);
+    f.start();
+    f.m.list_worker(worker_of("w1"));
+    http_client peer(f.loop, "m2", 4);
+    std::vector<int> statuses;
+    const auto submit = [&](const std::string& fence) {
+        http_call call;
+        call.method = "POST";
+        call.path = "/pool/submit?request=m2-" + fence + "&fence=" + fence;
+        call.body = encode(job_of("00000000000000aa", {step_of(1, 1)}));
+        call.timeout = millis(500);
+        peer.send({"127.0.0.1", port}, std::move(call),
+                  [&statuses](const std::optional<http_reply>& reply, const error&) {
+                      statuses.push_back(reply ? reply->status : -1);
+                  });
+    };
+    f.loop.after(millis(400), [&] { submit("7"); });
+    f.loop.after(millis(500), [&] { submit("1"); });
+    f.run(millis(800));
+    const std::vector<int> expected{421, 200};
+    cr_assert(statuses == expected);
+}
