Tell a stored claim from the lead that it gives

Cause: the member took the claim for failed, read it in the log, and election took the newest claim of its own process for its own lead: is_own() kept should_claim() false, but no leader object existed. With others alive one of them claims, as heartbeats are answered with leads: false.

Ruled out: the writer and the follower, which read the claim at once.

Change: election is told when the lead is taken and lost (on_lead_taken, on_lead_lost). An own claim without a lead is claimed again after the usual pause, under a new fence: the same fence must not be led by twice, as it numbers runs. has_live_leader no longer counts such a claim, so that the member isn't ready by it.

Changed test: a_nominated_member_claims_at_once_and_the_leader_never_claims took the record alone for the lead, which is the fault. It now takes the lead first and checks the same; a_claim_that_got_no_answer_is_repeated_after_a_pause covers the record without the lead.

--- a/include/sesamesill/pool_election.h
+++ b/include/sesamesill/pool_election.h
@@ -79,12 +79,17 @@
     void on_log_record(time_point now);
     /// Handles the leader's request that this member takes over.
     void on_nominated(time_point now);
-    /// Handles a failed claim or the loss of the lead: delays the next claim.
+    /// Handles a claim of this process whose append was answered as stored: it leads now.
+    void on_lead_taken() { leads_ = true; }
+    /// Handles the loss of the lead: delays the next claim.
+    void on_lead_lost(time_point now);
+    /// Handles a claim that failed or got no answer: delays the next one.
     void on_claim_failed(time_point now);
 
     bool should_claim(time_point now) const;
     const std::optional<leader_record>& leader() const { return leader_; }
-    /// Returns whether the leader is this process.
+    /// Returns whether the newest claim is this process's. It leads only after `on_lead_taken`: the
+    /// answer to a claim that was stored may have been lost.
     bool is_own() const { return leader_ && leader_->incarnation == incarnation_; }
     /// Returns whether the leader was active within the silence timeout and its process isn't known
     /// to be gone.
@@ -105,6 +110,7 @@
     std::optional<time_point> gone_since_;
     std::optional<time_point> unreachable_since_;
     bool nominated_ = false;
+    bool leads_ = false;
     time_point claim_after_;
 };
 
--- a/src/pool_election.cc
+++ b/src/pool_election.cc
@@ -114,6 +114,12 @@
     claim_after_ = now;
 }
 
+void election::on_lead_lost(time_point now)
+{
+    leads_ = false;
+    on_claim_failed(now);
+}
+
 void election::on_claim_failed(time_point now)
 {
     claim_after_ = now + claim_pause;
@@ -122,10 +128,10 @@
 
 bool election::should_claim(time_point now) const
 {
-    if (now < claim_after_ || is_own()) {
+    if (now < claim_after_ || leads_) {
         return false;
     }
-    if (nominated_) {
+    if (nominated_ || is_own()) { // nobody leads by a claim whose sender doesn't know that it holds
         return true;
     }
     if (!leader_ || gone_since_) {
@@ -137,7 +143,8 @@
 
 bool election::has_live_leader(time_point now) const
 {
-    return leader_ && (is_own() || (!gone_since_ && now < last_activity_ + silence_timeout_));
+    const bool is_active = !is_own() && !gone_since_ && now < last_activity_ + silence_timeout_;
+    return leader_ && (leads_ || is_active);
 }
 
 } // namespace sesamesill::pool
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -212,6 +212,7 @@
 {
     const leader_record self{settings.name, incarnation, settings.peer_address, claim_offset + 1,
                              expected_members()};
+    leader_election.on_lead_taken();
     follower.apply_records({{leader_key, encode(self), claim_offset}}, claim_offset + 1);
     lead = std::make_unique<leader>(
         loop, settings, self, log, workers, advice, peers, claim_offset + 1,
@@ -244,7 +245,7 @@
     log_event(log_level::warning, "lead_lost",
               {{"fence", static_cast<std::int64_t>(lead->fence())}});
     lead.reset();
-    leader_election.on_claim_failed(boot_clock::now());
+    leader_election.on_lead_lost(boot_clock::now());
     follower.resume();
 }
 
--- a/test/pool_election-test.cc
+++ b/test/pool_election-test.cc
@@ -89,6 +89,7 @@
     cr_assert(e.should_claim(at_ms(10)));
     e.on_leader(leader_of("i2", 5), at_ms(20));
     cr_assert(e.is_own());
+    e.on_lead_taken();
     cr_assert_not(e.should_claim(at_ms(99999)));
 }
 
@@ -170,3 +171,20 @@
     e.on_contact(at_ms(610));
     cr_assert_not(e.should_claim(at_ms(1200)));
 }
+
+Test(pool_election, a_claim_that_got_no_answer_is_repeated_after_a_pause)
+{
+    // Guards against a lone member that reads its own claim in the log and takes it for its lead.
+    election e("i1", millis(0), at_ms(0));
+    e.on_claim_failed(at_ms(100));
+    e.on_leader(leader_of("i1", 7), at_ms(110));
+    cr_assert_not(e.has_live_leader(at_ms(120)));
+    cr_assert_not(e.should_claim(at_ms(390)));
+    cr_assert(e.should_claim(at_ms(401)));
+    e.on_lead_taken();
+    cr_assert(e.has_live_leader(at_ms(402)));
+    cr_assert_not(e.should_claim(at_ms(9000)));
+    e.on_lead_lost(at_ms(9000));
+    cr_assert_not(e.should_claim(at_ms(9200)), "the successor's record comes first");
+    cr_assert(e.should_claim(at_ms(9301)));
+}
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -615,3 +615,14 @@
     const std::vector<int> expected{421, 200};
     cr_assert(statuses == expected);
 }
+
+Test(pool_member, a_lone_member_leads_although_its_claim_got_no_answer)
+{
+    // Guards against a member that believes in its own lead and has none: nobody else is left to
+    // claim it.
+    lone_member f(28711);
+    f.log.faults = {fake_log::fault::lost_answer, fake_log::fault::lost_answer};
+    f.loop.after(millis(2500), [&] { f.loop.stop(); });
+    f.loop.run();
+    cr_assert(f.m.is_leader());
+}
