Keep records and appends within the store's limits, and give up one that it rejects

Cause: job_progress::saved wrote all occurrences into one record, and the writer treated the store's rejection as passing and sent the same batch for ever. Nothing else was stored meanwhile, also by each next leader.

Related paths to the same limits: the records of all jobs that changed in an outage were one entry and so one append (CallBytes); failed runs of long-running tasks were kept without end; a job record with long labels or lists exceeded RecordBytes; a page of a read that held a part of the leader's own batch was taken for a successor's records ("deposed": never stored).

Change: progress is stored in parts of 256 tasks, only changed parts are written, and a part leaves its checkpoints out where it would be too large. Parts are removed after the final record. The writer splits entries at half the limit of an append. append_verdict::rejected (400, 413) is told from a passing refusal: the entries of the batch are sent one by one, one that is rejected alone is given up (record_rejected). A job that no record can hold is refused at once. The limits are settings (max_record_bytes, max_append_bytes) with the platform's values as defaults.

--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -30,6 +30,7 @@
     stored,
     conflict, ///< nothing was stored: the log doesn't end at the offset that the caller gave
     refused,  ///< nothing was stored
+    rejected, ///< nothing was stored, nor will be: the store can't take these records
     unknown   ///< the records may have been stored, or may be stored later
 };
 
@@ -274,6 +275,8 @@
     millis grace{6000};         ///< time from a planned stop to the kill
     double remote_factor = 2; ///< a task runs this many times longer on a rack that lacks its data
     millis restore{100};      ///< time to resume from a checkpoint
+    std::size_t max_record_bytes = 262144;  ///< of one record of the store, with its key
+    std::size_t max_append_bytes = 2097152; ///< of the records of one append
 };
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -28,10 +28,11 @@
 
 struct task_record {
     task_phase phase = task_phase::waiting;
-    std::int64_t run = 0;               ///< highest run number used so far
-    std::string worker;                 ///< set unless the task is waiting or done
-    std::set<std::int64_t> failed_runs; ///< a set, so that a repeated report counts once
-    std::set<std::string> failed_on;    ///< workers on which the task failed; they are tried last
+    std::int64_t run = 0; ///< highest run number used so far
+    std::string worker;   ///< set unless the task is waiting or done
+    /// A set, so that a repeated report counts once; of a long-running task, the newest ones.
+    std::set<std::int64_t> failed_runs;
+    std::set<std::string> failed_on; ///< workers on which the task failed; they are tried last
     std::string checkpoint;
     time_point started;
     int percent = 0;
@@ -50,6 +51,13 @@
     time_point ready_since;             ///< when the last step in `after` was done
 };
 
+/// A stored part of a job's progress covers this many tasks, in the order of their occurrences and
+/// steps. The store limits the size of a record.
+constexpr int tasks_per_part = 256;
+
+/// The parsed values of the stored parts of a job's progress, by number.
+using progress_parts = std::map<int, Json::Value>;
+
 struct occurrence_record {
     std::vector<step_record> steps;
 };
@@ -101,12 +109,23 @@
     bool fail_if_exhausted(int step, int max_attempts);
     void cancel() { state_ = job_state::cancelled; }
 
-    /// Returns the state that a later leader can't get from workers, in stored form.
-    std::string saved() const;
-    /// Restores the state from the parsed value of `saved()`.
-    void restore(const Json::Value& saved);
+    /// Returns the number of parts that the stored progress has at most.
+    int parts() const;
+    /// Marks the part that covers the task, or its whole gang, as changed.
+    void mark_unsaved(const task_id& id);
+    void mark_unsaved(int part) { unsaved_parts_.insert(part); }
+    /// Returns the parts that have changed since the last call.
+    std::set<int> take_unsaved();
+    /// Returns the state of a part that a later leader can't get from workers, in stored form.
+    /// Leaves checkpoints out if it would have more than `max_bytes` otherwise.
+    std::string saved(int part, std::size_t max_bytes) const;
+    /// Restores the state from the parsed values of `saved()`. A part may also cover the whole job.
+    void restore(const progress_parts& saved);
 
 private:
+    int part_of(const task_id& id) const;
+    std::string saved(int part, bool with_checkpoints) const;
+    void restore_part(int part, const Json::Value& saved);
     void set_phase(step_record& step, task_record& task, task_phase phase);
     void update_state();
 
@@ -114,6 +133,10 @@
     std::int64_t accepted_ms_; ///< Unix time
     time_point accepted_;
     std::vector<occurrence_record> occurrences_;
+    std::vector<int> first_tasks_; ///< by step: its first task's position within its occurrence
+    int tasks_per_occurrence_ = 0;
+    std::int64_t unfinished_tasks_; ///< of all occurrences
+    std::set<int> unsaved_parts_;
     job_state state_ = job_state::queued;
     bool begun_ = false;
 };
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -125,7 +125,7 @@
     void configure(const configuration& config, time_point now);
 
     /// Restores a job from the records of a predecessor; `job` is null for a finished job.
-    void restore(const std::string& id, const std::string* job, const Json::Value& progress,
+    void restore(const std::string& id, const std::string* job, const progress_parts& progress,
                  std::int64_t wall_ms, time_point now);
     /// Ends the restore phase. Each worker listed so far stays unverified until it answers or
     /// `verify_until` passes.
@@ -223,6 +223,7 @@
         bool final_stored = false;
         std::int64_t final_ms = 0;       ///< Unix time of the final state's record
         bool counted_as_waiting = false; ///< in `waiting_jobs_`: no task has been started
+        int next_occurrence = 0;         ///< the first one that wasn't due yet
     };
 
     const queue_policy* queue_of(const std::string& name) const;
@@ -237,8 +238,10 @@
     bool may_send_starts(time_point now) const;
     void update_hold(time_point now);
     void set_expiry(worker& w, run_record& run, start_order& order, time_point now);
-    void add_waiting_steps(job_entry& entry, time_point now);
+    void add_due_occurrences(job_entry& entry, time_point now);
+    void add_ready_steps(job_entry& entry, int occurrence, time_point now);
     void add_due_steps(time_point now);
+    std::size_t max_progress_bytes() const;
     void remove_waiting_steps(const std::string& job);
     void update_waiting_count(job_entry& entry);
     void retain(const std::string& id, job_entry& entry);
@@ -322,6 +325,7 @@
     /// Next occurrence of each job that has times, by due time and job id.
     std::set<std::pair<time_point, std::string>> due_occurrences_;
     std::set<std::string> dirty_;              ///< jobs whose progress must be recorded
+    std::vector<std::string> obsolete_keys_;   ///< of records that a predecessor meant to remove
     std::set<std::string> unverified_workers_; ///< workers that may run unreported tasks
     /// The element of `unverified_workers_` that stands for all undiscovered workers.
     static constexpr const char* undiscovered_workers = "";
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -33,15 +33,17 @@
     record_writer(event_loop& loop, record_log& log, std::uint64_t end,
                   std::function<void()> deposed,
                   std::function<void(const std::vector<keyed_record>&, std::uint64_t)> on_stored,
-                  double link_bytes_per_ms = 0);
+                  double link_bytes_per_ms = 0,
+                  std::size_t max_append_bytes = platform_bounds().max_append_bytes);
     ~record_writer();
     record_writer(const record_writer&) = delete;
     record_writer& operator=(const record_writer&) = delete;
     record_writer(record_writer&&) = delete;
     record_writer& operator=(record_writer&&) = delete;
 
-    /// Stores the records with the next batch. If `send_timeout` isn't 0 and the records can't be
-    /// sent within it, `done` gets `not_stored`.
+    /// Stores the records with the next batch, or with several ones in order if one append can't
+    /// take them. If `send_timeout` isn't 0 and the records can't be sent within it, or if the
+    /// store rejects them, `done` gets `not_stored`.
     void add(std::vector<keyed_record> records, millis send_timeout,
              std::function<void(write_outcome)> done);
     /// Sends no batch before `until`, so that no append competes with a successor's claim.
@@ -71,8 +73,10 @@
         std::function<void(write_outcome)> done;
     };
 
+    void add_entry(entry e);
     void flush();
     void send();
+    void isolate_rejected();
     void on_result(const append_result& r);
     void check_log_end();
     void on_log_end(time_point started, const read_result& r);
@@ -90,6 +94,7 @@
     std::function<void(const std::vector<keyed_record>&, std::uint64_t)> on_stored_;
     std::vector<entry> waiting_;
     std::vector<entry> sent_;         ///< entries of the current batch, until its outcome is known
+    std::size_t single_entries_ = 0;  ///< so many of the next batches have one entry each
     std::vector<keyed_record> batch_; ///< records of the entries in `sent_`
     bool in_flight_ = false;          ///< an append is in progress or waits for its retry
     bool maybe_stored_ = false;       ///< an append of the current batch got no answer
@@ -98,6 +103,7 @@
     time_point append_started_;
     time_point batch_first_sent_; ///< the stored append may be this one or any later attempt
     double timeout_per_byte_ms_;  ///< of a batch
+    std::size_t max_batch_bytes_; ///< in the store's format
     time_point last_stored_;
     time_point lead_confirmed_at_;
     time_point failing_since_;
--- a/src/pool_keys.h
+++ b/src/pool_keys.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <charconv>
 #include <optional>
 #include <string>
 
@@ -18,9 +19,10 @@
     return job_prefix + id;
 }
 
-inline std::string progress_key(const std::string& id)
+/// Returns the key of one part of a job's progress, "progress/ID" or "progress/ID/PART".
+inline std::string progress_key(const std::string& id, int part = 0)
 {
-    return progress_prefix + id;
+    return progress_prefix + id + (part > 0 ? "/" + std::to_string(part) : "");
 }
 
 /// Returns the part of `key` after `prefix`, or nothing if `key` doesn't start with `prefix`.
@@ -32,9 +34,29 @@
     return key.substr(prefix.size());
 }
 
-inline std::optional<std::string> job_id_from_progress_key(const std::string& key)
+struct progress_name {
+    std::string job;
+    int part = 0;
+};
+
+/// Returns what the key of a progress record names, or nothing if it is another key.
+inline std::optional<progress_name> progress_name_from(const std::string& key)
 {
-    return strip_prefix(key, progress_prefix);
+    const std::optional<std::string> rest = strip_prefix(key, progress_prefix);
+    if (!rest) {
+        return std::nullopt;
+    }
+    const std::size_t slash = rest->find('/');
+    if (slash == std::string::npos) {
+        return progress_name{*rest, 0};
+    }
+    int part = 0;
+    const char* end = rest->data() + rest->size();
+    const std::from_chars_result read = std::from_chars(rest->data() + slash + 1, end, part);
+    if (read.ec != std::errc() || read.ptr != end || part < 1) {
+        return std::nullopt;
+    }
+    return progress_name{rest->substr(0, slash), part};
 }
 
 } // namespace sesamesill::pool
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -42,7 +42,7 @@
       peer_client_(peers), deposed_(deposed),
       scheduler_(self_.fence, settings.bounds, boot_clock::now()),
       writer_(loop, log, end, std::move(deposed), std::move(on_written),
-              link_bytes_per_ms(settings.link_mbps)),
+              link_bytes_per_ms(settings.link_mbps), settings.bounds.max_append_bytes),
       start_window_(late_start), start_budget_(start_share * link_bytes_per_ms(settings.link_mbps)),
       poll_budget_(poll_share * link_bytes_per_ms(settings.link_mbps))
 {
@@ -72,14 +72,14 @@
     const time_point now = boot_clock::now();
     const std::int64_t wall_ms = wall_clock_ms();
     scheduler_.configure(config, boot_clock::now());
-    std::map<std::string, std::pair<const std::string*, Json::Value>> jobs;
+    std::map<std::string, std::pair<const std::string*, progress_parts>> jobs;
     for (const std::pair<const std::string, keyed_record>& r : records) {
         const std::optional<std::string> job = strip_prefix(r.first, job_prefix);
         if (job) {
             jobs[*job].first = &r.second.value;
             continue;
         }
-        const std::optional<std::string> progress = strip_prefix(r.first, progress_prefix);
+        const std::optional<progress_name> progress = progress_name_from(r.first);
         if (!progress) {
             continue;
         }
@@ -89,13 +89,14 @@
                       {{"key", r.first}, {"offset", static_cast<std::int64_t>(r.second.offset)}});
             continue;
         }
-        jobs[*progress].second = std::move(*value);
+        jobs[progress->job].second[progress->part] = std::move(*value);
     }
     for (const worker_entry& entry : known_workers) {
         scheduler_.list_worker(entry, now);
         add_polls_of(entry.id);
     }
-    for (const std::pair<const std::string, std::pair<const std::string*, Json::Value>>& j : jobs) {
+    for (const std::pair<const std::string, std::pair<const std::string*, progress_parts>>& j :
+         jobs) {
         try {
             scheduler_.restore(j.first, j.second.first, j.second.second, wall_ms, now);
         }
--- a/src/pool_leader_requests.cc
+++ b/src/pool_leader_requests.cc
@@ -62,9 +62,16 @@
         return;
     }
     const std::int64_t wall_ms = wall_clock_ms();
+    keyed_record record = scheduler::record_of(spec, wall_ms);
+    if (1 + record.key.size() + record.value.size() > settings_.bounds.max_record_bytes) {
+        note_refused(request, now);
+        done({submit_verdict::refused, "the job is larger than a record of the store may be",
+              outage_retry});
+        return;
+    }
     submits_[spec.id].waiting.push_back(std::move(done));
     writer_.add(
-        {scheduler::record_of(spec, wall_ms)}, submit_timeout,
+        {std::move(record)}, submit_timeout,
         [this, alive = alive_, spec, request, wall_ms, outage_retry](write_outcome outcome) {
             if (!*alive) {
                 return;
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -9,7 +9,8 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr double cores_per_accelerator = 8; ///< weight of an accelerator in core-seconds of work
+constexpr double cores_per_accelerator = 8;  ///< weight of an accelerator in core-seconds of work
+constexpr std::size_t max_kept_failures = 8; ///< of a long-running task, which may fail for ever
 
 occurrence_record new_occurrence(const job_spec& spec)
 {
@@ -40,11 +41,24 @@
            (!task.failed_runs.empty() || !task.checkpoint.empty());
 }
 
-/// Writes the step unless a later leader needs nothing of it.
-void write_step(json_writer& out, const step_record& step, int occurrence, int number)
+/// A range of a step's tasks, by index.
+struct task_range {
+    int first = 0;
+    int end = 0;
+};
+
+/// Writes the range of the step unless a later leader needs nothing of it. The failed runs of a
+/// gang go with its first task.
+void write_step(json_writer& out, const step_record& step, int occurrence, int number,
+                const task_range& range, bool with_checkpoints)
 {
-    const bool has_left = std::any_of(step.tasks.begin(), step.tasks.end(), has_state_to_keep);
-    if (step.done == 0 && !has_left && step.failed_runs.empty()) {
+    const auto begin = step.tasks.begin() + range.first;
+    const auto end = step.tasks.begin() + range.end;
+    const bool has_left = std::any_of(begin, end, has_state_to_keep);
+    const bool has_done =
+        std::any_of(begin, end, [](const task_record& t) { return t.phase == task_phase::done; });
+    const bool has_failed_runs = range.first == 0 && !step.failed_runs.empty();
+    if (!has_done && !has_left && !has_failed_runs) {
         return;
     }
     out.StartObject();
@@ -54,29 +68,30 @@
     out.Int(number);
     out.Key("done");
     out.StartArray();
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-        if (step.tasks[i].phase == task_phase::done) {
-            out.Int(static_cast<int>(i));
+    for (int i = range.first; i < range.end; ++i) {
+        if (step.tasks[static_cast<std::size_t>(i)].phase == task_phase::done) {
+            out.Int(i);
         }
     }
     out.EndArray();
     if (has_left) {
         out.Key("left");
         out.StartArray();
-        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-            if (has_state_to_keep(step.tasks[i])) {
+        for (int i = range.first; i < range.end; ++i) {
+            const task_record& task = step.tasks[static_cast<std::size_t>(i)];
+            if (has_state_to_keep(task)) {
                 out.StartObject();
                 out.Key("index");
-                out.Int(static_cast<int>(i));
-                write_runs(out, step.tasks[i].failed_runs);
+                out.Int(i);
+                write_runs(out, task.failed_runs);
                 out.Key("checkpoint");
-                write_string(out, step.tasks[i].checkpoint);
+                write_string(out, with_checkpoints ? task.checkpoint : std::string());
                 out.EndObject();
             }
         }
         out.EndArray();
     }
-    if (!step.failed_runs.empty()) {
+    if (has_failed_runs) {
         write_runs(out, step.failed_runs);
     }
     out.EndObject();
@@ -103,6 +118,11 @@
             s.ready_since = accepted;
         }
     }
+    for (const step_spec& s : spec_.steps) {
+        first_tasks_.push_back(tasks_per_occurrence_);
+        tasks_per_occurrence_ += s.tasks;
+    }
+    unfinished_tasks_ = static_cast<std::int64_t>(tasks_per_occurrence_) * occurrences();
 }
 
 time_point job_progress::due(int occurrence) const
@@ -140,6 +160,8 @@
     };
     --counter(task.phase);
     ++counter(phase);
+    unfinished_tasks_ += task.phase == task_phase::done ? 1 : 0;
+    unfinished_tasks_ -= phase == task_phase::done ? 1 : 0;
     task.phase = phase;
 }
 
@@ -196,6 +218,7 @@
     else {
         set_phase(step, *find(id), task_phase::done);
     }
+    mark_unsaved(id);
     update_state();
 }
 
@@ -207,6 +230,10 @@
     std::set<std::int64_t>& failures =
         spec.gang ? step.failed_runs : step.tasks[static_cast<std::size_t>(id.index)].failed_runs;
     failures.insert(run);
+    if (spec.long_running && failures.size() > max_kept_failures) {
+        failures.erase(failures.begin()); // they are never counted against a limit
+    }
+    mark_unsaved(id);
     if (!spec.long_running && static_cast<int>(failures.size()) >= max_attempts) {
         state_ = job_state::failed;
         return true;
@@ -241,16 +268,53 @@
     if (is_final(state_)) {
         return;
     }
-    bool all_done = true;
-    for (const occurrence_record& o : occurrences_) {
-        for (const step_record& s : o.steps) {
-            all_done = all_done && s.done == static_cast<int>(s.tasks.size());
-        }
+    state_ = unfinished_tasks_ == 0 ? job_state::complete
+             : begun_               ? job_state::running
+                                    : job_state::queued;
+}
+
+int job_progress::parts() const
+{
+    const std::int64_t tasks = static_cast<std::int64_t>(tasks_per_occurrence_) * occurrences();
+    return static_cast<int>((tasks + tasks_per_part - 1) / tasks_per_part);
+}
+
+int job_progress::part_of(const task_id& id) const
+{
+    return (id.occurrence * tasks_per_occurrence_ +
+            first_tasks_[static_cast<std::size_t>(id.step)] + id.index) /
+           tasks_per_part;
+}
+
+void job_progress::mark_unsaved(const task_id& id)
+{
+    const step_spec& step = spec_.steps[static_cast<std::size_t>(id.step)];
+    task_id first = id;
+    task_id last = id;
+    if (step.gang) {
+        first.index = 0;
+        last.index = step.tasks - 1;
+    }
+    for (int part = part_of(first); part <= part_of(last); ++part) {
+        unsaved_parts_.insert(part);
     }
-    state_ = all_done ? job_state::complete : begun_ ? job_state::running : job_state::queued;
 }
 
-std::string job_progress::saved() const
+std::set<int> job_progress::take_unsaved()
+{
+    std::set<int> taken;
+    taken.swap(unsaved_parts_);
+    return taken;
+}
+
+std::string job_progress::saved(int part, std::size_t max_bytes) const
+{
+    std::string text = saved(part, true);
+    // Without its checkpoint, a task begins anew if it is interrupted.
+    return text.size() <= max_bytes ? text : saved(part, false);
+}
+
+std::string job_progress::saved(int part, bool with_checkpoints) const
 {
     rapidjson::StringBuffer buffer;
     json_writer out(buffer);
@@ -261,9 +325,17 @@
     out.Bool(begun_);
     out.Key("steps");
     out.StartArray();
-    for (std::size_t k = 0; k < occurrences_.size(); ++k) {
-        for (std::size_t n = 0; n < occurrences_[k].steps.size(); ++n) {
-            write_step(out, occurrences_[k].steps[n], static_cast<int>(k), static_cast<int>(n));
+    const int begin = part * tasks_per_part;
+    const int end = std::min(begin + tasks_per_part, tasks_per_occurrence_ * occurrences());
+    for (int k = begin / tasks_per_occurrence_; k * tasks_per_occurrence_ < end; ++k) {
+        for (std::size_t n = 0; n < spec_.steps.size(); ++n) {
+            const int first = k * tasks_per_occurrence_ + first_tasks_[n];
+            const task_range range{std::max(0, begin - first),
+                                   std::min(spec_.steps[n].tasks, end - first)};
+            if (range.first < range.end) {
+                write_step(out, step_at(k, static_cast<int>(n)), k, static_cast<int>(n), range,
+                           with_checkpoints);
+            }
         }
     }
     out.EndArray();
@@ -271,21 +343,42 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
-void job_progress::restore(const Json::Value& saved)
+void job_progress::restore(const progress_parts& saved)
 {
-    begun_ = saved["begun"].asBool();
+    for (const std::pair<const int, Json::Value>& part : saved) {
+        if (part.second.isObject()) {
+            restore_part(part.first, part.second);
+        }
+    }
+    update_state();
+}
+
+void job_progress::restore_part(int part, const Json::Value& saved)
+{
+    begun_ = begun_ || saved["begun"].asBool();
     for (const Json::Value& row : saved["steps"]) {
         task_id id{spec_.id, row["occurrence"].asInt(), row["step"].asInt(), 0};
         if (find(id) == nullptr) {
             continue;
         }
+        // Earlier versions stored the whole progress as one record, which the next one replaces.
+        const auto keep = [&] {
+            if (part_of(id) != part) {
+                mark_unsaved(id);
+            }
+        };
         step_record& step = step_at(id.occurrence, id.step);
-        step.failed_runs = runs_from(row["failed_runs"]);
+        const std::set<std::int64_t> failed_runs = runs_from(row["failed_runs"]);
+        if (!failed_runs.empty()) {
+            step.failed_runs.insert(failed_runs.begin(), failed_runs.end());
+            keep();
+        }
         for (const Json::Value& index : row["done"]) {
             id.index = index.asInt();
             task_record* task = find(id);
             if (task != nullptr && task->phase != task_phase::done) {
                 set_phase(step, *task, task_phase::done);
+                keep();
             }
         }
         for (const Json::Value& left : row["left"]) {
@@ -294,6 +387,7 @@
             if (task != nullptr) {
                 task->failed_runs = runs_from(left["failed_runs"]);
                 task->checkpoint = left["checkpoint"].asString();
+                keep();
             }
         }
     }
@@ -301,7 +395,6 @@
     if (state && is_final(*state)) {
         state_ = *state;
     }
-    update_state();
 }
 
 namespace {
--- a/src/pool_records.cc
+++ b/src/pool_records.cc
@@ -8,6 +8,13 @@
 
 namespace sesamesill::pool {
 
+/// Returns how many bytes the value of a progress record may have.
+std::size_t scheduler::max_progress_bytes() const
+{
+    constexpr std::size_t key_bytes = 64; ///< at most, with its length
+    return bounds_.max_record_bytes - std::min(bounds_.max_record_bytes, key_bytes);
+}
+
 record_batch scheduler::take_records(std::int64_t wall_ms)
 {
     record_batch batch;
@@ -38,12 +45,21 @@
             batch.final_jobs.push_back(id);
             batch.records.push_back({progress_key(id), to_text(saved), 0});
             batch.records.push_back({job_key(id), "", 0});
+            for (int part = 1; part < entry.progress.parts(); ++part) {
+                batch.records.push_back({progress_key(id, part), "", 0});
+            }
+            continue;
         }
-        else {
-            batch.records.push_back({progress_key(id), entry.progress.saved(), 0});
+        for (const int part : entry.progress.take_unsaved()) {
+            batch.records.push_back(
+                {progress_key(id, part), entry.progress.saved(part, max_progress_bytes()), 0});
         }
     }
     dirty_.clear();
+    for (const std::string& key : obsolete_keys_) {
+        batch.records.push_back({key, "", 0});
+    }
+    obsolete_keys_.clear();
     for (const std::string& id : workers_with_ends_) {
         const worker& w = workers_.at(id);
         batch.ends[id] = {w.highest_end_seen, w.reported_start_ms};
@@ -82,9 +98,11 @@
 {
     batch_in_flight_ = false;
     for (const keyed_record& r : batch.records) {
-        const std::optional<std::string> id = job_id_from_progress_key(r.key);
-        if (id && jobs_.count(*id) > 0) {
-            dirty_.insert(*id);
+        const std::optional<progress_name> name = progress_name_from(r.key);
+        const auto known = name ? jobs_.find(name->job) : jobs_.end();
+        if (known != jobs_.end()) {
+            known->second.progress.mark_unsaved(name->part);
+            dirty_.insert(name->job);
         }
     }
 }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -252,6 +252,7 @@
     task.run = std::max(task.run, end.run);
     if (!end.checkpoint.empty()) {
         task.checkpoint = end.checkpoint;
+        job.mark_unsaved(id);
         dirty_.insert(id.job);
     }
     if (end.how == end_reason::done || end.how == end_reason::failed) {
@@ -275,7 +276,7 @@
             finish_job(entry, now);
         }
         else {
-            add_waiting_steps(entry, now);
+            add_ready_steps(entry, id.occurrence, now);
         }
         return;
     }
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -173,11 +173,18 @@
     return known != workers_.end() ? &known->second : nullptr;
 }
 
-void scheduler::restore(const std::string& id, const std::string* job, const Json::Value& progress,
-                        std::int64_t wall_ms, time_point now)
+void scheduler::restore(const std::string& id, const std::string* job,
+                        const progress_parts& progress, std::int64_t wall_ms, time_point now)
 {
     if (job == nullptr) {
-        const std::optional<job_state> state = job_state_from(progress["state"].asString());
+        const auto first = progress.find(0);
+        const Json::Value saved = first != progress.end() ? first->second : Json::Value();
+        for (const std::pair<const int, Json::Value>& part : progress) {
+            if (part.first > 0) { // the predecessor ended before it had removed all parts
+                obsolete_keys_.push_back(progress_key(id, part.first));
+            }
+        }
+        const std::optional<job_state> state = job_state_from(saved["state"].asString());
         if (!state || !is_final(*state)) {
             add_decision(decision_kind::end_ignored, id, "",
                          "progress record without a job record");
@@ -185,15 +192,15 @@
         }
         job_spec spec;
         spec.id = id;
-        spec.queue = progress["queue"].asString();
-        for (const Json::Value& need : progress["needs"]) {
+        spec.queue = saved["queue"].asString();
+        for (const Json::Value& need : saved["needs"]) {
             step_spec step;
             step.need = {need[0].asInt64(), need[1].asInt64(), need[2].asInt64()};
             spec.steps.push_back(step);
         }
         job_entry entry{job_progress(spec, 0, now)};
         entry.progress.restore(progress);
-        entry.final_ms = progress["ended_ms"].asInt64();
+        entry.final_ms = saved["ended_ms"].asInt64();
         retain(id, jobs_.emplace(id, std::move(entry)).first->second);
         return;
     }
@@ -205,17 +212,14 @@
     }
     const millis age(std::max<std::int64_t>(0, wall_ms - record->accepted_ms));
     job_entry entry{job_progress(std::move(record->spec), record->accepted_ms, now - age)};
-    if (progress.isObject()) {
-        entry.progress.restore(progress);
-    }
+    entry.progress.restore(progress);
     entry.inherited = true;
-    if (is_final(entry.progress.state())) {
-        // The predecessor stored the final state, but not yet the short record of a finished job.
-        dirty_.insert(id);
-    }
+    // The predecessor may have stored the final state, but not yet the short record of a finished
+    // job, or may have stored the progress in another form.
+    dirty_.insert(id);
     const auto added = jobs_.emplace(id, std::move(entry)).first;
     update_waiting_count(added->second);
-    add_waiting_steps(added->second, now);
+    add_due_occurrences(added->second, now);
 }
 
 void scheduler::finish_restore(time_point now, time_point verify_until)
@@ -332,38 +336,47 @@
     queue_estimate& observed = estimates_[spec.queue];
     update_mean(observed.mean_work, observed.jobs, size_of(spec, estimates_of(spec)).core_seconds);
     update_waiting_count(added->second);
-    add_waiting_steps(added->second, now);
+    add_due_occurrences(added->second, now);
     add_decision(decision_kind::accepted, spec.id, "", spec.queue);
 }
 
-void scheduler::add_waiting_steps(job_entry& entry, time_point now)
+/// Adds the ready steps of all occurrences that are due; later ones are added when they are.
+void scheduler::add_due_occurrences(job_entry& entry, time_point now)
 {
     const job_progress& job = entry.progress;
     if (is_final(job.state())) {
         return;
     }
-    for (int k = 0; k < job.occurrences(); ++k) {
+    for (int& k = entry.next_occurrence; k < job.occurrences(); ++k) {
         if (job.spec().occurrences > 0 && job.due(k) > now) {
             due_occurrences_.emplace(job.due(k), job.spec().id);
-            return; // later occurrences are added when this one is due
+            return;
         }
-        for (int n = 0; n < static_cast<int>(job.spec().steps.size()); ++n) {
-            const task_id first{job.spec().id, k, n, 0};
-            const step_record& step = job.step_at(k, n);
-            const std::string name = step_name(first);
-            if (step.done == static_cast<int>(step.tasks.size()) || !job.is_ready(k, n) ||
-                waiting_steps_.count(name) > 0) {
-                continue;
-            }
-            entry.progress.step_at(k, n).ready_since = now;
-            waiting_step ws;
-            ws.first = first;
-            ws.job = &entry.progress;
-            ws.queue = queue_of(job.spec().queue);
-            ws.inherited = entry.inherited;
-            waiting_steps_.emplace(name, std::move(ws));
-            placing_needed_ = true;
+        add_ready_steps(entry, k, now);
+    }
+}
+
+void scheduler::add_ready_steps(job_entry& entry, int occurrence, time_point now)
+{
+    job_progress& job = entry.progress;
+    for (int n = 0; n < static_cast<int>(job.spec().steps.size()); ++n) {
+        step_record& step = job.step_at(occurrence, n);
+        if (step.done == static_cast<int>(step.tasks.size()) || !job.is_ready(occurrence, n)) {
+            continue;
+        }
+        const task_id first{job.spec().id, occurrence, n, 0};
+        std::string name = step_name(first);
+        if (waiting_steps_.count(name) > 0) {
+            continue;
         }
+        step.ready_since = now;
+        waiting_step ws;
+        ws.first = first;
+        ws.job = &job;
+        ws.queue = queue_of(job.spec().queue);
+        ws.inherited = entry.inherited;
+        waiting_steps_.emplace(std::move(name), std::move(ws));
+        placing_needed_ = true;
     }
 }
 
@@ -373,7 +386,7 @@
         const auto known = jobs_.find(due_occurrences_.begin()->second);
         due_occurrences_.erase(due_occurrences_.begin());
         if (known != jobs_.end()) {
-            add_waiting_steps(known->second, now);
+            add_due_occurrences(known->second, now);
         }
     }
 }
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -10,9 +10,9 @@
 namespace sesamesill::pool {
 namespace {
 
-using member_pointer =
-    std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
-                 double daemon_settings::*, millis platform_bounds::*, double platform_bounds::*>;
+using member_pointer = std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
+                                    double daemon_settings::*, millis platform_bounds::*,
+                                    double platform_bounds::*, std::size_t platform_bounds::*>;
 
 using setting = ini_setting<member_pointer>;
 
@@ -36,6 +36,8 @@
     {"bounds", "grace_s", &platform_bounds::grace, false},
     {"bounds", "remote_factor", &platform_bounds::remote_factor, false},
     {"bounds", "restore_ms", &platform_bounds::restore, false},
+    {"bounds", "max_record_bytes", &platform_bounds::max_record_bytes, false},
+    {"bounds", "max_append_bytes", &platform_bounds::max_append_bytes, false},
 };
 
 std::optional<double> parse_number(const std::string& text)
@@ -85,6 +87,13 @@
             millis(static_cast<std::int64_t>(*value * (in_seconds ? ms_per_second : 1)));
     }
 
+    void operator()(std::size_t platform_bounds::*member)
+    {
+        double value = static_cast<double>(target.bounds.*member);
+        read(value);
+        target.bounds.*member = static_cast<std::size_t>(value);
+    }
+
     void operator()(double daemon_settings::*member) { read(target.*member); }
     void operator()(double platform_bounds::*member) { read(target.bounds.*member); }
 
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -12,7 +12,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr std::size_t max_batch_bytes = std::size_t{1024} * 1024; ///< half the store's limit
+constexpr int batch_divisor = 2;               ///< of the store's limit of an append
 constexpr millis min_timeout{160};             ///< an append usually takes 6 to 10 ms
 constexpr millis max_timeout{1500};            ///< an append to a slow store takes about 400 ms
 constexpr double smoothed_time_multiplier = 5; ///< an append's timeout, in average durations
@@ -28,18 +28,52 @@
 constexpr millis initial_backoff{40};
 constexpr millis max_backoff{300};
 
+/// Returns the size of the record in the store's format.
+std::size_t stored_bytes(const keyed_record& r)
+{
+    constexpr std::size_t lengths = 5; ///< of the record and of its key
+    return lengths + r.key.size() + r.value.size();
+}
+
+std::size_t stored_bytes(const std::vector<keyed_record>& records)
+{
+    std::size_t bytes = 0;
+    for (const keyed_record& r : records) {
+        bytes += stored_bytes(r);
+    }
+    return bytes;
+}
+
+/// Splits the records, in order, into runs of at most `max_bytes`; a larger record is alone.
+std::vector<std::vector<keyed_record>> split(std::vector<keyed_record> records,
+                                             std::size_t max_bytes)
+{
+    std::vector<std::vector<keyed_record>> parts(1);
+    std::size_t bytes = 0;
+    for (keyed_record& r : records) {
+        const std::size_t added = stored_bytes(r);
+        if (bytes + added > max_bytes && !parts.back().empty()) {
+            parts.emplace_back();
+            bytes = 0;
+        }
+        bytes += added;
+        parts.back().push_back(std::move(r));
+    }
+    return parts;
+}
+
 } // namespace
 
 record_writer::record_writer(
     event_loop& loop, record_log& log, std::uint64_t end, std::function<void()> deposed,
     std::function<void(const std::vector<keyed_record>&, std::uint64_t)> on_stored,
-    double link_bytes_per_ms)
+    double link_bytes_per_ms, std::size_t max_append_bytes)
     : loop_(loop), log_(log), end_(end), on_deposed_(std::move(deposed)),
       on_stored_(std::move(on_stored)),
       timeout_per_byte_ms_(
           std::max(min_timeout_per_byte_ms,
                    link_bytes_per_ms > 0 ? 1 / (append_share * link_bytes_per_ms) : 0)),
-      last_stored_(boot_clock::now())
+      max_batch_bytes_(max_append_bytes / batch_divisor), last_stored_(boot_clock::now())
 {
 }
 
@@ -73,12 +107,7 @@
 /// Returns the size of the batch in the store's format.
 std::size_t record_writer::batch_bytes() const
 {
-    constexpr std::size_t bytes_per_record = 5; ///< lengths of the record and of its key
-    std::size_t bytes = 0;
-    for (const keyed_record& r : batch_) {
-        bytes += bytes_per_record + r.key.size() + r.value.size();
-    }
-    return bytes;
+    return stored_bytes(batch_);
 }
 
 millis record_writer::append_timeout() const
@@ -97,12 +126,23 @@
         done(write_outcome::deposed);
         return;
     }
-    entry e;
-    e.records = std::move(records);
-    e.never_expires = send_timeout == millis(0);
-    e.send_deadline = boot_clock::now() + send_timeout;
-    e.done = std::move(done);
-    waiting_.push_back(std::move(e));
+    std::vector<std::vector<keyed_record>> parts = split(std::move(records), max_batch_bytes_);
+    const std::shared_ptr<write_outcome> outcome =
+        std::make_shared<write_outcome>(write_outcome::stored);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const bool is_last = i + 1 == parts.size();
+        entry e;
+        e.records = std::move(parts[i]);
+        e.never_expires = send_timeout == millis(0);
+        e.send_deadline = boot_clock::now() + send_timeout;
+        e.done = [outcome, is_last, done](write_outcome part) {
+            *outcome = *outcome == write_outcome::stored ? part : *outcome;
+            if (is_last) { // the outcomes of the parts come in order
+                done(*outcome);
+            }
+        };
+        waiting_.push_back(std::move(e));
+    }
     flush();
 }
 
@@ -145,18 +185,22 @@
         return;
     }
     drop_expired(boot_clock::now());
+    if (waiting_.empty()) {
+        return;
+    }
+    const std::size_t max_count = single_entries_ > 0 ? 1 : waiting_.size();
+    single_entries_ -= single_entries_ > 0 ? 1 : 0;
     std::size_t bytes = 0;
     std::size_t count = 0;
-    while (count < waiting_.size() && bytes < max_batch_bytes) {
-        for (const keyed_record& r : waiting_[count].records) {
-            bytes += r.key.size() + r.value.size();
-            batch_.push_back(r);
+    while (count < max_count) {
+        bytes += stored_bytes(waiting_[count].records);
+        if (count > 0 && bytes > max_batch_bytes_) {
+            break;
         }
+        const std::vector<keyed_record>& added = waiting_[count].records;
+        batch_.insert(batch_.end(), added.begin(), added.end());
         ++count;
     }
-    if (count == 0) {
-        return;
-    }
     const auto batch_end = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
     sent_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(batch_end));
     waiting_.erase(waiting_.begin(), batch_end);
@@ -211,6 +255,10 @@
         check_log_end();
         return;
     }
+    if (r.verdict == append_verdict::rejected) {
+        isolate_rejected();
+        return;
+    }
     if (!failing_) {
         failing_ = true;
         failing_since_ = append_started_;
@@ -232,6 +280,33 @@
     retry(backoff_);
 }
 
+/// Handles a batch that the store can't take: sends its entries one by one. Gives up an entry that
+/// is rejected alone, so that it doesn't hold up the others.
+void record_writer::isolate_rejected()
+{
+    if (sent_.size() > 1) {
+        single_entries_ = sent_.size();
+        waiting_.insert(waiting_.begin(), std::make_move_iterator(sent_.begin()),
+                        std::make_move_iterator(sent_.end()));
+        sent_.clear();
+        batch_.clear();
+        flush();
+        return;
+    }
+    log_event(log_level::warning, "record_rejected",
+              {{"key", batch_.front().key},
+               {"records", static_cast<std::int64_t>(batch_.size())},
+               {"bytes", static_cast<std::int64_t>(batch_bytes())}});
+    const std::vector<entry> rejected = std::move(sent_);
+    sent_.clear();
+    batch_.clear();
+    const std::shared_ptr<bool> alive = alive_;
+    rejected.front().done(write_outcome::not_stored);
+    if (*alive) {
+        flush();
+    }
+}
+
 /// Reads the log from this leader's last known end until a read is answered. Called if the log may
 /// not end there any more: an earlier attempt of the current batch was stored although its answer
 /// was lost, or another leader has claimed the lead.
@@ -271,10 +346,18 @@
         retry(millis(0)); // no attempt has been stored so far
         return;
     }
-    bool is_own_batch = r.records.size() >= batch_.size();
-    for (std::size_t i = 0; is_own_batch && i < batch_.size(); ++i) {
+    if (r.ok && r.records.empty()) {
+        check_log_end(); // the log has moved, but the answer doesn't show by whom
+        return;
+    }
+    // The store appends a batch whole, so the records that one read returns tell for all.
+    const std::size_t returned = std::min(r.records.size(), batch_.size());
+    bool is_own_batch = returned > 0;
+    for (std::size_t i = 0; is_own_batch && i < returned; ++i) {
         is_own_batch = r.records[i].offset == end_ + i && r.records[i].key == batch_[i].key &&
                        r.records[i].value == batch_[i].value;
+    }
+    for (std::size_t i = 0; i < batch_.size(); ++i) {
         batch_[i].offset = end_ + i;
     }
     if (!is_own_batch) {
--- a/test/fake_log.h
+++ b/test/fake_log.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -43,6 +44,9 @@
             loop_.after(timeout * 2, [this, added, at] { store(added, at); });
             r.verdict = append_verdict::unknown;
         }
+        else if (exceeds_limits(added)) {
+            r.verdict = append_verdict::rejected;
+        }
         else {
             r = store(added, at);
             if (now == fault::lost_answer) {
@@ -60,7 +64,8 @@
         r.trimmed = from < first_retained;
         r.ok = !r.trimmed && !unavailable;
         std::size_t bytes = 0;
-        for (std::uint64_t i = from; r.ok && i < records.size() && bytes < max_bytes; ++i) {
+        for (std::uint64_t i = from;
+             r.ok && i < records.size() && bytes < std::min(max_bytes, max_read_bytes); ++i) {
             r.records.push_back(records[i]);
             bytes += records[i].value.size();
         }
@@ -119,6 +124,9 @@
 
     std::vector<keyed_record> records;
     std::deque<fault> faults;
+    std::size_t max_record_bytes = 262144; ///< a larger record is refused, with its whole append
+    std::size_t max_append_bytes = 2097152;
+    std::size_t max_read_bytes = 1048576; ///< of one read, whatever the caller asks for
     std::uint64_t first_retained = 0;
     bool unavailable = false;
     std::size_t bytes_per_ms = 0; ///< of the link that answers to reads pass; 0 is unlimited
@@ -127,6 +135,18 @@
     int loads = 0; ///< reads of the newest records from the first key on
 
 private:
+    bool exceeds_limits(const std::vector<keyed_record>& added) const
+    {
+        std::size_t total = 0;
+        bool any = false;
+        for (const keyed_record& r : added) {
+            const std::size_t bytes = 1 + r.key.size() + r.value.size();
+            total += bytes + 4;
+            any = any || bytes > max_record_bytes;
+        }
+        return any || total > max_append_bytes;
+    }
+
     event_loop& loop_;
 };
 
--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -318,3 +318,61 @@
     loop.run();
     cr_assert_eq(seen["w1"], 2);
 }
+
+Test(pool_log, a_record_that_the_store_never_takes_does_not_hold_up_other_records)
+{
+    // Guards against a cell that stores nothing any more because of one record.
+    writer_fixture c;
+    std::optional<write_outcome> too_large;
+    c.add("a");
+    c.writer.add({{"large", std::string(c.log.max_record_bytes, 'x'), 0}}, millis(0),
+                 [&](write_outcome o) { too_large = o; });
+    c.add("b");
+    c.add("c");
+    c.run(millis(900));
+    cr_assert_eq(c.outcomes.size(), 3);
+    for (const write_outcome o : c.outcomes) {
+        cr_assert_eq(o, write_outcome::stored);
+    }
+    cr_assert_eq(c.log.records.size(), 3);
+    cr_assert(too_large.has_value());
+    cr_assert(*too_large == write_outcome::not_stored);
+    cr_assert_eq(c.writer.failing_for(boot_clock::now()).count(), 0, "the store is sound");
+}
+
+Test(pool_log, many_records_that_are_added_together_are_stored_by_several_appends)
+{
+    // Guards against a cell that stores nothing any more: the records of all jobs that changed in
+    // an outage are added together and exceed the store's limit of one append.
+    constexpr std::size_t count = 40;
+    writer_fixture c;
+    std::vector<keyed_record> records;
+    for (std::size_t i = 0; i < count; ++i) {
+        records.push_back({"k" + std::to_string(i), std::string(100000, 'x'), 0});
+    }
+    c.writer.add(records, millis(0), [&](write_outcome o) { c.outcomes.push_back(o); });
+    c.add("last");
+    c.run(millis(900));
+    cr_assert_eq(c.log.records.size(), count + 1);
+    cr_assert_eq(c.outcomes.size(), 2);
+    cr_assert_eq(c.outcomes[0], write_outcome::stored);
+}
+
+Test(pool_log, a_large_batch_whose_answer_is_lost_is_recognized_as_stored)
+{
+    // Guards against a leader that takes its own batch for that of a successor, because one read
+    // does not return all of it.
+    writer_fixture c;
+    c.log.faults = {fake_log::fault::lost_answer};
+    std::vector<keyed_record> records;
+    for (std::size_t i = 0; i < 10; ++i) {
+        records.push_back({"k" + std::to_string(i), std::string(100000, 'x'), 0});
+    }
+    c.log.max_read_bytes = 300000;
+    c.writer.add(records, millis(0), [&](write_outcome o) { c.outcomes.push_back(o); });
+    c.run(millis(900));
+    cr_assert_not(c.deposed);
+    cr_assert_eq(c.outcomes.size(), 1);
+    cr_assert_eq(c.outcomes[0], write_outcome::stored);
+    cr_assert_eq(c.log.records.size(), 10);
+}
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -626,3 +626,22 @@
     f.loop.run();
     cr_assert(f.m.is_leader());
 }
+
+Test(pool_member, a_job_that_no_record_of_the_store_can_hold_is_refused_at_once)
+{
+    // Guards against a cell that stores nothing any more because of one job.
+    lone_scheduler f(28741);
+    f.start();
+    f.m.list_worker(worker_of("w1"));
+    std::vector<submit_verdict> verdicts;
+    f.loop.after(millis(400), [&] {
+        job_spec large = job_of("00000000000000aa", {step_of(1, 1)});
+        large.steps[0].image = std::string(f.log.max_record_bytes, 'x');
+        const auto answered = [&](const submit_answer& a) { verdicts.push_back(a.verdict); };
+        f.m.submit(large, millis(1000), answered);
+        f.m.submit(job_of("00000000000000bb", {step_of(1, 1)}), millis(1000), answered);
+    });
+    f.run(millis(700));
+    const std::vector<submit_verdict> expected{submit_verdict::refused, submit_verdict::accepted};
+    cr_assert(verdicts == expected);
+}
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include "pool_fixture.h"
+#include "pool_keys.h"
 #include "sesamesill/rpc.h"
 
 using namespace sesamesill;
@@ -21,18 +22,18 @@
     for (const std::string& w : workers) {
         s.list_worker(worker_of(w), at_ms(ms));
     }
-    std::map<std::string, std::pair<const std::string*, Json::Value>> jobs;
+    std::map<std::string, std::pair<const std::string*, progress_parts>> jobs;
     for (const std::pair<const std::string, std::string>& r : store) {
-        const std::size_t slash = r.first.find('/');
-        const std::string id = r.first.substr(slash + 1);
-        if (r.first.compare(0, 4, "job/") == 0) {
-            jobs[id].first = &r.second;
+        const std::optional<progress_name> progress = progress_name_from(r.first);
+        if (progress) {
+            jobs[progress->job].second[progress->part] = *json_from(r.second);
         }
         else {
-            jobs[id].second = *json_from(r.second);
+            jobs[r.first.substr(r.first.find('/') + 1)].first = &r.second;
         }
     }
-    for (const std::pair<const std::string, std::pair<const std::string*, Json::Value>>& j : jobs) {
+    for (const std::pair<const std::string, std::pair<const std::string*, progress_parts>>& j :
+         jobs) {
         s.restore(j.first, j.second.first, j.second.second, wall_start_ms + ms, at_ms(ms));
     }
     s.finish_restore(at_ms(ms), at_ms(ms + 9000));
@@ -1083,3 +1084,108 @@
     s.on_poll(*order, at_ms(5010), order_verdict::no_listener, {}, at_ms(5012));
     cr_assert_eq(place(s, 5013).size(), 1);
 }
+
+namespace {
+
+constexpr std::size_t store_record_limit = 262144;
+
+/// Runs all tasks of `spec` but the last one to their end on one large worker.
+scheduler with_all_but_one_done(const job_spec& spec, std::map<std::string, std::string>& store)
+{
+    scheduler s(1, {}, at_ms(0));
+    s.configure(config_of(), at_ms(0));
+    s.list_worker(worker_of("w1", 100000), at_ms(0));
+    poll_worker(s, "w1", {}, 0);
+    add_job(s, store, spec, 0);
+    std::vector<start_order> orders = place(s, 1);
+    accept_starts(s, orders, 2);
+    worker_report report;
+    const start_order last = orders.back();
+    orders.pop_back();
+    std::uint64_t number = 0;
+    for (const start_order& o : orders) {
+        report.ended.push_back(end_of(++number, o.task, o.run, end_reason::done));
+    }
+    report.running = {{last.task, last.run, "", 10, 0}};
+    poll_worker(s, "w1", report, 100);
+    return s;
+}
+
+} // namespace
+
+Test(pool_scheduler, no_record_of_a_job_with_many_occurrences_exceeds_the_stores_limit,
+     .timeout = 60)
+{
+    // Guards against a cell that stores nothing any more: the store refuses a record that is too
+    // large, and all others wait behind it.
+    std::map<std::string, std::string> store;
+    step_spec step = step_of(1, 1);
+    step.need.memory_mb = 0;
+    job_spec spec = job_of(job, {step});
+    spec.occurrences = 9000;
+    spec.first_due_ms = wall_start_ms;
+    spec.interval_ms = 0;
+    scheduler s = with_all_but_one_done(spec, store);
+    const record_batch batch = s.take_records(wall_start_ms + 101);
+    for (const keyed_record& r : batch.records) {
+        cr_assert_lt(1 + r.key.size() + r.value.size(), store_record_limit, "%s has %zu bytes",
+                     r.key.c_str(), r.value.size());
+        store[r.key] = r.value;
+    }
+    s.on_batch_stored(batch);
+    scheduler next = successor_of(store, 2, {"w2"}, 5000, config_of());
+    poll_worker(next, "w2", {}, 5001);
+    const std::vector<start_order> left = place(next, 5002);
+    cr_assert_eq(left.size(), 1, "%zu tasks start again", left.size());
+}
+
+Test(pool_scheduler, progress_that_an_earlier_version_stored_as_one_record_is_stored_in_parts)
+{
+    std::map<std::string, std::string> store;
+    job_spec spec = job_of(job, {step_of(1, 1)});
+    spec.occurrences = 3 * tasks_per_part;
+    spec.first_due_ms = wall_start_ms;
+    store["job/" + std::string(job)] = encode_job_record(spec, wall_start_ms);
+    std::string whole = R"({"state":"running","begun":true,"steps":[)";
+    for (int k = 0; k + 1 < spec.occurrences; ++k) {
+        whole += R"({"occurrence":)" + std::to_string(k) + R"(,"step":0,"done":[0]},)";
+    }
+    whole.back() = ']';
+    store["progress/" + std::string(job)] = whole + "}";
+    scheduler s = successor_of(store, 2, {"w1"}, 5000, config_of());
+    record_all(s, store, 5001);
+    cr_assert_eq(store.count("progress/" + std::string(job) + "/1"), 1);
+    cr_assert_eq(store.count("progress/" + std::string(job) + "/2"), 1);
+    store["progress/" + std::string(job)] =
+        R"({"steps":[]})"; // as if written by a change of part 0
+    scheduler next = successor_of(store, 3, {"w1"}, 6000, config_of());
+    poll_worker(next, "w1", {}, 6001);
+    const std::vector<start_order> orders = place(next, 6002);
+    cr_assert_eq(orders.size(), 8, "w1 has 8 cores");
+    for (const start_order& o : orders) {
+        const int occurrence = task_id_from(o.task)->occurrence;
+        cr_assert(occurrence < tasks_per_part || occurrence + 1 == spec.occurrences);
+    }
+}
+
+Test(pool_scheduler, the_parts_of_a_finished_job_are_removed)
+{
+    std::map<std::string, std::string> store;
+    step_spec step = step_of(1, 1);
+    step.need.memory_mb = 0;
+    job_spec spec = job_of(job, {step});
+    spec.occurrences = 2 * tasks_per_part;
+    spec.first_due_ms = wall_start_ms;
+    scheduler s = with_all_but_one_done(spec, store);
+    record_all(s, store, 101);
+    cr_assert_eq(store.size(), 3, "the job and two parts");
+    cr_assert(s.cancel(job, at_ms(200)) == cancel_answer::cancelled);
+    record_all(s, store, 201);
+    cr_assert_eq(store.size(), 1);
+    // The predecessor may have ended between the appends of a large batch.
+    store["progress/" + std::string(job) + "/1"] = "{}";
+    scheduler next = successor_of(store, 2, {"w1"}, 5000, config_of());
+    record_all(next, store, 5001);
+    cr_assert_eq(store.size(), 1);
+    cr_assert(next.visible_state(job) == job_state::cancelled);
+}
