Count the return of directory entries from the first read, not from the process's start

Cause: a member set the time by which expired entries are back to its own start plus 2 s. If it started during the outage, its first read came later than that and showed a part of the entries, which the scheduler took for all.

Ruled out: the reads themselves (the page reads are complete), and members that had seen the outage, which waited.

Change: directory_knowledge carries what a member knows: when the last read began, since when reads fail, and from when on a read shows all live workers. A first read tells nothing of the time before it, so entries get their 2 s from its end. On related paths, the same holds after an outage that only the reads of the pool's log met (a standby of a large cell reads the directory each 4.7 s), and the 2 s are counted from the end of the read, which may have waited in the outage.

a_member_that_starts_in_an_outage_waits_for_entries_after_its_first_read failed before ("another worker, whose entry isn't back, may run the task") and passes now; 129 pool tests pass.

--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -66,8 +66,8 @@
 }
 
 void leader::restore(const std::map<std::string, keyed_record>& records,
-                     const std::vector<worker_entry>& known_workers, time_point directory_read,
-                     const configuration& config)
+                     const std::vector<worker_entry>& known_workers,
+                     const directory_knowledge& directory, const configuration& config)
 {
     const time_point now = boot_clock::now();
     const std::int64_t wall_ms = wall_clock_ms();
@@ -105,7 +105,7 @@
                       {{"key", progress_key(j.first)}, {"reason", std::string(e.what())}});
         }
     }
-    scheduler_.on_directory_loaded(directory_read);
+    on_directory(directory);
     scheduler_.finish_restore(now, predecessor_lease_end(now, settings_.bounds));
     leading_since_ = now;
     next_tick_ = now;
@@ -136,22 +136,18 @@
     scheduler_.unlist_worker(id);
 }
 
-void leader::on_directory_loaded(time_point begun)
+void leader::on_directory(const directory_knowledge& directory)
 {
-    scheduler_.on_directory_loaded(begun);
+    scheduler_.expect_entries_until(directory.complete_after());
+    if (directory.read_begun()) {
+        scheduler_.on_directory_loaded(*directory.read_begun());
+    }
+    if (directory.lost_at()) {
+        scheduler_.on_directory_lost(*directory.lost_at());
+    }
     schedule_update();
 }
 
-void leader::on_directory_lost(time_point now)
-{
-    scheduler_.on_directory_lost(now);
-}
-
-void leader::expect_entries_until(time_point time)
-{
-    scheduler_.expect_entries_until(time);
-}
-
 void leader::on_peer(const std::string& name, const peer& seen)
 {
     peers_[name] = seen;
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -16,6 +16,7 @@
 #include "pool_budget.h"
 #include "pool_lag.h"
 #include "pool_window.h"
+#include "sesamesill/pool_directory.h"
 #include "sesamesill/pool_member.h"
 
 namespace sesamesill::pool {
@@ -37,17 +38,15 @@
     leader& operator=(leader&&) = delete;
 
     /// Restores the scheduler's state from the log's records. `known_workers` includes workers that
-    /// recently left the directory, as their runs may go on; `directory_read` is when the last
-    /// complete read of the directory began.
+    /// recently left the directory, as their runs may go on.
     void restore(const std::map<std::string, keyed_record>& records,
-                 const std::vector<worker_entry>& known_workers, time_point directory_read,
-                 const configuration& config);
+                 const std::vector<worker_entry>& known_workers,
+                 const directory_knowledge& directory, const configuration& config);
     void configure(const configuration& config);
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
-    void on_directory_loaded(time_point begun);
-    void on_directory_lost(time_point now);
-    void expect_entries_until(time_point time);
+    /// Handles a complete read of the workers' directory, or that its reads fail.
+    void on_directory(const directory_knowledge& directory);
     void on_peer(const std::string& name, const peer& seen);
     const std::map<std::string, peer>& peers() const { return peers_; }
 
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -46,7 +46,7 @@
                       boot_clock::now()),
       follower(l, records, "pool", {millis(0), standby_pause},
                [this](const keyed_record& r) { on_record(r); }),
-      submit_window(late_submit)
+      directory(settings.bounds.entry_return), submit_window(late_submit)
 {
 }
 
@@ -84,11 +84,11 @@
 
 bool member::parts::start(error& why)
 {
-    entries_back_at = boot_clock::now() + settings.bounds.entry_return;
     serve_peers();
     if (!peer_server.listen(settings.peer_listen, why)) {
         return false;
     }
+    follower.on_lost([this] { directory.on_store_lost(); });
     follower.on_complete([this](time_point) {
         if (report_next_read) {
             report_next_read = false;
@@ -226,11 +226,7 @@
         [this](const std::vector<keyed_record>& records, std::uint64_t end) {
             follower.apply_records(records, end);
         });
-    lead->restore(follower.values(), all_workers(), directory_read, config);
-    lead->expect_entries_until(entries_back_at);
-    if (directory_lost_at) {
-        lead->on_directory_lost(*directory_lost_at);
-    }
+    lead->restore(follower.values(), all_workers(), directory, config);
     for (const std::pair<const std::string, removed_worker>& w : removed_workers) {
         lead->unlist_worker(w.first);
     }
@@ -302,22 +298,17 @@
 
 void member::on_directory_loaded(time_point begun)
 {
-    if (parts_->directory_lost_at) {
-        parts_->entries_back_at = begun + parts_->settings.bounds.entry_return;
-    }
-    parts_->directory_read = begun;
-    parts_->directory_lost_at.reset();
+    parts_->directory.on_read(begun, boot_clock::now());
     if (parts_->leads()) {
-        parts_->lead->expect_entries_until(parts_->entries_back_at);
-        parts_->lead->on_directory_loaded(begun);
+        parts_->lead->on_directory(parts_->directory);
     }
 }
 
 void member::on_directory_lost()
 {
-    parts_->directory_lost_at = boot_clock::now();
+    parts_->directory.on_lost(boot_clock::now());
     if (parts_->leads()) {
-        parts_->lead->on_directory_lost(*parts_->directory_lost_at);
+        parts_->lead->on_directory(parts_->directory);
     }
 }
 
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -88,11 +88,7 @@
     std::map<std::string, known_peer> known_peers;     ///< by name
     std::map<std::string, worker_entry> known_workers; ///< in the directory, by id
     std::map<std::string, removed_worker> removed_workers;
-    time_point directory_read; ///< when the last complete read of the directory began
-    std::optional<time_point> directory_lost_at; ///< set while reads of the directory fail
-    /// Until then the directory may lack workers that run tasks: it was down lately, or may have
-    /// been down before this process started.
-    time_point entries_back_at;
+    directory_knowledge directory;
     std::unique_ptr<leader> lead;      ///< null if this member isn't the leader
     bool has_answering_leader = false; ///< a leader has answered a heartbeat
     std::function<void()> on_lead;     ///< runs when this member becomes the leader
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -4,6 +4,7 @@
 
 #include "fake_log.h"
 #include "pool_fixture.h"
+#include "sesamesill/pool_directory.h"
 #include "sesamesill/pool_member.h"
 #include "sesamesill/rpc.h"
 
@@ -507,7 +508,7 @@
 
 namespace {
 
-/// Workers that answer polls without runs, until they report that they know a newer leader.
+/// Workers that run all that they are sent, until they report that they know a newer leader.
 class answering_workers : public worker_gateway {
 public:
     explicit answering_workers(event_loop& loop) : loop_(loop) {}
@@ -515,14 +516,16 @@
     void start(const start_order& order, millis /*timeout*/, order_done done) override
     {
         started.push_back(order.task);
+        running.push_back({order.task, order.run, "", 10, 0});
         loop_.after(millis(1), [done = std::move(done)] { done(order_verdict::accepted, 1, {}); });
     }
     void stop(const stop_order&, millis, order_done) override {}
     void poll(const poll_order& order, millis /*timeout*/, poll_done done) override
     {
         const order_verdict verdict = fenced ? order_verdict::fenced : order_verdict::accepted;
-        loop_.after(std::max(millis(1), order.wait / 10), [verdict, done = std::move(done)] {
+        loop_.after(std::max(millis(1), order.wait / 10), [this, verdict, done = std::move(done)] {
             worker_report report;
+            report.running = running;
             report.clock_ms = to_millis(boot_clock::now().time_since_epoch());
             report.start_time_ms = wall_start_ms;
             done(verdict, report, {});
@@ -531,6 +534,7 @@
 
     bool fenced = false;
     std::vector<std::string> started; ///< tasks, in order
+    std::vector<running_task> running;
 
 private:
     event_loop& loop_;
@@ -645,3 +649,46 @@
     const std::vector<submit_verdict> expected{submit_verdict::refused, submit_verdict::accepted};
     cr_assert(verdicts == expected);
 }
+
+Test(pool_member, a_member_that_starts_in_an_outage_waits_for_entries_after_its_first_read)
+{
+    // Guards against tasks that start twice: a member that started while the store was down reads
+    // a directory in which the entries of most workers aren't back yet.
+    constexpr millis first_read{2600}; ///< later than the entries' return counted from the start
+    lone_scheduler f(28721);
+    const keyed_record record =
+        scheduler::record_of(job_of("00000000000000aa", {step_of(1, 1)}), wall_start_ms);
+    f.log.records = {record};
+    f.start();
+    const auto read_directory = [&f] {
+        f.m.list_worker(worker_of("w1"));
+        f.m.on_directory_loaded(boot_clock::now());
+    };
+    f.loop.after(first_read, read_directory);
+    f.loop.after(first_read + millis(300), read_directory);
+    std::size_t early = 0;
+    f.loop.after(first_read + millis(1900), [&] { early = f.workers.started.size(); });
+    f.loop.after(first_read + millis(2100), read_directory);
+    f.run(first_read + millis(2700));
+    cr_assert_eq(early, 0, "another worker, whose entry isn't back, may run the task");
+    cr_assert_eq(f.workers.started.size(), 1);
+}
+
+Test(pool_member, an_outage_that_no_read_of_the_directory_met_makes_the_next_read_incomplete)
+{
+    // Guards against tasks that start twice: a standby of a large cell reads the directory rarely,
+    // and an outage between two reads lets entries expire.
+    directory_knowledge directory(millis(2000));
+    directory.on_read(at_ms(1000), at_ms(1010));
+    cr_assert(directory.complete_after() == at_ms(3010), "the store may have been down before");
+    directory.on_read(at_ms(5000), at_ms(5010));
+    cr_assert(directory.complete_after() == at_ms(3010));
+    directory.on_store_lost();
+    directory.on_read(at_ms(9000), at_ms(9900));
+    cr_assert(directory.complete_after() == at_ms(11900), "counted from the end of a slow read");
+    directory.on_lost(at_ms(12000));
+    cr_assert(directory.lost_at().has_value());
+    directory.on_read(at_ms(13000), at_ms(13010));
+    cr_assert_not(directory.lost_at().has_value());
+    cr_assert(directory.complete_after() == at_ms(15010));
+}
