Start no task while another run of it is still being stopped

Cause: scheduler::handle_running stopped any run beside the adopted one, also a higher one, which a predecessor starts only once it knows that the lower one has ended; and a task went back to waiting at the end of its current run, whatever other runs of it were left.

Ruled out: the fence.

Change: a reported run with a higher number becomes the current one and the adopted one is stopped. Runs that are being stopped beside a current one are surplus runs: when the current run ends first, a surplus run becomes current until it ends, so a waiting task has no run on any worker.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -289,6 +289,10 @@
     void handle_task_end(worker& w, job_entry& entry, const task_id& id, const ended_task& end,
                          bool current, time_point now);
     void handle_running(worker& w, const running_task& row, time_point now);
+    void handle_unknown_run(worker& w, const running_task& row, time_point now);
+    void take_over_run(job_entry& entry, worker& w, run_record& run, time_point now);
+    void release_task(job_entry& entry, const task_id& id, time_point now);
+    bool drop_run(worker& w, const std::string& task, std::int64_t run);
     const step_spec* step_of(const task_id& id) const;
     void update_progress_rate(worker& w, const worker_report& report, time_point now);
     void move_slow_runs(const worker& w, const worker_report& report, time_point now);
@@ -313,6 +317,9 @@
     std::vector<worker*> workers_by_number_;  ///< null for workers that were removed
     std::set<std::string> workers_with_ends_; ///< their ends aren't all acknowledged
     std::map<std::string, job_entry> jobs_;
+    /// Runs that are being stopped while their task has another, current run: worker and run number
+    /// by task. Invariant: a waiting task has no run on any worker.
+    std::multimap<std::string, std::pair<std::string, std::int64_t>> surplus_runs_;
     /// Jobs whose final state is stored, by the Unix time of its record in ms.
     std::set<std::pair<std::int64_t, std::string>> retained_jobs_;
     /// Number of jobs with `counted_as_waiting`, by queue.
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -214,7 +214,7 @@
 {
     const auto run = w.runs.find({end.task, end.run});
     const bool adopted = run != w.runs.end() && run->second.adopted;
-    const bool had_run = remove_run(w, end.task, end.run);
+    const bool had_run = drop_run(w, end.task, end.run);
     placing_needed_ = true;
     const std::optional<task_id> id = task_id_from(end.task);
     const auto known = id ? jobs_.find(id->job) : jobs_.end();
@@ -281,7 +281,7 @@
         return;
     }
     if (current) {
-        job.release(id);
+        release_task(entry, id, now);
     }
     if (end.how == end_reason::failed) {
         dirty_.insert(id.job);
@@ -295,42 +295,86 @@
     // stopped.
 }
 
+/// Makes a run that this leader didn't start the current one of its task, or stops it.
+void scheduler::take_over_run(job_entry& entry, worker& w, run_record& run, time_point now)
+{
+    job_progress& job = entry.progress;
+    const task_record& task = *job.find(run.task);
+    const std::string name = to_string(run.task);
+    const bool failed = task.failed_runs.count(run.run) > 0;
+    if (task.phase == task_phase::waiting) {
+        add_decision(failed ? decision_kind::stopped : decision_kind::run_adopted, run.task.job,
+                     w.entry.id, name);
+        job.adopt(run.task, w.entry.id, run.run, now);
+        if (failed) {
+            job.stopping(run.task);
+            send_stop(w, run, now);
+        }
+        return;
+    }
+    // A predecessor starts a higher run only once it knows that the lower one has ended. Its end
+    // may not have been reported to this leader yet.
+    const bool follows = !failed && run.run > task.run && task.phase != task_phase::done &&
+                         task.phase != task_phase::stopping;
+    if (!follows) {
+        add_decision(decision_kind::stopped, run.task.job, w.entry.id,
+                     name + ": no task needs this run");
+        surplus_runs_.emplace(name, std::make_pair(w.entry.id, run.run));
+        send_stop(w, run, now);
+        return;
+    }
+    const std::int64_t earlier_run = task.run;
+    worker* earlier_worker = find_worker(task.worker);
+    job.adopt(run.task, w.entry.id, run.run, now);
+    add_decision(decision_kind::run_adopted, run.task.job, w.entry.id,
+                 name + ": follows run " + std::to_string(earlier_run));
+    if (earlier_worker == nullptr) {
+        return;
+    }
+    const auto earlier = earlier_worker->runs.find({name, earlier_run});
+    if (earlier != earlier_worker->runs.end()) {
+        surplus_runs_.emplace(name, std::make_pair(earlier_worker->entry.id, earlier_run));
+        send_stop(*earlier_worker, earlier->second, now);
+    }
+}
+
+/// Handles a reported run that this leader didn't start.
+void scheduler::handle_unknown_run(worker& w, const running_task& row, time_point now)
+{
+    const std::optional<task_id> id = task_id_from(row.task);
+    const auto known = id ? jobs_.find(id->job) : jobs_.end();
+    run_record reported;
+    reported.task = id.value_or(task_id{row.task, 0, 0, 0});
+    reported.run = row.run;
+    reported.phase = run_phase::running;
+    reported.ordered_at = now;
+    reported.confirmed_at = now;
+    reported.adopted = true;
+    const bool step_known = known != jobs_.end() &&
+                            id->step < static_cast<int>(known->second.progress.spec().steps.size());
+    // A run whose step isn't known may use all the capacity that is left on the worker.
+    reported.allocated =
+        step_known ? capacity_used_by(
+                         known->second.progress.spec().steps[static_cast<std::size_t>(id->step)])
+                   : w.room();
+    add_run(w, reported);
+    run_record& run = w.runs.find({row.task, row.run})->second;
+    const bool has_task = known != jobs_.end() && known->second.progress.find(*id) != nullptr;
+    if (!has_task || is_final(known->second.progress.state())) {
+        add_decision(decision_kind::stopped, id ? id->job : "", w.entry.id,
+                     row.task + ": no task needs this run");
+        send_stop(w, run, now);
+        return;
+    }
+    take_over_run(known->second, w, run, now);
+    update_waiting_count(known->second);
+}
+
 void scheduler::handle_running(worker& w, const running_task& row, time_point now)
 {
     const auto run = w.runs.find({row.task, row.run});
     if (run == w.runs.end()) {
-        const std::optional<task_id> id = task_id_from(row.task);
-        const auto known = id ? jobs_.find(id->job) : jobs_.end();
-        task_record* task = known != jobs_.end() ? known->second.progress.find(*id) : nullptr;
-        run_record adopted_run;
-        adopted_run.task = id.value_or(task_id{row.task, 0, 0, 0});
-        adopted_run.run = row.run;
-        adopted_run.phase = run_phase::running;
-        adopted_run.ordered_at = now;
-        adopted_run.confirmed_at = now;
-        adopted_run.adopted = true;
-        const bool step_known =
-            known != jobs_.end() &&
-            id->step < static_cast<int>(known->second.progress.spec().steps.size());
-        // A run whose step isn't known may use all the capacity that is left on the worker.
-        adopted_run.allocated =
-            step_known
-                ? capacity_used_by(
-                      known->second.progress.spec().steps[static_cast<std::size_t>(id->step)])
-                : w.room();
-        const bool adoptable = task != nullptr && task->phase == task_phase::waiting &&
-                               !is_final(known->second.progress.state()) &&
-                               task->failed_runs.count(row.run) == 0;
-        add_run(w, adopted_run);
-        if (!adoptable) {
-            add_decision(decision_kind::stopped, id ? id->job : "", w.entry.id,
-                         row.task + ": no task needs this run");
-            send_stop(w, w.runs.find({row.task, row.run})->second, now);
-            return;
-        }
-        add_decision(decision_kind::run_adopted, id->job, w.entry.id, row.task);
-        known->second.progress.adopt(*id, w.entry.id, row.run, now);
-        update_waiting_count(known->second);
+        handle_unknown_run(w, row, now);
         return;
     }
     if (!run->second.confirmed_at) {
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -58,11 +58,38 @@
     add_decision(decision_kind::stopped, id.job, w->entry.id, to_string(id));
 }
 
+/// Removes a run that has ended from its worker; returns whether it was known.
+bool scheduler::drop_run(worker& w, const std::string& task, std::int64_t run)
+{
+    const auto surplus = surplus_runs_.equal_range(task);
+    for (auto s = surplus.first; s != surplus.second; ++s) {
+        if (s->second == std::make_pair(w.entry.id, run)) {
+            surplus_runs_.erase(s);
+            break;
+        }
+    }
+    return remove_run(w, task, run);
+}
+
+/// Returns a task whose current run has ended to the waiting phase. While another run of it is
+/// being stopped, that one becomes the current run, so that no third run starts beside it.
+void scheduler::release_task(job_entry& entry, const task_id& id, time_point now)
+{
+    const auto surplus = surplus_runs_.find(to_string(id));
+    if (surplus == surplus_runs_.end()) {
+        entry.progress.release(id);
+        return;
+    }
+    entry.progress.adopt(id, surplus->second.first, surplus->second.second, now);
+    entry.progress.stopping(id);
+    surplus_runs_.erase(surplus);
+}
+
 /// Frees the capacity of a run. Its task becomes waiting unless it has another run.
 void scheduler::release_run(worker& w, const run_record& run, time_point now)
 {
     const run_record copy = run;
-    remove_run(w, to_string(copy.task), copy.run);
+    drop_run(w, to_string(copy.task), copy.run);
     placing_needed_ = true;
     const auto known = jobs_.find(copy.task.job);
     if (known == jobs_.end()) {
@@ -72,7 +99,7 @@
     const bool current = task != nullptr && task->worker == w.entry.id && task->run == copy.run &&
                          task->phase != task_phase::waiting && task->phase != task_phase::done;
     if (current) {
-        known->second.progress.release(copy.task);
+        release_task(known->second, copy.task, now);
         restart_gang_if_broken(known->second, copy.task, now);
     }
 }
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -1189,3 +1189,60 @@
     cr_assert_eq(store.size(), 1);
     cr_assert(next.visible_state(job) == job_state::cancelled);
 }
+
+Test(pool_scheduler, a_run_that_follows_an_adopted_one_is_adopted_and_no_third_run_starts)
+{
+    // Guards against two runs of a task after a handover: the old leader hears of the end of a run
+    // that its successor has adopted, and starts the task on another worker.
+    std::map<std::string, std::string> store;
+    scheduler first = scheduler_with({"w1", "w2", "w3"});
+    add_job(first, store, job_of(job, {step_of(1, 1)}), 0);
+    scheduler s = successor_of(store, 50, {"w1", "w2", "w3"}, 5000, config_of());
+    worker_report adopted;
+    adopted.running = {{task(0), 1, "", 90, 0}};
+    poll_worker(s, "w1", adopted, 5010);
+    worker_report newer;
+    newer.running = {{task(0), 2, "", 10, 0}};
+    poll_worker(s, "w2", newer, 5020);
+    poll_worker(s, "w3", {}, 5021);
+    worker_report ended;
+    ended.ended = {end_of(1, task(0), 1, end_reason::failed)};
+    poll_worker(s, "w1", ended, 5030);
+    cr_assert_eq(place(s, 5031).size(), 0, "the second run is at work on w2");
+    for (const stop_order& o : s.take_stops()) {
+        cr_assert(o.worker != "w2", "the newest run goes on");
+    }
+    newer.running.clear();
+    newer.ended = {end_of(1, task(0), 2, end_reason::done)};
+    poll_worker(s, "w2", newer, 5040);
+    record_all(s, store, 5041);
+    cr_assert(s.visible_state(job) == job_state::complete);
+}
+
+Test(pool_scheduler, a_task_does_not_start_while_another_run_of_it_is_being_stopped)
+{
+    // Guards against two runs of a task: the current run ends while an older one, which turned up
+    // later, is still being stopped.
+    std::map<std::string, std::string> store;
+    scheduler first = scheduler_with({"w1", "w2"});
+    add_job(first, store, job_of(job, {step_of(1, 1)}), 0);
+    scheduler s = successor_of(store, 50, {"w1", "w2"}, 5000, config_of());
+    worker_report current;
+    current.running = {{task(0), 2, "", 90, 0}};
+    poll_worker(s, "w1", current, 5010);
+    worker_report older;
+    older.running = {{task(0), 1, "", 10, 0}};
+    poll_worker(s, "w2", older, 5020);
+    const std::vector<stop_order> stops = s.take_stops();
+    cr_assert_eq(stops.size(), 1);
+    cr_assert(stops[0].worker == "w2");
+    current.running.clear();
+    current.ended = {end_of(1, task(0), 2, end_reason::failed)};
+    poll_worker(s, "w1", current, 5030);
+    cr_assert_eq(place(s, 5031).size(), 0, "run 1 is still being stopped on w2");
+    s.on_stop(stops[0], order_verdict::accepted, at_ms(5040));
+    older.running.clear();
+    older.ended = {end_of(1, task(0), 1, end_reason::stopped)};
+    poll_worker(s, "w2", older, 5050);
+    cr_assert_eq(place(s, 5051).size(), 1);
+}
