Take a refused repeat of a start as no news of its first send

A start that got no answer is sent again; if the worker refused the repeat as unhealthy, without room, expired, invalid or by its ticket, the leader released the run and started the task elsewhere, although the worker may have executed the first send. Workers that execute orders late, or that turn unhealthy between two sends, run the task beside the new run (TWICE).

Cause: handle_start_refusal looked at the number of sends only for a send that was not sent.

Change: after more than one send each refusal leads to a stop; the run is released once the worker reports its end, or that it isn't there.

a_refused_repeat_of_a_start_tells_nothing_of_its_first_send failed before (verdict unhealthy) and passes now; 132 pool tests pass.

--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -169,6 +169,9 @@
 void scheduler::handle_start_refusal(worker& w, run_record& run, const start_order& order,
                                      order_verdict verdict, time_point now)
 {
+    // The worker may have executed an earlier send without an answer. Only a report tells that it
+    // hasn't, or that it has stopped the run.
+    const bool may_have_begun = order.attempts > 1;
     switch (verdict) {
     case order_verdict::unknown:
         if (order.attempts < start_attempts) {
@@ -187,15 +190,10 @@
         return;
     case order_verdict::not_sent:
     case order_verdict::no_listener:
-        if (order.attempts > 1) {
-            stop_task(run.task, now); // the worker may have accepted an earlier send
-            return;
-        }
         w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
         break;
     case order_verdict::superseded:
-        // The worker may have accepted an earlier send and the run has ended since. The next poll
-        // reports that.
+        // The run has begun by an earlier send and has ended since. The next poll reports that.
         run.phase = run_phase::running;
         run.confirmed_at = run.confirmed_at.value_or(now);
         return;
@@ -219,6 +217,10 @@
         break;
     }
     }
+    if (may_have_begun) {
+        stop_task(run.task, now);
+        return;
+    }
     release_run(w, run, now);
 }
 
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -1246,3 +1246,23 @@
     poll_worker(s, "w2", older, 5050);
     cr_assert_eq(place(s, 5051).size(), 1);
 }
+
+Test(pool_scheduler, a_refused_repeat_of_a_start_tells_nothing_of_its_first_send)
+{
+    // Guards against tasks that start twice: a worker executes the first send without an answer and
+    // refuses the second one for another reason.
+    for (const order_verdict refusal :
+         {order_verdict::unhealthy, order_verdict::no_room, order_verdict::expired,
+          order_verdict::no_ticket, order_verdict::invalid, order_verdict::not_sent}) {
+        scheduler s = scheduler_with({"w1", "w2"});
+        std::map<std::string, std::string> store;
+        add_job(s, store, job_of(job, {step_of(1, 1)}), 0);
+        const std::vector<start_order> sent = place(s, 1);
+        cr_assert_eq(sent.size(), 1);
+        s.on_start(sent[0], order_verdict::unknown, 0, at_ms(131));
+        const std::vector<start_order> repeated = s.take_starts();
+        cr_assert_eq(repeated.size(), 1);
+        s.on_start(repeated[0], refusal, 0, at_ms(140));
+        cr_assert_eq(place(s, 400).size(), 0, "verdict %d", static_cast<int>(refusal));
+    }
+}
