Verify a worker only by a report that names its last ends

A report names 500 ends at most.

Change: mark_verified only by a report that isn't full, as release_missing_runs does already.

a_report_without_the_latest_ends_does_not_verify_its_worker failed before ("w1 may have run the last task") and passes now; 133 pool tests pass.

--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -205,9 +205,9 @@
     }
     if (report.ended.size() < max_reported_ends) { // a missing run may be in the next report
         release_missing_runs(*w, report, sent, now);
+        mark_verified(order.worker, run_evidence::report);
     }
     update_progress_rate(*w, report, now);
-    mark_verified(order.worker, run_evidence::report);
 }
 
 void scheduler::handle_end(worker& w, const ended_task& end, time_point now)
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -1266,3 +1266,26 @@
         cr_assert_eq(place(s, 400).size(), 0, "verdict %d", static_cast<int>(refusal));
     }
 }
+
+Test(pool_scheduler, a_report_without_the_latest_ends_does_not_verify_its_worker)
+{
+    // Guards against tasks that start again after they have ended: a report names 500 ends at most,
+    // and later ones follow with the next poll.
+    std::map<std::string, std::string> store;
+    scheduler first = scheduler_with({"w1", "w2"});
+    add_job(first, store, job_of(job, {step_of(501, 1)}), 0);
+    scheduler s = successor_of(store, 50, {"w1", "w2"}, 5000, config_of());
+    poll_worker(s, "w2", {}, 5010);
+    worker_report part;
+    for (int i = 0; i < 500; ++i) {
+        part.ended.push_back(
+            end_of(static_cast<std::uint64_t>(i) + 1, task(i), 1, end_reason::done));
+    }
+    poll_worker(s, "w1", part, 5020);
+    cr_assert_eq(place(s, 5021).size(), 0, "w1 may have run the last task");
+    part.ended = {end_of(501, task(500), 1, end_reason::done)};
+    poll_worker(s, "w1", part, 5030);
+    cr_assert_eq(place(s, 5031).size(), 0);
+    record_all(s, store, 5032);
+    cr_assert(s.visible_state(job) == job_state::complete);
+}
