Call a job unknown only by a record stored since the question

A leader that had been replaced and didn't know it yet answered 410 for jobs that its successor had accepted, for up to 2.5 s after its last record. A client that cancelled such a job had its acknowledgement while the tasks went on starting (UNASKED), and a status query looked like a lost job.

Cause: leader::state_of trusted lead_is_confirmed, which is about the past: the last stored record, or heartbeats up to 1.2 s old. The same answer served DELETE. Found by reading, for the reports of UNASKED on real processes; it isn't shown that this is what the users saw.

Change: state_of answers "not known" once a record is stored that was sent after the question, and looks again then. Otherwise the question goes on to the next leader: locally and when forwarded (421), also for a cancel. One path (member::parts::ask_leader) serves both questions.

--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -125,14 +125,26 @@
     });
 }
 
-void member::parts::serve_state(const http_request& request, const http_respond& respond) const
+namespace {
+
+/// Returns a callback that passes a leader's answer on. If it has none, the sender asks the next
+/// leader.
+std::function<void(state_answer)> respond_state(const http_respond& respond)
 {
-    const state_answer a = lead->state_of(query_value(request, "id"));
-    if (a.found == lookup::unavailable) {
-        respond_not_leading(respond); // the sender asks the next leader
-        return;
-    }
-    respond_json(respond, to_json(a));
+    return [respond](const state_answer& a) {
+        if (a.found == lookup::unavailable) {
+            respond_not_leading(respond);
+            return;
+        }
+        respond_json(respond, to_json(a));
+    };
+}
+
+} // namespace
+
+void member::parts::serve_state(const http_request& request, const http_respond& respond)
+{
+    lead->state_of(query_value(request, "id"), respond_state(respond));
 }
 
 void member::parts::serve_waiting(const http_request& request, const http_respond& respond) const
@@ -226,8 +238,7 @@
     peer_server.route(
         "POST", "/pool/cancel",
         leading_only([this](const http_request& request, const http_respond& respond) {
-            lead->cancel(query_value(request, "id"),
-                         [respond](const state_answer& a) { respond_json(respond, to_json(a)); });
+            lead->cancel(query_value(request, "id"), respond_state(respond));
         }));
     peer_server.route(
         "GET", "/pool/waiting",
@@ -262,7 +273,7 @@
         return;
     }
     if (leads()) {
-        request->serve_locally(left + answer_reserve, request->maybe_executed);
+        request->serve_locally(request->maybe_executed);
         return;
     }
     const auto retry = [this, request] {
@@ -383,7 +394,7 @@
     request->body = encode(job->spec);
     submit_budget.take(static_cast<double>(request->body.size()));
     request->until = answer_by(millis(to_millis(job->until - now)));
-    request->serve_locally = [this, job](millis /*left*/, bool maybe_executed) {
+    request->serve_locally = [this, job](bool maybe_executed) {
         job->maybe_stored = maybe_executed;
         submit_locally(job);
     };
@@ -402,38 +413,54 @@
 void member::state_of(const std::string& id, millis budget,
                       const std::function<void(state_answer)>& done)
 {
-    parts& p = *parts_;
-    if (p.leads()) {
-        done(p.lead->state_of(id));
-        return;
-    }
-    const std::shared_ptr<forwarded_request> request = std::make_shared<forwarded_request>();
-    request->method = "GET";
-    request->path = "/pool/state?id=" + id;
-    request->until = answer_by(budget);
-    request->serve_locally = [this, id, done](millis left, bool) { state_of(id, left, done); };
-    request->done = [done](const std::optional<Json::Value>& answer, bool) {
-        done(answer ? state_answer_from(*answer) : state_answer{});
-    };
-    p.forward_request(request);
+    parts_->ask_leader(
+        "GET", "/pool/state?id=" + id, boot_clock::now() + budget,
+        [p = parts_.get(), id](const std::function<void(state_answer)>& answered) {
+            p->lead->state_of(id, answered);
+        },
+        done);
 }
 
 void member::cancel(const std::string& id, millis budget, std::function<void(state_answer)> done)
 {
-    parts& p = *parts_;
-    if (p.leads()) {
-        p.lead->cancel(id, std::move(done));
+    parts_->ask_leader(
+        "POST", "/pool/cancel?id=" + id, boot_clock::now() + budget,
+        [p = parts_.get(), id](const std::function<void(state_answer)>& answered) {
+            p->lead->cancel(id, answered);
+        },
+        std::move(done));
+}
+
+/// Asks the leader of a job, by `ask_own` if it's this member. If the leader has no answer because
+/// it may have been replaced, asks the next one.
+void member::parts::ask_leader(const std::string& method, const std::string& path, time_point until,
+                               const own_question& ask_own,
+                               const std::function<void(state_answer)>& done)
+{
+    if (leads()) {
+        ask_own([this, method, path, until, ask_own, done](const state_answer& a) {
+            const bool may_retry = until - boot_clock::now() > answer_reserve + retry_pause;
+            if (a.found != lookup::unavailable || !may_retry) {
+                done(a);
+                return;
+            }
+            loop.after(retry_pause, [this, method, path, until, ask_own, done] {
+                ask_leader(method, path, until, ask_own, done);
+            });
+        });
         return;
     }
     const std::shared_ptr<forwarded_request> request = std::make_shared<forwarded_request>();
-    request->method = "POST";
-    request->path = "/pool/cancel?id=" + id;
-    request->until = answer_by(budget);
-    request->serve_locally = [this, id, done](millis left, bool) { cancel(id, left, done); };
+    request->method = method;
+    request->path = path;
+    request->until = answer_by(millis(to_millis(until - boot_clock::now())));
+    request->serve_locally = [this, method, path, until, ask_own, done](bool) {
+        ask_leader(method, path, until, ask_own, done);
+    };
     request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? state_answer_from(*answer) : state_answer{});
     };
-    p.forward_request(request);
+    forward_request(request);
 }
 
 void member::waiting_in(const std::string& queue, millis budget,
@@ -448,8 +475,8 @@
     request->method = "GET";
     request->path = "/pool/waiting?queue=" + queue;
     request->until = answer_by(budget);
-    request->serve_locally = [this, queue, done](millis left, bool) {
-        waiting_in(queue, left, done);
+    request->serve_locally = [this, queue, done, until = request->until](bool) {
+        waiting_in(queue, millis(to_millis(until - boot_clock::now())) + answer_reserve, done);
     };
     request->done = [done](const std::optional<Json::Value>& answer, bool) {
         done(answer ? waiting_answer{lookup::found, (*answer)["count"].asInt()} : waiting_answer{});
--- a/src/pool_keys.h
+++ b/src/pool_keys.h
@@ -11,6 +11,7 @@
 constexpr const char* leader_key = "leader";
 /// Precedes `leader_key` and follows all other smaller keys.
 constexpr const char* before_leader_key = "leadeq~";
+constexpr const char* idle_record_key = "pulse"; ///< shows that its writer leads
 constexpr const char* job_prefix = "job/";
 constexpr const char* progress_prefix = "progress/";
 
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -22,7 +22,6 @@
 /// A leader with nothing to write appends a record after this time, so that followers see that it
 /// is alive.
 constexpr millis idle_record_period{250};
-constexpr const char* idle_record_key = "pulse";
 constexpr double ms_per_second = 1000;
 
 } // namespace
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -54,7 +54,9 @@
     /// empty for a request that this member took itself.
     void submit(const job_spec& spec, const std::string& request,
                 std::function<void(submit_answer)> done);
-    state_answer state_of(const std::string& id) const;
+    /// Answers that a job isn't known only once a record is stored that was sent after the
+    /// question: a newer leader may have accepted the job.
+    void state_of(const std::string& id, std::function<void(state_answer)> done);
     void cancel(const std::string& id, std::function<void(state_answer)> done);
     waiting_answer waiting_in(const std::string& queue) const;
     std::uint64_t fence() const { return self_.fence; }
@@ -110,6 +112,7 @@
     void answer_cancels(const std::vector<std::string>& final_jobs, bool stored);
     void answer_submit(const std::string& id, const submit_answer& answer);
     void note_refused(const std::string& request, time_point now);
+    std::optional<state_answer> known_state(const std::string& id) const;
     bool lead_is_confirmed(time_point now) const;
 
     event_loop& loop_;
--- a/src/pool_leader_requests.cc
+++ b/src/pool_leader_requests.cc
@@ -1,5 +1,6 @@
 // A leader's answers to requests: jobs handed in, their states, the number that waits, and cancels.
 
+#include "pool_keys.h"
 #include "pool_leader.h"
 #include "sesamesill/log.h"
 
@@ -11,6 +12,9 @@
 /// How long an attempt of a forwarded request may be on its way; a claim of a successor ends all
 /// attempts that are on their way to this leader.
 constexpr millis refusal_memory{15000};
+/// A question whose answer depends on the lead is given up if no record can be sent within this
+/// time.
+constexpr millis confirmation_timeout{600};
 /// New jobs are refused if appends fail for longer than this.
 constexpr millis store_failure_limit{500};
 
@@ -103,17 +107,34 @@
     schedule_update();
 }
 
-state_answer leader::state_of(const std::string& id) const
+std::optional<state_answer> leader::known_state(const std::string& id) const
 {
     if (submits_.count(id) > 0) {
-        return {lookup::found, job_state::queued};
+        return state_answer{lookup::found, job_state::queued};
     }
     const std::optional<job_state> state = scheduler_.visible_state(id);
-    if (state) {
-        return {lookup::found, *state};
+    return state ? std::optional<state_answer>({lookup::found, *state}) : std::nullopt;
+}
+
+void leader::state_of(const std::string& id, std::function<void(state_answer)> done)
+{
+    const std::optional<state_answer> known = known_state(id);
+    if (known) {
+        done(*known);
+        return;
     }
-    // A newer leader may have accepted the job.
-    return lead_is_confirmed(boot_clock::now()) ? state_answer{lookup::not_known} : state_answer{};
+    if (doubts_store()) {
+        done({});
+        return;
+    }
+    writer_.add({{idle_record_key, std::to_string(self_.fence), 0}}, confirmation_timeout,
+                [this, alive = alive_, id, done = std::move(done)](write_outcome outcome) {
+                    if (!*alive || outcome != write_outcome::stored) {
+                        done({});
+                        return;
+                    }
+                    done(known_state(id).value_or(state_answer{lookup::not_known}));
+                });
 }
 
 waiting_answer leader::waiting_in(const std::string& queue) const
@@ -139,7 +160,13 @@
     }
     const cancel_answer answer = scheduler_.cancel(id, boot_clock::now());
     if (answer == cancel_answer::not_known) {
-        done(state_of(id));
+        state_of(id, [this, alive = alive_, id, done = std::move(done)](const state_answer& a) {
+            if (*alive && a.found == lookup::found) {
+                cancel(id, done); // it was accepted meanwhile
+                return;
+            }
+            done(a);
+        });
         return;
     }
     const std::optional<job_state> visible_state = scheduler_.visible_state(id);
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -49,7 +49,7 @@
     /// member knows: an attempt that is delayed has no effect on a later lead of the same member.
     bool names_fence = false;
     /// Serves the request if this member has become the leader.
-    std::function<void(millis left, bool maybe_executed)> serve_locally;
+    std::function<void(bool maybe_executed)> serve_locally;
     std::function<void(std::optional<Json::Value>, bool maybe_executed)> done;
 };
 
@@ -126,6 +126,9 @@
     bool leads() const { return lead != nullptr; }
 
     millis retry_after_outage_of(const job_spec& spec) const;
+    using own_question = std::function<void(const std::function<void(state_answer)>&)>;
+    void ask_leader(const std::string& method, const std::string& path, time_point until,
+                    const own_question& ask_own, const std::function<void(state_answer)>& done);
     void submit(const std::shared_ptr<submission>& job);
     void submit_locally(const std::shared_ptr<submission>& job);
     void forward_request(const std::shared_ptr<forwarded_request>& request);
@@ -133,7 +136,7 @@
     void serve_peers();
     std::optional<Json::Value> on_heartbeat(const Json::Value& params, error& why);
     void serve_submit(const http_request& request, const http_respond& respond);
-    void serve_state(const http_request& request, const http_respond& respond) const;
+    void serve_state(const http_request& request, const http_respond& respond);
     void serve_waiting(const http_request& request, const http_respond& respond) const;
     void serve_advise(const http_request& request, const http_respond& respond);
     std::vector<worker_entry> all_workers() const;
