--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -85,6 +85,42 @@
     }
 }
 
+Test(platform, odd_entries_of_another_writer_end_no_process_and_name_no_worker)
+{
+    // Guards against a member that ends or stops following the directory because of one entry.
+    const auto entry = [](const std::string& cpu, const std::string& address,
+                          const std::string& more = "") {
+        return R"({"Service":"s1","State":"ready","Capacity":{"Cpu":)" + cpu + R"(},"Addr":")" +
+               address + "\"" + more + "}";
+    };
+    constexpr std::size_t deep = 1000000;
+    const std::vector<std::string> odd{
+        R"({"Service":)" + std::string(deep, '['),
+        std::string(deep, '{'),
+        R"({"a":)" + std::string(deep, '[') + std::string(deep, ']') + "}",
+        entry("1e999", "10.0.0.1:80"),
+        entry("99999999999999999999999999", "10.0.0.1:80"),
+        entry("9000000000000000000", "10.0.0.1:80"),
+        entry("-1", "10.0.0.1:80"),
+        entry("8000", "10.0.0.1:99999"),
+        entry("8000", "10.0.0.1:0"),
+        entry("8000", "10.0.0.1:-1"),
+        entry("8000", "10.0.0.1:8O"),
+        entry("8000", "[::1]:80"),
+        entry("8000", "10.0.0.1:80", R"(,"born":1e300)"),
+        entry("8000", "10.0.0.1:80", R"(,"Seq":-1)"),
+        entry("8000", "10.0.0.1:80", R"(,"Labels":[{}])"),
+    };
+    for (const std::string& text : odd) {
+        error why;
+        cr_assert_not(decode_worker("i-1", text, why).has_value(), "%s",
+                      text.substr(0, 100).c_str());
+        cr_assert_not(why.reason.empty());
+    }
+    error why;
+    cr_assert(decode_worker("i-1", entry("8000", "10.0.0.1:80"), why).has_value());
+}
+
 Test(platform, the_configuration_is_decoded_and_the_longest_prefix_wins)
 {
     error why;
