Ask for a majority of the members that a leader knew of when it claimed

A leader counts as confirmed without the store if half of the members that sent it heartbeats know of no newer claim. Before the first heartbeat that is half of nobody: a leader that was cut off right after its claim went on granting leases and starting tasks without an end. Found by reading, beside the case of a leader that doesn't know that it was replaced.

Change: the members that it knew of at its claim count, too.

--- a/src/pool_handover.cc
+++ b/src/pool_handover.cc
@@ -124,7 +124,10 @@
         agreeing +=
             now - p.second.heard < heartbeat_validity && p.second.fence <= self_.fence ? 1 : 0;
     }
-    return agreeing * 2 >= peers_.size();
+    // Members that haven't sent a heartbeat to this leader yet may follow another one.
+    const std::size_t others =
+        std::max(peers_.size(), static_cast<std::size_t>(std::max(1, self_.members) - 1));
+    return agreeing * 2 >= others;
 }
 
 } // namespace sesamesill::pool
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -718,3 +718,26 @@
         cr_assert(found == lookup::unavailable);
     }
 }
+
+Test(pool_member, a_leader_that_no_other_member_has_greeted_does_not_act_without_the_store)
+{
+    // Guards against a leader that is cut off right after its claim and sends orders for ever: it
+    // has heard from nobody, and nobody of nobody is a majority.
+    const endpoint nowhere{"127.0.0.1", 9};
+    lone_member f(28761, {{"leader", encode(leader_record{"m9", "run1", nowhere, 0, 6}), 0}});
+    std::vector<lookup> answers;
+    const auto ask = [&] {
+        f.m.waiting_in("holds", millis(100),
+                       [&](const waiting_answer& a) { answers.push_back(a.found); });
+    };
+    f.loop.after(millis(1500), [&] {
+        cr_assert(f.m.is_leader());
+        ask();
+        f.log.faults = std::deque<fake_log::fault>(1000, fake_log::fault::refused);
+    });
+    f.loop.after(millis(4300), ask);
+    f.loop.after(millis(4700), [&] { f.loop.stop(); });
+    f.loop.run();
+    const std::vector<lookup> expected{lookup::found, lookup::unavailable};
+    cr_assert(answers == expected);
+}
