Soak pairs of faults aimed at the leader

New kinds for pairs and series: leader_cut, leader_stopped, worker_cut (runs on while its entry expires), entries_expire (an outage in which all entries go) and odd_entries. Single faults are drawn from the 28 kinds as before, so that earlier seeds repeat.

--- a/support/check.sh
+++ b/support/check.sh
@@ -14,6 +14,7 @@
 support/path.sh
 support/scenarios.sh
 support/soak.sh 1 4 --seconds 8
+support/soak.sh 1 2 --seconds 15 --pairs --fault_gap_ms 5000
 support/soak.sh 1 1 --seconds 21 --members 30 --fault_gap_ms 7000 \
     --series leader_killed,configuration_changes,worker_leaves,worker_leaves,worker_leaves
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
--- a/test/platform_standin/store.h
+++ b/test/platform_standin/store.h
@@ -36,6 +36,8 @@
     /// Returns the newest value of the key, or an empty string.
     std::string value_of(const std::string& topic, const std::string& key) const;
     void set_faults(const store_faults& faults) { faults_ = faults; }
+    /// Returns whether faults keep all calls from the store.
+    bool is_down() const { return faults_.refuses || faults_.silent; }
     /// Drops all records of the log but keeps the newest record of each key.
     void trim(const std::string& topic);
     std::uint64_t calls() const { return calls_; }
--- a/test/platform_standin/workers.cc
+++ b/test/platform_standin/workers.cc
@@ -96,7 +96,10 @@
         entry["RemainingMs"] =
             static_cast<Json::Int64>(std::max<std::int64_t>(0, earliest_stop_ms_ - clock_ms()));
     }
-    fleet_.store_.put("keyed.servers", id_, to_text(entry));
+    if (!faults_.cut_from_store && !fleet_.store_.is_down()) {
+        entry_written_at_ = boot_clock::now();
+        fleet_.store_.put("keyed.servers", id_, to_text(entry));
+    }
     fleet_.loop_.after(fleet_.bounds_.heartbeat, [this, alive = alive_] {
         if (*alive) {
             heartbeat();
@@ -462,6 +465,13 @@
             store_.put("keyed.servers", id, "");
         }
     }
+    for (const std::pair<const std::string, std::unique_ptr<fleet_worker>>& w : workers_) {
+        const bool cut = w.second->faults_.cut_from_store;
+        if (cut && now - w.second->entry_written_at_ > bounds_.entry_lifetime &&
+            !store_.value_of("keyed.servers", w.first).empty()) {
+            store_.put("keyed.servers", w.first, "");
+        }
+    }
     for (auto e = stale_entries_.begin(); e != stale_entries_.end();) {
         const bool elapsed = now - e->second > bounds_.entry_lifetime;
         if (elapsed) {
@@ -471,6 +481,13 @@
     }
 }
 
+void fleet::expire_entries()
+{
+    for (const std::string& id : ids()) {
+        store_.put("keyed.servers", id, "");
+    }
+}
+
 bool fleet::gang_is_present(const fleet_worker::run& r) const
 {
     int present = 0;
--- a/test/platform_standin/workers.h
+++ b/test/platform_standin/workers.h
@@ -38,7 +38,8 @@
     double slowness = 1;    ///< factor on the duration of the work
     bool fails_all = false;
     bool stalled = false;
-    bool refuses = false; ///< replies with 503 and executes nothing
+    bool refuses = false;        ///< replies with 503 and executes nothing
+    bool cut_from_store = false; ///< its entry isn't renewed and expires
 };
 
 struct worker_place {
@@ -118,6 +119,7 @@
     std::uint64_t last_end_ = 0;
     std::list<waiting_poll> polls_;
     std::uint64_t seq_ = 0;
+    time_point entry_written_at_;
     bool draining_ = false;
     std::int64_t earliest_stop_ms_ = 0; ///< as reported, on this worker's clock
     std::int64_t stops_at_ms_ = 0;
@@ -144,6 +146,9 @@
     /// Registers the route of the advisor, which processes requests one at a time.
     void serve_advice(http_server& server);
     void set_advice(millis base, double per_worker_ms, millis valid);
+    /// Removes the entries of all workers, as an outage of the store may. They come back with the
+    /// workers' heartbeats.
+    void expire_entries();
 
     static constexpr const char* service_name = "places";
 
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -1,5 +1,6 @@
 // Guards against soak checks that miss a kind of broken promise or report one that is kept.
 
+#include <set>
 #include <thread>
 
 #include <criterion/criterion.h>
@@ -181,6 +182,25 @@
     }
 }
 
+Test(soak, each_pair_has_a_fault_of_the_leader_near_another_one)
+{
+    constexpr millis period{5000};
+    const std::vector<planned_fault> pairs = draw_pairs(7, millis(60000), period);
+    cr_assert_eq(pairs.size(), 24);
+    std::set<fault_kind> kinds;
+    for (std::size_t i = 0; i < pairs.size(); i += 2) {
+        cr_assert(pairs[i].kind != pairs[i + 1].kind);
+        cr_assert_geq(pairs[i + 1].at.count(), pairs[i].at.count());
+        cr_assert_leq((pairs[i + 1].at - pairs[i].at).count(), period.count());
+        kinds.insert({pairs[i].kind, pairs[i + 1].kind});
+    }
+    cr_assert_geq(kinds.size(), 8, "kinds vary");
+    const std::vector<planned_fault> again = draw_pairs(7, millis(60000), period);
+    for (std::size_t i = 0; i < pairs.size(); ++i) {
+        cr_assert(again[i].kind == pairs[i].kind && again[i].at == pairs[i].at);
+    }
+}
+
 Test(soak, a_start_on_a_draining_worker_breaks_a_promise_whatever_happened_to_other_members)
 {
     checked_job w;
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -284,16 +284,21 @@
     kill(target_member(fault));
 }
 
-void cell::member_stopped(const planned_fault& fault)
+void cell::stop(int member)
 {
-    const std::string name = member_name(target_member(fault));
+    const std::string name = member_name(member);
     if (expected_signals_.count(name) == 0 && processes_.signal(name, SIGTERM)) {
-        disturb(target_member(fault));
+        disturb(member);
         expected_signals_[name] = SIGTERM;
         stop_deadlines_[name] = boot_clock::now() + stop_grace + paused_process_grace;
     }
 }
 
+void cell::member_stopped(const planned_fault& fault)
+{
+    stop(target_member(fault));
+}
+
 void cell::member_paused(const planned_fault& fault)
 {
     pause(target_member(fault), fault.length);
@@ -435,6 +440,93 @@
     publish_configuration();
 }
 
+void cell::cut(const std::vector<proxy*>& links, millis length)
+{
+    for (proxy* link : links) {
+        link->set_faults({millis(0), true, true});
+    }
+    disturb_all();
+    after(length, [this, links] {
+        for (proxy* link : links) {
+            link->set_faults({});
+        }
+        disturb_all();
+    });
+}
+
+void cell::leader_cut(const planned_fault& fault)
+{
+    if (leader() < 0) {
+        return;
+    }
+    const std::size_t first = static_cast<std::size_t>(settings_.workers + 3 * leader());
+    cut({links_[first].get(), links_[first + 1].get()}, fault.length);
+}
+
+void cell::leader_stopped(const planned_fault& /*fault*/)
+{
+    if (leader() >= 0) {
+        stop(leader());
+    }
+}
+
+void cell::worker_cut(const planned_fault& fault)
+{
+    constexpr millis longer_than_an_entry{5500};
+    fleet_worker* w = target_worker(fault);
+    if (w == nullptr) {
+        return;
+    }
+    const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+    cut({links_[static_cast<std::size_t>(place)].get()}, longer_than_an_entry);
+    worker_faults faults;
+    faults.cut_from_store = true;
+    w->set_faults(faults);
+    after(longer_than_an_entry, [this, id = w->id()] {
+        if (fleet_.find(id) != nullptr) {
+            fleet_.find(id)->set_faults({});
+        }
+    });
+}
+
+void cell::entries_expire(const planned_fault& fault)
+{
+    store_faults faults;
+    faults.silent = true;
+    store_.set_faults(faults);
+    disturb_all();
+    fleet_.expire_entries();
+    after(fault.length, [this] {
+        store_.set_faults({});
+        disturb_all();
+    });
+}
+
+void cell::odd_entries(const planned_fault& fault)
+{
+    const std::string deep = R"({"Service":)" + std::string(100000, '[');
+    const std::string entry = R"({"Service":"places","State":"ready","Capacity":{"Cpu":)";
+    const std::vector<std::string> values{
+        deep,
+        std::string(100000, '{'),
+        R"({"a":)" + std::string(2000, '[') + std::string(2000, ']') + "}",
+        entry + R"(1e999},"Addr":"127.0.0.1:9"})",
+        entry + R"(99999999999999999999999},"Addr":"127.0.0.1:9"})",
+        entry + R"(9000000000000000000,"MemMb":9e18},"Addr":"127.0.0.1:9"})",
+        entry + R"(8000},"Addr":"127.0.0.1:99999"})",
+        entry + R"(8000},"Addr":"127.0.0.1:-1"})",
+        entry + R"(8000},"Addr":"::"})",
+        entry + R"(8000},"Addr":"127.0.0.1:9","born":1e300,"Seq":-1})",
+        "\xff\xfe\0",
+        "[]",
+        "7"};
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        const std::string key = "odd" + std::to_string(i);
+        store_.put("keyed.servers", key, values[i]);
+        after(fault.length, [this, key] { store_.put("keyed.servers", key, ""); });
+    }
+}
+
 const std::map<fault_kind, cell::method>& cell::methods()
 {
     static const std::map<fault_kind, method> table{
@@ -465,7 +557,12 @@
         {fault_kind::worker_stands_still, &cell::worker_fault},
         {fault_kind::worker_slow, &cell::worker_fault},
         {fault_kind::worker_refuses, &cell::worker_fault},
-        {fault_kind::configuration_changes, &cell::configuration_changes}};
+        {fault_kind::configuration_changes, &cell::configuration_changes},
+        {fault_kind::leader_cut, &cell::leader_cut},
+        {fault_kind::leader_stopped, &cell::leader_stopped},
+        {fault_kind::worker_cut, &cell::worker_cut},
+        {fault_kind::entries_expire, &cell::entries_expire},
+        {fault_kind::odd_entries, &cell::odd_entries}};
     return table;
 }
 
--- a/test/soak/cell.h
+++ b/test/soak/cell.h
@@ -86,6 +86,14 @@
     void worker_leaves(const planned_fault& fault);
     void worker_fault(const planned_fault& fault);
     void configuration_changes(const planned_fault& fault);
+    void leader_cut(const planned_fault& fault);
+    void leader_stopped(const planned_fault& fault);
+    void worker_cut(const planned_fault& fault);
+    void entries_expire(const planned_fault& fault);
+    void odd_entries(const planned_fault& fault);
+    void stop(int member);
+    /// Blocks the links in both directions for the time.
+    void cut(const std::vector<proxy*>& links, millis length);
     static const std::map<fault_kind, method>& methods();
 
     event_loop& loop_;
@@ -95,7 +103,7 @@
     http_server store_server_;
     http_server advice_server_;
     fleet fleet_;
-    std::vector<std::unique_ptr<proxy>> links_;
+    std::vector<std::unique_ptr<proxy>> links_; ///< of the workers, then three of each member
     scenario::process_group processes_;
     std::map<std::string, int> expected_signals_; ///< by member: the signal that was sent to end it
     std::map<std::string, time_point> stop_deadlines_; ///< of members that got SIGTERM
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -3,6 +3,7 @@
 #include "plan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 
 #include "sesamesill/names.h"
@@ -38,7 +39,23 @@
      {fault_kind::worker_stands_still, "worker_stands_still"},
      {fault_kind::worker_slow, "worker_slow"},
      {fault_kind::worker_refuses, "worker_refuses"},
-     {fault_kind::configuration_changes, "configuration_changes"}}};
+     {fault_kind::configuration_changes, "configuration_changes"},
+     {fault_kind::leader_cut, "leader_cut"},
+     {fault_kind::leader_stopped, "leader_stopped"},
+     {fault_kind::worker_cut, "worker_cut"},
+     {fault_kind::entries_expire, "entries_expire"},
+     {fault_kind::odd_entries, "odd_entries"}}};
+
+constexpr fault_kind leader_faults[] = {fault_kind::leader_killed, fault_kind::leader_paused,
+                                        fault_kind::leader_cut, fault_kind::leader_stopped,
+                                        fault_kind::all_killed};
+constexpr fault_kind other_faults[] = {
+    fault_kind::worker_cut,          fault_kind::entries_expire,
+    fault_kind::store_silent,        fault_kind::store_slow,
+    fault_kind::store_loses_answers, fault_kind::store_late,
+    fault_kind::worker_fails_all,    fault_kind::worker_late,
+    fault_kind::worker_restarts,     fault_kind::worker_refuses,
+    fault_kind::odd_entries,         fault_kind::configuration_changes};
 
 constexpr double series_share = 0.3;
 constexpr int max_series_length = 4;
@@ -65,7 +82,7 @@
     std::uniform_real_distribution<> share(0, 1);
     std::uniform_int_distribution<std::int64_t> length(min_fault_length.count(),
                                                        max_fault_length.count());
-    std::uniform_int_distribution<int> kinds(0, static_cast<int>(fault_kinds) - 1);
+    std::uniform_int_distribution<int> kinds(0, static_cast<int>(single_fault_kinds) - 1);
     std::uniform_int_distribution<int> repeats(2, max_series_length);
     std::vector<planned_fault> faults;
     millis at{0};
@@ -88,6 +105,32 @@
     return faults;
 }
 
+std::vector<planned_fault> draw_pairs(std::uint64_t seed, millis duration, millis period)
+{
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<std::size_t> leaders(0, std::size(leader_faults) - 1);
+    std::uniform_int_distribution<std::size_t> others(0, std::size(other_faults) - 1);
+    std::uniform_int_distribution<std::int64_t> length(max_fault_length.count() / 4,
+                                                       max_fault_length.count());
+    std::uniform_int_distribution<std::int64_t> delay(0, max_fault_length.count() + 1000);
+    std::vector<planned_fault> faults;
+    for (millis begin{0}; begin < duration; begin += period) {
+        planned_fault other;
+        other.at = begin;
+        other.kind = other_faults[others(random)];
+        other.target = static_cast<std::uint32_t>(random());
+        other.length = millis(length(random));
+        faults.push_back(other);
+        planned_fault leader;
+        leader.at = begin + millis(delay(random));
+        leader.kind = leader_faults[leaders(random)];
+        leader.target = static_cast<std::uint32_t>(random());
+        leader.length = millis(length(random));
+        faults.push_back(leader);
+    }
+    return faults;
+}
+
 std::vector<planned_fault> repeat_series(const std::vector<fault_kind>& kinds, std::uint64_t seed,
                                          millis duration, millis period)
 {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -42,10 +42,17 @@
     worker_stands_still,
     worker_slow,
     worker_refuses,
-    configuration_changes
+    configuration_changes,
+    // Only in pairs and series:
+    leader_cut,     ///< from the store and all other members, not from the workers
+    leader_stopped, ///< SIGTERM
+    worker_cut,     ///< from the store and all members: runs on, and its entry expires
+    entries_expire, ///< the store is down and the workers' entries are gone until they return
+    odd_entries     ///< another writer's entries among those of the workers
 };
 
-constexpr std::size_t fault_kinds = 28;
+constexpr std::size_t fault_kinds = 33;
+constexpr std::size_t single_fault_kinds = 28; ///< drawn by `draw_faults`
 
 std::string_view name_of(fault_kind kind);
 std::optional<fault_kind> fault_kind_from(std::string_view name);
@@ -60,6 +67,10 @@
 /// Draws faults for `duration`, with `gap` between them on average, sorted by time.
 std::vector<planned_fault> draw_faults(std::uint64_t seed, millis duration, millis gap);
 
+/// Draws pairs of faults for `duration`, one each `period`: a fault of the leader within a fault of
+/// the store or of workers, or right after one.
+std::vector<planned_fault> draw_pairs(std::uint64_t seed, millis duration, millis period);
+
 /// Repeats the series of `kinds` for `duration`, one series each `period`. Draws targets and
 /// lengths from `seed`.
 std::vector<planned_fault> repeat_series(const std::vector<fault_kind>& kinds, std::uint64_t seed,
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -25,6 +25,7 @@
 DEFINE_string(
     series, "",
     "instead of random faults, repeat these kinds, one series each fault_gap_ms: KIND,KIND");
+DEFINE_bool(pairs, false, "draw pairs of faults aimed at the leader, one each fault_gap_ms");
 DEFINE_bool(verbose, false, "print each fault when it is applied");
 
 namespace {
@@ -103,6 +104,9 @@
     static std::vector<planned_fault> faults_of(millis duration)
     {
         const millis gap(FLAGS_fault_gap_ms);
+        if (FLAGS_pairs) {
+            return draw_pairs(FLAGS_seed, duration, gap);
+        }
         return FLAGS_series.empty()
                    ? draw_faults(FLAGS_seed, duration, gap)
                    : repeat_series(*kinds_in(FLAGS_series), FLAGS_seed, duration, gap);
