--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -86,7 +86,8 @@
     void submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done);
     void state_of(const std::string& id, millis budget,
                   const std::function<void(state_answer)>& done);
-    void cancel(const std::string& id, millis budget, std::function<void(state_answer)> done);
+    void cancel(const std::string& id, millis budget,
+                const std::function<void(state_answer)>& done);
     void waiting_in(const std::string& queue, millis budget,
                     const std::function<void(waiting_answer)>& done);
 
--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -421,7 +421,8 @@
         done);
 }
 
-void member::cancel(const std::string& id, millis budget, std::function<void(state_answer)> done)
+void member::cancel(const std::string& id, millis budget,
+                    const std::function<void(state_answer)>& done)
 {
     parts_->ask_leader(
         "POST", "/pool/cancel?id=" + id, boot_clock::now() + budget,
