Cut workers off in the soak as a partition does: new connections aren't established

A cut link accepted connections and held their bytes, so a poll timed out instead of being not sent. The listener of a cut proxy now stops accepting with a full queue, and the kernel drops what would open a connection.

--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -443,7 +443,7 @@
 void cell::cut(const std::vector<proxy*>& links, millis length)
 {
     for (proxy* link : links) {
-        link->set_faults({millis(0), true, true});
+        link->set_faults({millis(0), true, true, true});
     }
     disturb_all();
     after(length, [this, links] {
--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -17,6 +17,8 @@
 namespace soak {
 namespace {
 
+constexpr int accept_backlog = 128;
+
 sockaddr_in address_of(const endpoint& e)
 {
     sockaddr_in address{};
@@ -77,6 +79,7 @@
     evconnlistener* listener = nullptr;
     link_faults faults;
     std::set<std::shared_ptr<link>> links;
+    std::vector<evutil_socket_t> fillers; ///< connections that fill the queue of the listener
 
     void apply(link& l) const
     {
@@ -89,11 +92,42 @@
         set(l.server, !l.silent && !faults.blocks_to_client);
     }
 
+    void drop_connects();
+    void resume_connects();
     void accept(evutil_socket_t socket);
     static void on_data(bufferevent* from, void* argument);
     static void on_event(bufferevent* from, short what, void* argument);
 };
 
+/// Stops accepting and fills the queue of the listener, after which the kernel drops the packets
+/// that open connections.
+void proxy::state::drop_connects()
+{
+    constexpr int queue_size = 2; ///< with a backlog of 0, with one to spare
+    evconnlistener_disable(listener);
+    ::listen(evconnlistener_get_fd(listener), 0);
+    const sockaddr_in to = address_of(listen);
+    while (fillers.size() < queue_size) {
+        const evutil_socket_t filler =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (filler < 0) {
+            return;
+        }
+        connect(filler, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+        fillers.push_back(filler);
+    }
+}
+
+void proxy::state::resume_connects()
+{
+    for (const evutil_socket_t filler : fillers) {
+        evutil_closesocket(filler);
+    }
+    fillers.clear();
+    ::listen(evconnlistener_get_fd(listener), accept_backlog);
+    evconnlistener_enable(listener);
+}
+
 void proxy::state::accept(evutil_socket_t socket)
 {
     event_base* base = loop.internals().base;
@@ -180,6 +214,9 @@
 proxy::~proxy()
 {
     state_->links.clear();
+    for (const evutil_socket_t filler : state_->fillers) {
+        evutil_closesocket(filler);
+    }
     if (state_->listener != nullptr) {
         evconnlistener_free(state_->listener);
     }
@@ -188,14 +225,13 @@
 bool proxy::start(error& why)
 {
     const sockaddr_in at = address_of(state_->listen);
-    constexpr int backlog = 128;
     state_->listener = evconnlistener_new_bind(
         state_->loop.internals().base,
         [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* argument) {
             static_cast<state*>(argument)->accept(socket);
         },
-        state_.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
-        reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+        state_.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        accept_backlog, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
     if (state_->listener == nullptr) {
         why = {error_code::unavailable, step::rpc, to_string(state_->listen), std::strerror(errno)};
     }
@@ -204,6 +240,9 @@
 
 void proxy::set_faults(const link_faults& faults)
 {
+    if (faults.drops_connects != state_->faults.drops_connects) {
+        faults.drops_connects ? state_->drop_connects() : state_->resume_connects();
+    }
     state_->faults = faults;
     for (const std::shared_ptr<link>& l : state_->links) {
         state_->apply(*l);
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -15,6 +15,7 @@
     millis delay{0};               ///< applied to the bytes in each direction
     bool blocks_to_server = false; ///< bytes towards the server wait until this is false
     bool blocks_to_client = false; ///< bytes towards the client wait until this is false
+    bool drops_connects = false;   ///< new connections aren't established, as behind a partition
 };
 
 class proxy {
