--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -45,7 +45,7 @@
     /// take them. If `send_timeout` isn't 0 and the records can't be sent within it, or if the
     /// store rejects them, `done` gets `not_stored`.
     void add(std::vector<keyed_record> records, millis send_timeout,
-             std::function<void(write_outcome)> done);
+             const std::function<void(write_outcome)>& done);
     /// Sends no batch before `until`, so that no append competes with a successor's claim.
     void pause_until(time_point until);
     /// Returns whether no append is in progress.
@@ -73,7 +73,6 @@
         std::function<void(write_outcome)> done;
     };
 
-    void add_entry(entry e);
     void flush();
     void send();
     void isolate_rejected();
--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -429,7 +429,7 @@
         [p = parts_.get(), id](const std::function<void(state_answer)>& answered) {
             p->lead->cancel(id, answered);
         },
-        std::move(done));
+        done);
 }
 
 /// Asks the leader of a job, by `ask_own` if it's this member. If the leader has no answer because
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -120,7 +120,7 @@
 }
 
 void record_writer::add(std::vector<keyed_record> records, millis send_timeout,
-                        std::function<void(write_outcome)> done)
+                        const std::function<void(write_outcome)>& done)
 {
     if (closed_) {
         done(write_outcome::deposed);
