--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -459,7 +459,9 @@
     if (leader() < 0) {
         return;
     }
-    const std::size_t first = static_cast<std::size_t>(settings_.workers + 3 * leader());
+    const std::size_t links_per_member = 3;
+    const std::size_t first = static_cast<std::size_t>(settings_.workers) +
+                              links_per_member * static_cast<std::size_t>(leader());
     cut({links_[first].get(), links_[first + 1].get()}, fault.length);
 }
 
@@ -518,7 +520,7 @@
         entry + R"(8000},"Addr":"127.0.0.1:-1"})",
         entry + R"(8000},"Addr":"::"})",
         entry + R"(8000},"Addr":"127.0.0.1:9","born":1e300,"Seq":-1})",
-        "\xff\xfe\0",
+        "\xff\xfe",
         "[]",
         "7"};
     for (std::size_t i = 0; i < values.size(); ++i) {
--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -113,8 +113,11 @@
         if (filler < 0) {
             return;
         }
-        connect(filler, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
         fillers.push_back(filler);
+        if (connect(filler, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0 &&
+            errno != EINPROGRESS) {
+            return;
+        }
     }
 }
 
