--- a/test/pool_fixture.h
+++ b/test/pool_fixture.h
@@ -103,4 +103,47 @@
                        const std::vector<std::string>& workers, std::int64_t ms,
                        const configuration& config, std::int64_t entries_back_ms = 0);
 
+/// Returns the first leader's scheduler, to which all workers have reported no runs.
+inline scheduler scheduler_with(const std::vector<std::string>& workers,
+                                const configuration& config = config_of())
+{
+    scheduler s(1, {}, at_ms(0));
+    s.configure(config, at_ms(0));
+    for (const std::string& w : workers) {
+        s.list_worker(worker_of(w), at_ms(0));
+        poll_worker(s, w, {}, 0);
+    }
+    return s;
+}
+
+inline void add_job(scheduler& s, std::map<std::string, std::string>& store, const job_spec& spec,
+                    std::int64_t ms)
+{
+    const keyed_record record = scheduler::record_of(spec, wall_start_ms + ms);
+    store[record.key] = record.value;
+    s.add(spec, wall_start_ms + ms, at_ms(ms));
+}
+
+/// Places without another read of the worker directory.
+inline std::vector<start_order> place_by_last_read(scheduler& s, std::int64_t ms)
+{
+    s.on_record_stored(at_ms(ms));
+    s.tick(at_ms(ms));
+    s.place(at_ms(ms));
+    return s.take_starts();
+}
+
+inline std::vector<start_order> place(scheduler& s, std::int64_t ms)
+{
+    s.on_directory_loaded(at_ms(ms));
+    return place_by_last_read(s, ms);
+}
+
+inline void accept_starts(scheduler& s, const std::vector<start_order>& orders, std::int64_t ms)
+{
+    for (const start_order& o : orders) {
+        s.on_start(o, order_verdict::accepted, ms, at_ms(ms));
+    }
+}
+
 } // namespace sesamesill::pool::testing
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -53,53 +53,11 @@
     return to_string(task_id{job, 0, step, index});
 }
 
-scheduler scheduler_with(const std::vector<std::string>& workers,
-                         const configuration& config = config_of())
-{
-    scheduler s(1, {}, at_ms(0));
-    s.configure(config, at_ms(0));
-    for (const std::string& w : workers) {
-        s.list_worker(worker_of(w), at_ms(0));
-        poll_worker(s, w, {}, 0);
-    }
-    return s;
-}
-
-void add_job(scheduler& s, std::map<std::string, std::string>& store, const job_spec& spec,
-             std::int64_t ms)
-{
-    const keyed_record record = scheduler::record_of(spec, wall_start_ms + ms);
-    store[record.key] = record.value;
-    s.add(spec, wall_start_ms + ms, at_ms(ms));
-}
-
-/// Places without another read of the worker directory.
-std::vector<start_order> place_by_last_read(scheduler& s, std::int64_t ms)
-{
-    s.on_record_stored(at_ms(ms));
-    s.tick(at_ms(ms));
-    s.place(at_ms(ms));
-    return s.take_starts();
-}
-
-std::vector<start_order> place(scheduler& s, std::int64_t ms)
-{
-    s.on_directory_loaded(at_ms(ms));
-    return place_by_last_read(s, ms);
-}
-
 admission_answer admit(const scheduler& s, const job_spec& spec)
 {
     return s.admit(spec, at_ms(0));
 }
 
-void accept_starts(scheduler& s, const std::vector<start_order>& orders, std::int64_t ms)
-{
-    for (const start_order& o : orders) {
-        s.on_start(o, order_verdict::accepted, ms, at_ms(ms));
-    }
-}
-
 } // namespace
 
 Test(pool_scheduler, a_worker_is_never_filled_beyond_its_capacity)
