Log and count why a run is released, and what a restarted worker was told

Each released run now has a line and a counter with its evidence, and a restart of a worker says which ends its new process was told to forget.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -21,6 +21,7 @@
 
 #include "sesamesill/clock.h"
 #include "sesamesill/pool_admission.h"
+#include "sesamesill/pool_evidence.h"
 #include "sesamesill/pool_job.h"
 #include "sesamesill/pool_order.h"
 #include "sesamesill/pool_ports.h"
@@ -53,7 +54,7 @@
     worker_verified, ///< its predecessors' runs are known to have ended, without a report
     worker_restarted,
     worker_avoided,
-    run_missing,
+    run_released, ///< without a report of its end
     run_adopted,
     end_ignored
 };
@@ -70,6 +71,7 @@
     std::int64_t age_ms = 0; ///< age of the deciding input
     /// Age of the directory read that a start order is based on.
     std::optional<std::int64_t> directory_age_ms;
+    std::optional<evidence_source> evidence; ///< why a run was released
 };
 
 enum class admission : std::uint8_t { accept, known, refuse };
@@ -298,14 +300,14 @@
     void move_slow_runs(const worker& w, const worker_report& report, time_point now);
     void release_missing_runs(worker& w, const worker_report& report, time_point sent,
                               time_point now);
-    void release_run(worker& w, const run_record& run, time_point now);
+    void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, order_verdict verdict);
-    void note_process(worker& w, std::int64_t start_time_ms);
+    void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end);
     void note_first_answer(worker& w, time_point now);
     void mark_older_incarnations_lost(const worker_entry& entry, time_point now);
     bool has_newer_incarnation(const worker_entry& entry) const;
-    void mark_worker_lost(worker& w, run_evidence evidence, time_point now);
-    void mark_verified(const std::string& id, run_evidence evidence);
+    void mark_worker_lost(worker& w, evidence_source evidence, time_point now);
+    void mark_verified(const std::string& id, evidence_source evidence);
     void restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now);
 
     std::uint64_t fence_;
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -26,19 +26,6 @@
     stop_acknowledged ///< the worker has accepted the stop: the run has ended or will never begin
 };
 
-/// What shows that a leader knows all runs that its predecessors started on a worker. Silence and
-/// connections that fail are no evidence: a worker that is cut off runs on until its lease expires.
-enum class run_evidence : std::uint8_t {
-    report,            ///< the worker has listed its runs
-    other_incarnation, ///< another incarnation answers at its address
-    newer_incarnation, ///< the directory has a newer incarnation on its machine
-    left_as_announced, ///< it drained, its entry was removed, and nothing listens at its address
-    lease_expired,     ///< all leases that it may have been granted have expired
-    complete_directory ///< a read of the directory that shows every live worker
-};
-
-std::string_view name_of(run_evidence evidence);
-
 /// A run that has capacity allocated, from its start order until the worker lists its end.
 struct run_record {
     task_id task;
@@ -46,6 +33,7 @@
     resources allocated;
     run_phase phase = run_phase::starting;
     bool adopted = false; ///< started by an earlier leader, so its start time isn't known
+    int sends = 0;        ///< how often the start was sent
     time_point ordered_at;
     std::optional<time_point> confirmed_at; ///< first time that the worker reported the run
     time_point stop_acknowledged_at;        ///< valid in phase `stop_acknowledged`
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -290,6 +290,13 @@
         if (d.directory_age_ms) {
             fields.push_back({"directory_age_ms", *d.directory_age_ms});
         }
+        if (d.evidence) {
+            const std::string evidence(name_of(*d.evidence));
+            fields.push_back({"evidence", evidence});
+            process_metrics().counter("sesamesill_pool_released_runs_total",
+                                      "Runs released without a report of their end",
+                                      {{"evidence", evidence}})++;
+        }
         log_event(log_level::info, kind, fields);
     }
 }
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -225,11 +225,13 @@
 }
 
 /// Sets the expiry of a start order that is sent now, and the end of the lease that it grants.
+/// Counts the send.
 void scheduler::set_expiry(worker& w, run_record& run, start_order& order, time_point now)
 {
     const millis validity = order_validity(now);
     order.until_ms = std::max(order.until_ms, w.clock_at(now) + validity.count());
     run.until_ms = order.until_ms;
+    ++run.sends;
     w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, validity));
     w.lease_before_poll = std::max(w.lease_before_poll, lease_end(now, validity));
 }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -22,13 +22,13 @@
 
 } // namespace
 
-void scheduler::mark_verified(const std::string& id, run_evidence evidence)
+void scheduler::mark_verified(const std::string& id, evidence_source evidence)
 {
     if (unverified_workers_.erase(id) == 0) {
         return;
     }
     placing_needed_ = true;
-    if (evidence != run_evidence::report) {
+    if (evidence != evidence_source::report) {
         add_decision(decision_kind::worker_verified, "", id, std::string(name_of(evidence)));
     }
 }
@@ -43,7 +43,7 @@
         const worker_entry& older = other.second.entry;
         if (older.machine == entry.machine && other.first != entry.id &&
             older.start_time_ms < entry.start_time_ms && !other.second.lost) {
-            mark_worker_lost(other.second, run_evidence::newer_incarnation, now);
+            mark_worker_lost(other.second, evidence_source::newer_incarnation, now);
         }
     }
 }
@@ -90,7 +90,7 @@
         }
         add_decision(decision_kind::worker_joined, "", entry.id, entry.data_center + labels);
         if (has_newer_incarnation(entry)) {
-            mark_worker_lost(added, run_evidence::newer_incarnation, now);
+            mark_worker_lost(added, evidence_source::newer_incarnation, now);
         }
     }
     else {
@@ -138,15 +138,18 @@
         w.poll_until_ms.reset();
     }
     if (verdict == order_verdict::no_listener && w.entry.draining && !w.listed && !w.heard) {
-        mark_verified(order.worker, run_evidence::left_as_announced);
+        mark_verified(order.worker, evidence_source::left_as_announced);
     }
 }
 
-/// Notes which process of the worker answered; a new one numbers its ends from 1 again.
-void scheduler::note_process(worker& w, std::int64_t start_time_ms)
+/// Notes which process of the worker answered a poll that acknowledged ends up to
+/// `acknowledged_end`. A new process numbers its ends from 1 again.
+void scheduler::note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end)
 {
     if (w.reported_start_ms != 0 && start_time_ms > w.reported_start_ms) {
-        add_decision(decision_kind::worker_restarted, "", w.entry.id, "its process was restarted");
+        add_decision(decision_kind::worker_restarted, "", w.entry.id,
+                     "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
+                         " were acknowledged to the new one before it was known");
         w.highest_end_seen = 0;
         w.acknowledged_end = 0;
         workers_with_ends_.erase(w.entry.id);
@@ -173,7 +176,7 @@
         note_unsent_poll(*w, order, verdict);
     }
     if (verdict == order_verdict::replaced) {
-        mark_worker_lost(*w, run_evidence::other_incarnation, now);
+        mark_worker_lost(*w, evidence_source::other_incarnation, now);
         return;
     }
     if (verdict != order_verdict::accepted) {
@@ -185,7 +188,7 @@
     w->last_answer = now;
     w->clock_ms = report.clock_ms;
     w->clock_read_at = now;
-    note_process(*w, report.start_time_ms);
+    note_process(*w, report.start_time_ms, order.acknowledged_end);
     if (w->lost) {
         w->lost = false;
         placing_needed_ = true;
@@ -205,7 +208,7 @@
     }
     if (report.ended.size() < max_reported_ends) { // a missing run may be in the next report
         release_missing_runs(*w, report, sent, now);
-        mark_verified(order.worker, run_evidence::report);
+        mark_verified(order.worker, evidence_source::report);
     }
     update_progress_rate(*w, report, now);
 }
@@ -426,13 +429,11 @@
     }
     for (const std::pair<std::string, std::int64_t>& key : missing) {
         const run_record run = w.runs.find(key)->second;
-        add_decision(decision_kind::run_missing, run.task.job, w.entry.id, key.first,
-                     to_millis(now - run.ordered_at));
-        release_run(w, run, now);
+        release_run(w, run, evidence_source::report, now);
     }
 }
 
-void scheduler::mark_worker_lost(worker& w, run_evidence evidence, time_point now)
+void scheduler::mark_worker_lost(worker& w, evidence_source evidence, time_point now)
 {
     if (!w.lost) {
         add_decision(decision_kind::worker_lost, "", w.entry.id, std::string(name_of(evidence)),
@@ -442,7 +443,7 @@
     w.heard = false;
     while (!w.runs.empty()) {
         const run_record run = w.runs.begin()->second;
-        release_run(w, run, now);
+        release_run(w, run, evidence, now);
     }
     mark_verified(w.entry.id, evidence);
     placing_needed_ = true;
@@ -459,20 +460,20 @@
             }
         }
         if (!w.lost && now > w.lease_expires_at && !w.is_responsive(now)) {
-            mark_worker_lost(w, run_evidence::lease_expired, now);
+            mark_worker_lost(w, evidence_source::lease_expired, now);
         }
     }
     if (!unverified_workers_.empty() && now > verify_until_) {
         while (!unverified_workers_.empty()) {
             const std::string id = *unverified_workers_.begin();
-            mark_verified(id, run_evidence::lease_expired);
+            mark_verified(id, evidence_source::lease_expired);
         }
     }
     for (auto w = workers_.begin(); w != workers_.end();) {
         const bool removable = !w->second.listed && w->second.runs.empty() &&
                                (w->second.lost || now > w->second.lease_expires_at);
         if (removable) {
-            mark_verified(w->first, run_evidence::lease_expired);
+            mark_verified(w->first, evidence_source::lease_expired);
             workers_with_ends_.erase(w->first);
             workers_by_number_[w->second.number] = nullptr;
         }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -86,9 +86,15 @@
 }
 
 /// Frees the capacity of a run. Its task becomes waiting unless it has another run.
-void scheduler::release_run(worker& w, const run_record& run, time_point now)
+void scheduler::release_run(worker& w, const run_record& run, evidence_source evidence,
+                            time_point now)
 {
     const run_record copy = run;
+    add_decision(decision_kind::run_released, copy.task.job, w.entry.id,
+                 to_string(copy.task) + " run " + std::to_string(copy.run) + ", sent " +
+                     std::to_string(copy.sends) + " times",
+                 to_millis(now - copy.ordered_at));
+    decisions_.back().evidence = evidence;
     drop_run(w, to_string(copy.task), copy.run);
     placing_needed_ = true;
     const auto known = jobs_.find(copy.task.job);
@@ -157,7 +163,8 @@
         return;
     }
     add_decision(decision_kind::start_failed, run.task.job, order.worker,
-                 order.task + ": " + std::string(name_in(verdict_names, verdict)),
+                 order.task + ": " + std::string(name_in(verdict_names, verdict)) + ", attempt " +
+                     std::to_string(order.attempts),
                  to_millis(now - run.ordered_at));
     if (run.phase != run_phase::starting) {
         return; // it is being stopped, or its worker has reported it in the meantime
@@ -221,7 +228,7 @@
         stop_task(run.task, now);
         return;
     }
-    release_run(w, run, now);
+    release_run(w, run, evidence_source::start_refusal, now);
 }
 
 void scheduler::on_stop(const stop_order& order, order_verdict verdict, time_point now)
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -36,7 +36,7 @@
      {decision_kind::worker_verified, "worker_verified"},
      {decision_kind::worker_restarted, "worker_reborn"},
      {decision_kind::worker_avoided, "worker_avoided"},
-     {decision_kind::run_missing, "run_vanished"},
+     {decision_kind::run_released, "run_released"},
      {decision_kind::run_adopted, "run_adopted"},
      {decision_kind::end_ignored, "end_not_taken"}}};
 
@@ -58,7 +58,7 @@
     const auto known = jobs_.find(job);
     const std::string queue =
         known != jobs_.end() ? known->second.progress.spec().queue : std::string();
-    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms, std::nullopt});
+    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms, {}, {}});
 }
 
 /// Adds a decision about the start order of a run, with the age of the directory read.
@@ -241,7 +241,7 @@
     directory_lost_at_.reset();
     placing_needed_ = true;
     if (begun > restored_at_ && begun >= entries_back_at_) {
-        mark_verified(undiscovered_workers, run_evidence::complete_directory);
+        mark_verified(undiscovered_workers, evidence_source::complete_directory);
     }
 }
 
--- a/src/pool_worker.cc
+++ b/src/pool_worker.cc
@@ -26,21 +26,8 @@
 constexpr int slow_min_runs = 3;         ///< fewer runs may just be longer than estimated
 constexpr double min_speed = 0.02;       ///< above zero, as a stalled run resumes at some time
 
-constexpr name_table<run_evidence, 6> evidence_names{
-    {{run_evidence::report, "it reported its runs"},
-     {run_evidence::other_incarnation, "another incarnation answers at its address"},
-     {run_evidence::newer_incarnation, "its machine runs a newer incarnation"},
-     {run_evidence::left_as_announced, "it drained and left"},
-     {run_evidence::lease_expired, "its lease has expired"},
-     {run_evidence::complete_directory, "the directory shows every live worker"}}};
-
 } // namespace
 
-std::string_view name_of(run_evidence evidence)
-{
-    return name_in(evidence_names, evidence);
-}
-
 bool is_outdated(const worker_entry& entry, const worker_entry& known)
 {
     if (entry.start_time_ms != known.start_time_ms) {
