Acknowledge ends only to the process of a worker that reported them

Each poll named the highest recorded end, also the first one that reached a worker's new process. That process numbers its ends from 1, so it dropped the ends of its first runs before they were reported; the run counted as missing, was released, and its task started elsewhere.

Ruled out: to wait with starts until each new process is known; a start reaches whichever process listens. Change: a poll acknowledges ends once, until it has an answer, and only while the worker's latest answers come from the process that reported them: not after a poll without an answer, after a clock that went back, or after a newer directory entry.

--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -80,9 +80,13 @@
     time_point listed_at; ///< when the leader read the worker's entry
     std::map<std::pair<std::string, std::int64_t>, run_record> runs; ///< by task and run number
     resources allocated;
-    std::int64_t reported_start_ms = 0;   ///< Unix time of the process's start, from its reports
-    std::uint64_t highest_end_seen = 0;   ///< highest number of a handled end, of this process
-    std::uint64_t acknowledged_end = 0;   ///< highest number up to which all ends are recorded
+    std::int64_t reported_start_ms = 0; ///< Unix time of the process's start, from its reports
+    std::uint64_t highest_end_seen = 0; ///< highest number of a handled end, of this process
+    std::uint64_t acknowledged_end = 0; ///< highest number up to which all ends are recorded
+    std::uint64_t dropped_end = 0;      ///< highest number that a poll with an answer acknowledged
+    /// Whether its latest answers come from the process that `reported_start_ms` names.
+    /// Invariant: otherwise no poll acknowledges ends, as another process numbers them anew.
+    bool process_known = false;
     std::optional<std::int64_t> clock_ms; ///< its steady clock, as last reported
     time_point clock_read_at;             ///< when `clock_ms` was received
     time_point lease_sent;                ///< when the last order with a lease was sent
@@ -98,6 +102,11 @@
     {
         return clock_ms.value_or(0) + to_millis(now - clock_read_at);
     }
+    /// Returns the number up to which the next poll acknowledges ends; 0 for none.
+    std::uint64_t end_to_acknowledge() const
+    {
+        return process_known && acknowledged_end > dropped_end ? acknowledged_end : 0;
+    }
     /// Returns the capacity that no run has allocated.
     resources room() const { return entry.capacity - allocated; }
     /// Returns whether its last answer is recent enough for a renewal of its lease.
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -108,6 +108,7 @@
         }
         w.entry = entry;
         w.listed = true;
+        w.process_known = w.process_known && entry.start_time_ms <= w.reported_start_ms;
     }
     placing_needed_ = true;
 }
@@ -152,9 +153,14 @@
                          " were acknowledged to the new one before it was known");
         w.highest_end_seen = 0;
         w.acknowledged_end = 0;
+        w.dropped_end = 0;
         workers_with_ends_.erase(w.entry.id);
     }
+    else {
+        w.dropped_end = std::max(w.dropped_end, acknowledged_end);
+    }
     w.reported_start_ms = start_time_ms;
+    w.process_known = true;
     if (start_time_ms > w.entry.start_time_ms) {
         w.entry.start_time_ms = start_time_ms;
         w.entry.revision = 0; // the entry in the directory is still that of the previous process
@@ -180,6 +186,7 @@
         return;
     }
     if (verdict != order_verdict::accepted) {
+        w->process_known = false; // it may have been restarted
         return;
     }
     if (report.start_time_ms < w->reported_start_ms) {
@@ -492,7 +499,7 @@
     order.worker = id;
     order.address = w->entry.address;
     order.fence = fence_;
-    order.acknowledged_end = w->acknowledged_end;
+    order.acknowledged_end = w->end_to_acknowledge();
     order.wait = wait;
     if (w->clock_ms && w->is_responsive(now)) {
         const millis length = granted_lease(bounds_);
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -143,6 +143,7 @@
         }
         w->last_answer = now;
         if (clock_ms > 0) {
+            w->process_known = w->process_known && clock_ms >= w->clock_ms.value_or(0);
             w->clock_ms = clock_ms;
             w->clock_read_at = now;
         }
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -178,6 +178,17 @@
     cr_assert(cell.is_complete(second_job, 302));
 }
 
+Test(pool_restart, a_poll_after_a_newer_directory_entry_acknowledges_no_ends)
+{
+    restarting_cell cell;
+    cell.finish_first_job();
+    cell.restart(40);
+    worker_entry entry = worker_of("w1");
+    entry.start_time_ms = wall_start_ms + 40;
+    cell.s.list_worker(entry, at_ms(60));
+    cr_assert_eq(cell.s.next_poll("w1", millis(0), at_ms(61))->acknowledged_end, 0);
+}
+
 Test(pool_restart, a_late_start_does_not_begin_at_the_next_process_beside_another_run)
 {
     restarting_cell cell;
