Take a worker's clock from reports alone

A worker that is cut off could run on beside the next run of its task (TWICE): a delayed answer to a start, of the worker's previous process, set the leader's view of its clock. The next lease was then given to a time far ahead; the worker shortens it to the longest lease, which is longer than the leader believes.

Evidence: pool_restart/a_delayed_start_answer_of_the_previous_process_does_not_set_the_clock failed before. Ruled out: to compare the clock with the expected one, as two workers' processes may differ by little. Change: reports name their process, answers to starts don't, so only reports set the clock.

--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -142,10 +142,10 @@
                                to_millis(now - run.ordered_at), now);
         }
         w->last_answer = now;
-        if (clock_ms > 0) {
-            w->process_known = w->process_known && clock_ms >= w->clock_ms.value_or(0);
-            w->clock_ms = clock_ms;
-            w->clock_read_at = now;
+        // The answer doesn't name its process, so it may be of the previous one: only reports set
+        // the clock.
+        if (clock_ms > 0 && clock_ms < w->clock_ms.value_or(0)) {
+            w->process_known = false;
         }
         if (!run.confirmed_at) {
             run.confirmed_at = now;
