Judge in one place whether a run is over

A task could start twice (TWICE) because the evidence that a run isn't at work was judged at five places, each with its own idea of who had said it and when: a refused start, a run that a report lacks, a lost worker, a verified worker, an acknowledged stop. None of them looked at the process of the worker that had said it. A repeat of a start that was executed late by a worker's next process ran beside the next run of the task, as that process has seen no stop and its clock has started anew; and a delayed refusal at a worker's address released runs that it had listed since.

Change: run_evidence carries who said it, when it was asked, by which process and whether it is complete; fate_of says whether a run is over, may run, or may still begin, in which case it is stopped first. Places that learn something only build the value.

Found by reading.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -283,6 +283,7 @@
     void start_task(waiting_step& ws, int index, worker& w, std::int64_t run, time_point now);
     std::int64_t next_run(const step_record& step, int index) const;
     void send_stop(worker& w, run_record& run, time_point now);
+    void stop_run(worker& w, run_record& run, time_point now);
     void stop_task(const task_id& id, time_point now);
     void finish_job(job_entry& entry, time_point now);
     void handle_start_refusal(worker& w, run_record& run, const start_order& order,
@@ -298,16 +299,19 @@
     const step_spec* step_of(const task_id& id) const;
     void update_progress_rate(worker& w, const worker_report& report, time_point now);
     void move_slow_runs(const worker& w, const worker_report& report, time_point now);
-    void release_missing_runs(worker& w, const worker_report& report, time_point sent,
+    void release_missing_runs(worker& w, const worker_report& report, const run_evidence& evidence,
                               time_point now);
+    void settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now);
     void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
-    void note_unsent_poll(worker& w, const poll_order& order, order_verdict verdict);
-    void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end);
+    void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
+                          order_verdict verdict);
+    void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
+                      time_point now);
     void note_first_answer(worker& w, time_point now);
     void mark_older_incarnations_lost(const worker_entry& entry, time_point now);
     bool has_newer_incarnation(const worker_entry& entry) const;
-    void mark_worker_lost(worker& w, evidence_source evidence, time_point now);
-    void mark_verified(const std::string& id, evidence_source evidence);
+    void mark_worker_lost(worker& w, const run_evidence& evidence, time_point now);
+    void mark_verified(const std::string& id, const run_evidence& evidence);
     void restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now);
 
     std::uint64_t fence_;
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -37,7 +37,11 @@
     time_point ordered_at;
     std::optional<time_point> confirmed_at; ///< first time that the worker reported the run
     time_point stop_acknowledged_at;        ///< valid in phase `stop_acknowledged`
-    std::int64_t until_ms = 0;              ///< expiry of the start order, on the worker's clock
+    /// Expiry of the start order, on the clock of the process `process_start_ms`.
+    std::int64_t until_ms = 0;
+    /// Start time of the worker's process that was the known one when it was last ordered or
+    /// reported.
+    std::int64_t process_start_ms = 0;
     int percent = -1;                  ///< last compared progress of its work; -1 if never compared
     std::int64_t percent_clock_ms = 0; ///< time of that comparison, on the worker's clock
 };
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -22,14 +22,14 @@
 
 } // namespace
 
-void scheduler::mark_verified(const std::string& id, evidence_source evidence)
+void scheduler::mark_verified(const std::string& id, const run_evidence& evidence)
 {
-    if (unverified_workers_.erase(id) == 0) {
+    if (!shows_all_runs(evidence) || unverified_workers_.erase(id) == 0) {
         return;
     }
     placing_needed_ = true;
-    if (evidence != evidence_source::report) {
-        add_decision(decision_kind::worker_verified, "", id, std::string(name_of(evidence)));
+    if (evidence.source != evidence_source::report) {
+        add_decision(decision_kind::worker_verified, "", id, std::string(name_of(evidence.source)));
     }
 }
 
@@ -43,7 +43,7 @@
         const worker_entry& older = other.second.entry;
         if (older.machine == entry.machine && other.first != entry.id &&
             older.start_time_ms < entry.start_time_ms && !other.second.lost) {
-            mark_worker_lost(other.second, evidence_source::newer_incarnation, now);
+            mark_worker_lost(other.second, {evidence_source::newer_incarnation, now}, now);
         }
     }
 }
@@ -90,7 +90,7 @@
         }
         add_decision(decision_kind::worker_joined, "", entry.id, entry.data_center + labels);
         if (has_newer_incarnation(entry)) {
-            mark_worker_lost(added, evidence_source::newer_incarnation, now);
+            mark_worker_lost(added, {evidence_source::newer_incarnation, now}, now);
         }
     }
     else {
@@ -132,20 +132,22 @@
 }
 
 /// Handles a poll that the worker has not seen, nor the lease that it carried.
-void scheduler::note_unsent_poll(worker& w, const poll_order& order, order_verdict verdict)
+void scheduler::note_unsent_poll(worker& w, const poll_order& order, time_point sent,
+                                 order_verdict verdict)
 {
     if (order.until_ms && order.until_ms == w.poll_until_ms) {
         w.lease_expires_at = w.lease_before_poll;
         w.poll_until_ms.reset();
     }
     if (verdict == order_verdict::no_listener && w.entry.draining && !w.listed && !w.heard) {
-        mark_verified(order.worker, evidence_source::left_as_announced);
+        mark_verified(order.worker, {evidence_source::left_as_announced, sent});
     }
 }
 
 /// Notes which process of the worker answered a poll that acknowledged ends up to
 /// `acknowledged_end`. A new process numbers its ends from 1 again.
-void scheduler::note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end)
+void scheduler::note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
+                             time_point now)
 {
     if (w.reported_start_ms != 0 && start_time_ms > w.reported_start_ms) {
         add_decision(decision_kind::worker_restarted, "", w.entry.id,
@@ -155,6 +157,9 @@
         w.acknowledged_end = 0;
         w.dropped_end = 0;
         workers_with_ends_.erase(w.entry.id);
+        // A late start still carries an expiry by the previous process's clock, and the lease that
+        // it grants is limited by the platform only.
+        w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, bounds_.max_lease));
     }
     else {
         w.dropped_end = std::max(w.dropped_end, acknowledged_end);
@@ -179,10 +184,10 @@
         return;
     }
     if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
-        note_unsent_poll(*w, order, verdict);
+        note_unsent_poll(*w, order, sent, verdict);
     }
     if (verdict == order_verdict::replaced) {
-        mark_worker_lost(*w, evidence_source::other_incarnation, now);
+        mark_worker_lost(*w, {evidence_source::other_incarnation, sent}, now);
         return;
     }
     if (verdict != order_verdict::accepted) {
@@ -195,7 +200,7 @@
     w->last_answer = now;
     w->clock_ms = report.clock_ms;
     w->clock_read_at = now;
-    note_process(*w, report.start_time_ms, order.acknowledged_end);
+    note_process(*w, report.start_time_ms, order.acknowledged_end, now);
     if (w->lost) {
         w->lost = false;
         placing_needed_ = true;
@@ -213,10 +218,10 @@
     for (const running_task& row : report.running) {
         handle_running(*w, row, now);
     }
-    if (report.ended.size() < max_reported_ends) { // a missing run may be in the next report
-        release_missing_runs(*w, report, sent, now);
-        mark_verified(order.worker, evidence_source::report);
-    }
+    run_evidence evidence{evidence_source::report, sent, report.start_time_ms, report.clock_ms};
+    evidence.complete = report.ended.size() < max_reported_ends; // else the next report has more
+    release_missing_runs(*w, report, evidence, now);
+    mark_verified(order.worker, evidence);
     update_progress_rate(*w, report, now);
 }
 
@@ -359,6 +364,7 @@
     reported.phase = run_phase::running;
     reported.ordered_at = now;
     reported.confirmed_at = now;
+    reported.process_start_ms = w.reported_start_ms;
     reported.adopted = true;
     const bool step_known = known != jobs_.end() &&
                             id->step < static_cast<int>(known->second.progress.spec().steps.size());
@@ -390,6 +396,7 @@
     if (!run->second.confirmed_at) {
         run->second.confirmed_at = now;
     }
+    run->second.process_start_ms = w.reported_start_ms;
     const auto known = jobs_.find(run->second.task.job);
     if (known == jobs_.end()) {
         return;
@@ -411,9 +418,9 @@
     }
 }
 
-/// Releases runs that the worker doesn't report although it would if they were active.
-void scheduler::release_missing_runs(worker& w, const worker_report& report, time_point sent,
-                                     time_point now)
+/// Settles the runs that the worker's report doesn't list.
+void scheduler::release_missing_runs(worker& w, const worker_report& report,
+                                     const run_evidence& evidence, time_point now)
 {
     std::set<std::pair<std::string, std::int64_t>> listed;
     for (const running_task& row : report.running) {
@@ -421,36 +428,28 @@
     }
     std::vector<std::pair<std::string, std::int64_t>> missing;
     for (const std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
-        const run_record& run = r.second;
-        if (listed.count(r.first) > 0) {
-            continue;
-        }
-        const bool ended = run.confirmed_at && *run.confirmed_at < sent;
-        const bool stop_acknowledged =
-            run.phase == run_phase::stop_acknowledged && run.stop_acknowledged_at < sent;
-        const bool expired = !run.confirmed_at && run.ordered_at < sent &&
-                             report.clock_ms > run.until_ms && run.until_ms > 0;
-        if (ended || stop_acknowledged || expired) {
+        if (listed.count(r.first) == 0) {
             missing.push_back(r.first);
         }
     }
     for (const std::pair<std::string, std::int64_t>& key : missing) {
-        const run_record run = w.runs.find(key)->second;
-        release_run(w, run, evidence_source::report, now);
+        settle_run(w, w.runs.find(key)->second, evidence, now);
     }
 }
 
-void scheduler::mark_worker_lost(worker& w, evidence_source evidence, time_point now)
+void scheduler::mark_worker_lost(worker& w, const run_evidence& evidence, time_point now)
 {
+    if (!shows_worker_gone(w, evidence)) {
+        return;
+    }
     if (!w.lost) {
-        add_decision(decision_kind::worker_lost, "", w.entry.id, std::string(name_of(evidence)),
-                     to_millis(now - w.last_answer));
+        add_decision(decision_kind::worker_lost, "", w.entry.id,
+                     std::string(name_of(evidence.source)), to_millis(now - w.last_answer));
     }
     w.lost = true;
     w.heard = false;
     while (!w.runs.empty()) {
-        const run_record run = w.runs.begin()->second;
-        release_run(w, run, evidence, now);
+        settle_run(w, w.runs.begin()->second, evidence, now);
     }
     mark_verified(w.entry.id, evidence);
     placing_needed_ = true;
@@ -467,20 +466,20 @@
             }
         }
         if (!w.lost && now > w.lease_expires_at && !w.is_responsive(now)) {
-            mark_worker_lost(w, evidence_source::lease_expired, now);
+            mark_worker_lost(w, {evidence_source::lease_expired, now}, now);
         }
     }
     if (!unverified_workers_.empty() && now > verify_until_) {
         while (!unverified_workers_.empty()) {
             const std::string id = *unverified_workers_.begin();
-            mark_verified(id, evidence_source::lease_expired);
+            mark_verified(id, {evidence_source::lease_expired, now});
         }
     }
     for (auto w = workers_.begin(); w != workers_.end();) {
         const bool removable = !w->second.listed && w->second.runs.empty() &&
                                (w->second.lost || now > w->second.lease_expires_at);
         if (removable) {
-            mark_verified(w->first, evidence_source::lease_expired);
+            mark_verified(w->first, {evidence_source::lease_expired, now});
             workers_with_ends_.erase(w->first);
             workers_by_number_[w->second.number] = nullptr;
         }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -53,9 +53,38 @@
         run->second.phase == run_phase::stop_acknowledged) {
         return;
     }
-    known->second.progress.stopping(id);
-    send_stop(*w, run->second, now);
-    add_decision(decision_kind::stopped, id.job, w->entry.id, to_string(id));
+    stop_run(*w, run->second, now);
+}
+
+/// Stops a run, again if its worker was restarted since an earlier stop.
+void scheduler::stop_run(worker& w, run_record& run, time_point now)
+{
+    const auto known = jobs_.find(run.task.job);
+    const task_record* task =
+        known != jobs_.end() ? known->second.progress.find(run.task) : nullptr;
+    const bool current = task != nullptr && task->worker == w.entry.id && task->run == run.run;
+    if (current && (task->phase == task_phase::starting || task->phase == task_phase::running)) {
+        known->second.progress.stopping(run.task);
+    }
+    run.process_start_ms = w.reported_start_ms;
+    send_stop(w, run, now);
+    add_decision(decision_kind::stopped, run.task.job, w.entry.id, to_string(run.task));
+}
+
+/// Releases or stops a run that the evidence doesn't name as running or ended.
+void scheduler::settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now)
+{
+    switch (fate_of(run, evidence)) {
+    case run_fate::may_run:
+        break;
+    case run_fate::may_begin:
+        run.confirmed_at.reset(); // by a process that has ended since
+        stop_run(w, run, now);
+        break;
+    case run_fate::over:
+        release_run(w, run, evidence.source, now);
+        break;
+    }
 }
 
 /// Removes a run that has ended from its worker; returns whether it was known.
@@ -177,9 +206,6 @@
 void scheduler::handle_start_refusal(worker& w, run_record& run, const start_order& order,
                                      order_verdict verdict, time_point now)
 {
-    // The worker may have executed an earlier send without an answer. Only a report tells that it
-    // hasn't, or that it has stopped the run.
-    const bool may_have_begun = order.attempts > 1;
     switch (verdict) {
     case order_verdict::unknown:
         if (order.attempts < start_attempts) {
@@ -225,11 +251,9 @@
         break;
     }
     }
-    if (may_have_begun) {
-        stop_task(run.task, now);
-        return;
-    }
-    release_run(w, run, evidence_source::start_refusal, now);
+    run_evidence refusal{evidence_source::start_refusal, now};
+    refusal.complete = order.attempts <= 1; // else the worker may have executed an earlier send
+    settle_run(w, run, refusal, now);
 }
 
 void scheduler::on_stop(const stop_order& order, order_verdict verdict, time_point now)
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -241,7 +241,7 @@
     directory_lost_at_.reset();
     placing_needed_ = true;
     if (begun > restored_at_ && begun >= entries_back_at_) {
-        mark_verified(undiscovered_workers, evidence_source::complete_directory);
+        mark_verified(undiscovered_workers, {evidence_source::complete_directory, begun});
     }
 }
 
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -228,3 +228,17 @@
     const std::int64_t longest_lease = granted_lease(platform_bounds()).count();
     cr_assert_leq(*next.until_ms, cell.process.clock_ms(5300) + longest_lease);
 }
+
+Test(pool_restart, a_delayed_refusal_at_an_old_address_does_not_release_runs)
+{
+    restarting_cell cell;
+    const start_order order = cell.start_one(first_job, 10);
+    cell.accept(order, 12);
+    const poll_order delayed = *cell.s.next_poll("w1", millis(0), at_ms(20));
+    cell.s.on_poll(delayed, at_ms(20), order_verdict::unknown, {}, at_ms(320));
+    cell.poll(330);
+    cell.s.list_worker(worker_of("w2"), at_ms(331));
+    poll_worker(cell.s, "w2", {}, 332);
+    cell.s.on_poll(delayed, at_ms(20), order_verdict::replaced, {}, at_ms(340));
+    cr_assert_eq(place(cell.s, 341).size(), 0, "the first worker has listed the run since");
+}
