Report a request as never sent only if none of its bytes were written

The HTTP client took a socket that isn't connected at the connect timeout for one that had not been connected yet; it isn't connected after a reset either. Usually the reset is seen first, but a loop that has stood still handles the timers after its first 32 events.

Ruled out: TCP_INFO, which not every platform has. Change: a new connection counts as connecting until bytes have left its output buffer.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -62,7 +62,8 @@
     event* timer = nullptr;
     endpoint to;
     http_done done;
-    bool connecting = false;       ///< the connection isn't known to be established yet
+    evbuffer_cb_entry* output_watch = nullptr;
+    bool connecting = false;       ///< on a new connection, while nothing has been written
     bool headers_received = false; ///< the response headers have arrived
     time_point connect_deadline;
     time_point first_byte_deadline;
@@ -114,9 +115,23 @@
     return fd >= 0 && getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
 }
 
+evbuffer* output_of(const exchange& x)
+{
+    return bufferevent_get_output(evhttp_connection_get_bufferevent(x.connection));
+}
+
+/// Notes that bytes have left the output buffer. The state of the socket doesn't tell that: it
+/// isn't connected after a reset either.
+void on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* change, void* argument)
+{
+    exchange* x = static_cast<exchange*>(argument);
+    x->connecting = x->connecting && change->n_deleted == 0;
+}
+
 /// Returns the connection to the pool or closes it, then passes the result to the sender.
 void complete(std::unique_ptr<exchange> x, std::optional<http_reply> reply, const error& why)
 {
+    evbuffer_remove_cb_entry(output_of(*x), x->output_watch);
     event_free(x->timer);
     x->timer = nullptr;
     const std::shared_ptr<http_client::state> client = x->client.lock();
@@ -227,7 +242,6 @@
     exchange* x = static_cast<exchange*>(argument);
     const time_point now = boot_clock::now();
     extend_deadline(*x, now);
-    x->connecting = x->connecting && !is_connected(x->connection);
     if (now < next_deadline(*x)) {
         schedule_timer(*x, now);
         return;
@@ -394,6 +408,7 @@
     x->first_byte_deadline =
         call.first_byte_timeout > millis(0) ? now + call.first_byte_timeout : x->deadline;
     x->request = build_request(*x, call, state_->name);
+    x->output_watch = evbuffer_add_cb(output_of(*x), on_output, x.get());
     state_->sent += call.body.size() + call.path.size() + header_estimate;
     exchange* in_flight = x.release(); // freed by `complete`
     in_flight->timer = event_new(state_->loop.internals().base, -1, 0, on_timer, in_flight);
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -362,3 +362,45 @@
     }
     cr_assert_eq(captured.use_count(), 1);
 }
+
+Test(http, a_request_that_was_written_is_never_reported_as_not_sent)
+{
+    // The peer resets more connections than the loop handles at once while the loop stands still
+    // beyond the connect timeout.
+    constexpr int calls = 40;
+    event_loop loop;
+    http_client client(loop, "client");
+    const raw_socket server;
+    const std::uint16_t port = server.listen_only();
+    cr_assert_eq(listen(server.fd, 2 * calls), 0);
+    int failed = 0;
+    int reported_as_not_sent = 0;
+    const auto send_half = [&] {
+        for (int i = 0; i < calls / 2; ++i) {
+            http_call call;
+            call.timeout = millis(2000);
+            call.connect_timeout = millis(100);
+            client.send({"127.0.0.1", port}, call,
+                        [&](const std::optional<http_reply>&, const error& why) {
+                            ++failed;
+                            reported_as_not_sent += why.code != error_code::timeout ? 1 : 0;
+                            if (failed == calls) {
+                                loop.stop();
+                            }
+                        });
+        }
+    };
+    send_half();
+    loop.after(millis(20), send_half);
+    loop.after(millis(60), [&] {
+        for (int i = 0; i < calls; ++i) {
+            const int accepted = accept(server.fd, nullptr, nullptr);
+            const linger reset{1, 0};
+            setsockopt(accepted, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+            close(accepted);
+        }
+        usleep(200000);
+    });
+    loop.run();
+    cr_assert_eq(reported_as_not_sent, 0, "%d of %d", reported_as_not_sent, calls);
+}
