--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
 
 #include "pool_fixture.h"
 
@@ -242,3 +243,263 @@
     cell.s.on_poll(delayed, at_ms(20), order_verdict::replaced, {}, at_ms(340));
     cr_assert_eq(place(cell.s, 341).size(), 0, "the first worker has listed the run since");
 }
+
+// Tests of the review. Those that fail show faults that are still there.
+
+namespace {
+
+/// Polls the worker, delivers all stops and accepts all starts; returns the starts.
+std::vector<start_order> serve(restarting_cell& cell, std::int64_t ms)
+{
+    cell.poll(ms);
+    for (const stop_order& stop : cell.s.take_stops()) {
+        cell.s.on_stop(stop, cell.process.stop(stop), at_ms(ms + 2));
+    }
+    std::vector<start_order> orders = place(cell.s, ms + 3);
+    for (const start_order& order : orders) {
+        cell.accept(order, ms + 4);
+    }
+    return orders;
+}
+
+/// Sends a start of the first job three times at `ms` without an answer; returns the first send.
+/// The stop is next.
+start_order send_without_answer(restarting_cell& cell, std::int64_t ms)
+{
+    const start_order first = cell.start_one(first_job, ms);
+    cell.s.on_start(first, order_verdict::unknown, 0, at_ms(ms + 130));
+    const std::vector<start_order> second = cell.s.take_starts();
+    cr_assert_eq(second.size(), 1);
+    cell.s.on_start(second[0], order_verdict::unknown, 0, at_ms(ms + 390));
+    const std::vector<start_order> third = cell.s.take_starts();
+    cr_assert_eq(third.size(), 1);
+    cell.s.on_start(third[0], order_verdict::unknown, 0, at_ms(ms + 780));
+    return first;
+}
+
+} // namespace
+
+Test(pool_restart, a_start_without_an_answer_does_not_hold_its_task_forever_after_a_restart)
+{
+    // Guards against lost tasks: two starts were in flight when the worker ended. One is refused,
+    // so the worker is avoided, and the other one isn't sent again.
+    restarting_cell cell;
+    cell.poll(5000);
+    const start_order refused = cell.start_one(first_job, 5010);
+    const start_order lost = cell.start_one(second_job, 5011);
+    cell.restart(5020);
+    cell.s.on_start(refused, order_verdict::no_listener, 0, at_ms(5021));
+    cell.s.on_start(lost, order_verdict::unknown, 0, at_ms(5022));
+    cr_assert_eq(cell.s.take_starts().size(), 0, "the worker is avoided");
+    std::set<std::string> started;
+    for (std::int64_t ms = 5100; ms < 25000; ms += 100) {
+        for (const start_order& order : serve(cell, ms)) {
+            started.insert(order.task);
+        }
+    }
+    cr_assert_eq(started.count(refused.task), 1);
+    cr_assert_eq(started.count(lost.task), 1, "nothing runs the task for 20 s");
+}
+
+Test(pool_restart, a_start_repeated_at_the_next_process_does_not_hold_its_task_forever)
+{
+    restarting_cell cell;
+    cell.poll(5000);
+    const start_order lost = cell.start_one(first_job, 5010);
+    cell.restart(5020);
+    cell.poll(5100);
+    cell.s.on_start(lost, order_verdict::unknown, 0, at_ms(5140));
+    const std::vector<start_order> repeated = cell.s.take_starts();
+    cr_assert_eq(repeated.size(), 1);
+    const start_order refused = cell.start_one(second_job, 5150);
+    cell.s.on_start(refused, order_verdict::no_listener, 0, at_ms(5151));
+    cell.s.on_start(repeated[0], order_verdict::unknown, 0, at_ms(5400));
+    cr_assert_eq(cell.s.take_starts().size(), 0, "the worker is avoided");
+    std::set<std::string> started;
+    for (std::int64_t ms = 5500; ms < 25000; ms += 100) {
+        for (const start_order& order : serve(cell, ms)) {
+            started.insert(order.task);
+        }
+    }
+    cr_assert_eq(started.count(lost.task), 1, "nothing runs the task for 20 s");
+}
+
+Test(pool_restart, a_delayed_stop_answer_of_the_previous_process_does_not_release_the_run)
+{
+    restarting_cell cell;
+    cell.poll(5000);
+    send_without_answer(cell, 5010);
+    const std::vector<stop_order> stops = cell.s.take_stops();
+    cr_assert_eq(stops.size(), 1);
+    const order_verdict delayed = cell.process.stop(stops[0]);
+    cell.restart(5850);
+    cell.poll(5900); // another stop is sent to the new process, which doesn't get it yet
+    cr_assert_eq(cell.s.take_stops().size(), 1);
+    cell.s.on_stop(stops[0], delayed, at_ms(5950));
+    cell.poll(6000);
+    cr_assert_eq(place(cell.s, 6001).size(), 0, "a late send may begin at the new process");
+}
+
+Test(pool_restart, a_stopped_run_that_begins_late_at_the_next_process_is_stopped_again)
+{
+    restarting_cell cell;
+    cell.poll(5000);
+    const start_order late = send_without_answer(cell, 5010);
+    const std::vector<stop_order> stops = cell.s.take_stops();
+    cr_assert_eq(stops.size(), 1);
+    cell.s.on_stop(stops[0], cell.process.stop(stops[0]), at_ms(5800));
+    cell.restart(5850);
+    cr_assert(cell.process.start(late, 5860) == order_verdict::accepted);
+    for (std::int64_t ms = 5900; ms < 8000; ms += 100) {
+        serve(cell, ms);
+    }
+    const worker_report report = cell.process.poll({}, 8000);
+    cr_assert(report.running.empty() || report.running[0].run != late.run,
+              "the stopped run works on");
+}
+
+Test(pool_restart, a_restart_after_the_time_of_day_was_set_back_does_not_start_a_done_task_again)
+{
+    restarting_cell cell;
+    cell.finish_first_job();
+    cell.poll(30);
+    cell.process = worker_process(wall_start_ms - 10000, 100);
+    const start_order order = cell.start_one(second_job, 110);
+    cell.accept(order, 112);
+    cell.process.end(order.task, order.run, end_reason::done);
+    cell.s.list_worker(worker_of("w2"), at_ms(120));
+    for (std::int64_t ms = 200; ms < 9000; ms += 200) {
+        cell.poll(ms);
+        poll_worker(cell.s, "w2", {}, ms + 2);
+        cr_assert_eq(place(cell.s, ms + 4).size(), 0, "the task is done");
+    }
+    cr_assert(cell.is_complete(second_job, 9000));
+}
+
+Test(pool_restart, a_delayed_answer_after_a_newer_directory_entry_does_not_name_the_process)
+{
+    restarting_cell cell;
+    const start_order order = cell.start_one(first_job, 10);
+    cell.accept(order, 12);
+    cell.process.end(order.task, order.run, end_reason::done);
+    cell.poll(20);
+    const poll_order delayed = *cell.s.next_poll("w1", millis(0), at_ms(21));
+    const worker_report report = cell.process.poll(delayed, 22);
+    record_all(cell.s, cell.store, 23);
+    cell.restart(40);
+    worker_entry entry = worker_of("w1");
+    entry.start_time_ms = wall_start_ms + 40;
+    cell.s.list_worker(entry, at_ms(60));
+    cell.s.on_poll(delayed, at_ms(21), order_verdict::accepted, report, at_ms(70));
+    cr_assert_eq(cell.s.next_poll("w1", millis(0), at_ms(71))->acknowledged_end, 0);
+}
+
+Test(pool_restart, leases_end_as_expected_if_a_slow_clock_was_reported_long_ago)
+{
+    scheduler s = scheduler_with({"w1"});
+    std::map<std::string, std::string> store;
+    const auto slow_clock = [](std::int64_t ms) { return ms * 98 / 100; };
+    for (std::int64_t ms = 1900; ms <= 9500; ms += 1900) {
+        const poll_order order = *s.next_poll("w1", millis(0), at_ms(ms));
+        s.on_poll(order, at_ms(ms), order_verdict::unknown, {}, at_ms(ms + 5));
+        const std::string id = "00000000000000" + std::to_string(ms / 100);
+        add_job(s, store, job_of(id, {step_of(1, 1)}), ms + 10);
+        const std::vector<start_order> orders = place(s, ms + 10);
+        cr_assert_eq(orders.size(), 1);
+        accept_starts(s, orders, ms + 12);
+    }
+    const poll_order order = *s.next_poll("w1", millis(0), at_ms(10500));
+    cr_assert(order.until_ms.has_value());
+    const std::int64_t lease_ms = (*order.until_ms - slow_clock(10500)) * 100 / 98;
+    cr_assert(s.workers().at("w1").lease_expires_at >= at_ms(10500 + lease_ms),
+              "the lease lasts %lld ms", static_cast<long long>(lease_ms));
+}
+
+Test(pool_restart, a_lease_sent_to_an_unknown_process_counts_as_the_longest_one)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    cell.poll_without_answer(20100);
+    cell.restart(20200);
+    const poll_order order = *cell.s.next_poll("w1", millis(0), at_ms(20410));
+    cr_assert(order.until_ms.has_value());
+    const std::int64_t lease_ms = std::min(*order.until_ms - cell.process.clock_ms(20411),
+                                           platform_bounds().max_lease.count());
+    cell.s.on_poll(order, at_ms(20410), order_verdict::unknown, {}, at_ms(20710)); // cut off
+    cr_assert(cell.s.workers().at("w1").lease_expires_at >= at_ms(20411 + lease_ms));
+}
+
+Test(pool_restart, a_late_poll_that_drops_ends_of_the_next_process_does_not_start_a_done_task_again)
+{
+    restarting_cell cell;
+    cell.finish_first_job();
+    const poll_order late = *cell.s.next_poll("w1", millis(0), at_ms(30));
+    cr_assert_eq(late.acknowledged_end, 1);
+    cell.s.on_poll(late, at_ms(30), order_verdict::unknown, {}, at_ms(330));
+    cell.restart(400);
+    cell.poll(500);
+    const start_order order = cell.start_one(second_job, 510);
+    cell.accept(order, 512);
+    cell.process.end(order.task, order.run, end_reason::done);
+    cell.process.poll(late, 520);
+    cell.poll(600);
+    cr_assert_eq(place(cell.s, 601).size(), 0, "the task is done");
+}
+
+Test(pool_restart, a_delayed_refusal_at_an_old_address_does_not_release_a_start_at_the_new_one)
+{
+    restarting_cell cell;
+    const poll_order delayed = *cell.s.next_poll("w1", millis(0), at_ms(20));
+    cell.restart(22);
+    worker_entry entry = worker_of("w1");
+    entry.start_time_ms = wall_start_ms + 22;
+    entry.address = {"10.0.0.2", 80};
+    cell.s.list_worker(entry, at_ms(25));
+    const start_order order = cell.start_one(first_job, 30);
+    cr_assert(cell.process.start(order, 31) == order_verdict::accepted);
+    cell.s.list_worker(worker_of("w2"), at_ms(32));
+    poll_worker(cell.s, "w2", {}, 33);
+    cell.s.on_poll(delayed, at_ms(20), order_verdict::replaced, {}, at_ms(35));
+    cr_assert_eq(place(cell.s, 36).size(), 0, "the worker runs the task at its new address");
+}
+
+Test(pool_restart, a_poll_after_an_answer_of_another_incarnation_acknowledges_no_ends)
+{
+    restarting_cell cell;
+    cell.finish_first_job();
+    const poll_order order = *cell.s.next_poll("w1", millis(0), at_ms(30));
+    cell.s.on_poll(order, at_ms(30), order_verdict::replaced, {}, at_ms(31));
+    cr_assert_eq(cell.s.next_poll("w1", millis(0), at_ms(140))->acknowledged_end, 0);
+}
+
+Test(pool_restart, a_restart_of_a_lost_worker_extends_its_lease_to_the_longest_one)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const poll_order order = *cell.s.next_poll("w1", millis(0), at_ms(20010));
+    cell.s.on_poll(order, at_ms(20010), order_verdict::replaced, {}, at_ms(20011));
+    cell.restart(20020);
+    cell.poll(20100);
+    cr_assert(cell.s.workers().at("w1").lease_expires_at >=
+                  at_ms(20100) + platform_bounds().max_lease,
+              "as for a worker that wasn't lost");
+}
+
+Test(pool_restart, a_worker_without_an_entry_holds_no_lease_once_members_have_forgotten_it)
+{
+    // Guards against tasks that start twice: a worker that doesn't reach the store loses its entry.
+    // Members keep it for 8 s after that. A member that leads later never asks it for its runs.
+    constexpr std::int64_t removed_at = 1000;
+    constexpr std::int64_t retention = 8000; // `removed_worker_retention` in pool_member.cc
+    restarting_cell cell;
+    cell.accept(cell.start_one(first_job, 10), 12);
+    cell.s.unlist_worker("w1");
+    std::int64_t lease_end_ms = 0;
+    for (std::int64_t ms = removed_at; ms < removed_at + retention; ms += 200) {
+        const poll_order order = *cell.s.next_poll("w1", millis(0), at_ms(ms));
+        lease_end_ms = std::max(lease_end_ms, order.until_ms.value_or(0)); // its clock began at 0
+        cell.s.on_poll(order, at_ms(ms), order_verdict::accepted, cell.process.poll(order, ms),
+                       at_ms(ms + 1));
+    }
+    cr_assert_leq(lease_end_ms, removed_at + retention);
+}
