Stop a start without an answer if its worker was restarted meanwhile

A task was lost: a start was in flight when its worker ended, and wasn't sent again as the worker was avoided. Its expiry is on the clock of the worker's previous process, so no report of the new process ever released it. Found by the review; the first of its two tests hung the task on the untouched code until the new clock had passed the old expiry.

Change: a run counts its sends in flight; one without any, and without an expiry by the clock of the reporting process, is stopped first.

--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -32,13 +32,15 @@
     std::int64_t run = 0;
     resources allocated;
     run_phase phase = run_phase::starting;
-    bool adopted = false; ///< started by an earlier leader, so its start time isn't known
-    int sends = 0;        ///< how often the start was sent
+    bool adopted = false;    ///< started by an earlier leader, so its start time isn't known
+    int sends = 0;           ///< how often the start was sent
+    int sends_in_flight = 0; ///< those without an answer or a timeout
     time_point ordered_at;
     std::optional<time_point> confirmed_at; ///< first time that the worker reported the run
     time_point stop_acknowledged_at;        ///< valid in phase `stop_acknowledged`
-    /// Expiry of the start order, on the clock of the process `process_start_ms`.
-    std::int64_t until_ms = 0;
+    /// Latest expiry of its sends, on the clock of the process `process_start_ms`; nothing if an
+    /// earlier send has its expiry by the clock of another process.
+    std::optional<std::int64_t> until_ms;
     /// Start time of the worker's process that was the known one when it was last ordered or
     /// reported.
     std::int64_t process_start_ms = 0;
--- a/src/pool_evidence.cc
+++ b/src/pool_evidence.cc
@@ -22,7 +22,11 @@
     const bool confirmed = run.confirmed_at && *run.confirmed_at < report.asked;
     const bool restarted =
         run.process_start_ms != 0 && run.process_start_ms != report.process_start_ms;
-    if (restarted && run.phase != run_phase::starting) {
+    const bool unanswered = run.phase == run_phase::starting && !run.confirmed_at;
+    if (unanswered && (restarted || !run.until_ms)) {
+        return run.sends_in_flight > 0 ? run_fate::may_run : run_fate::may_begin;
+    }
+    if (restarted) {
         // The run has ended with its process. The new process doesn't know that it was stopped or
         // has ended, so it would execute a late send.
         const bool all_answered = run.confirmed_at && run.sends <= 1;
@@ -30,8 +34,8 @@
     }
     const bool stopped =
         run.phase == run_phase::stop_acknowledged && run.stop_acknowledged_at < report.asked;
-    const bool expired = !run.confirmed_at && !restarted && run.ordered_at < report.asked &&
-                         run.until_ms > 0 && report.clock_ms > run.until_ms;
+    const bool expired = !run.confirmed_at && run.ordered_at < report.asked && run.until_ms &&
+                         report.clock_ms > *run.until_ms;
     return confirmed || stopped || expired ? run_fate::over : run_fate::may_run;
 }
 
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -1,7 +1,6 @@
 // The part of the scheduler that ranks waiting steps and starts their tasks.
 
 #include <algorithm>
-#include <limits>
 
 #include "sesamesill/pool_scheduler.h"
 
@@ -229,15 +228,22 @@
 /// Counts the send.
 void scheduler::set_expiry(worker& w, run_record& run, start_order& order, time_point now)
 {
-    constexpr std::int64_t never = std::numeric_limits<std::int64_t>::max();
     const millis validity = order_validity(now);
     const std::int64_t until_ms = w.clock_at(now) + validity.count();
     const bool restarted = run.sends > 0 && run.process_start_ms != w.reported_start_ms;
     order.until_ms = restarted ? until_ms : std::max(order.until_ms, until_ms);
-    // An earlier send has its expiry by the clock of the worker's previous process.
-    run.until_ms = restarted ? never : std::max(run.until_ms, order.until_ms);
+    if (run.sends == 0) {
+        run.until_ms = order.until_ms;
+    }
+    else if (restarted) {
+        run.until_ms.reset();
+    }
+    else if (run.until_ms) {
+        run.until_ms = std::max(*run.until_ms, order.until_ms);
+    }
     run.process_start_ms = w.reported_start_ms;
     ++run.sends;
+    ++run.sends_in_flight;
     w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, validity));
     w.lease_before_poll = std::max(w.lease_before_poll, lease_end(now, validity));
 }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -164,6 +164,7 @@
         return;
     }
     run_record& run = known->second;
+    --run.sends_in_flight;
     if (verdict == order_verdict::accepted) {
         if (order.attempts > 1) {
             add_start_decision(decision_kind::start_confirmed, run, order.worker,
