Count an acknowledged stop for the process of the worker that got it

A run could begin beside the next run of its task (TWICE): a delayed answer to a stop, of a worker's previous process, acknowledged the stop that had been sent to the new one; and a stopped run that a late send began at the new process wasn't stopped again. Change: a stop names the process that was known when it was sent, and a report of another process that lists a stopped run stops it again.

--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -171,6 +171,7 @@
     std::string task;
     std::int64_t run = 0;
     std::uint64_t fence = 0;
+    std::int64_t process_start_ms = 0; ///< of the worker's process that was known at the send
 };
 
 /// Renews a worker's lease and asks for its report.
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -396,7 +396,11 @@
     if (!run->second.confirmed_at) {
         run->second.confirmed_at = now;
     }
+    const bool restarted = run->second.process_start_ms != w.reported_start_ms;
     run->second.process_start_ms = w.reported_start_ms;
+    if (restarted && run->second.phase == run_phase::stop_acknowledged) {
+        send_stop(w, run->second, now); // a late send began it at the next process
+    }
     const auto known = jobs_.find(run->second.task.job);
     if (known == jobs_.end()) {
         return;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -33,7 +33,9 @@
 {
     run.phase = run_phase::stopping;
     run.ordered_at = now;
-    stops_.push_back({w.entry.id, w.entry.address, to_string(run.task), run.run, fence_});
+    run.process_start_ms = w.reported_start_ms;
+    stops_.push_back(
+        {w.entry.id, w.entry.address, to_string(run.task), run.run, fence_, run.process_start_ms});
 }
 
 void scheduler::stop_task(const task_id& id, time_point now)
@@ -66,7 +68,6 @@
     if (current && (task->phase == task_phase::starting || task->phase == task_phase::running)) {
         known->second.progress.stopping(run.task);
     }
-    run.process_start_ms = w.reported_start_ms;
     send_stop(w, run, now);
     add_decision(decision_kind::stopped, run.task.job, w.entry.id, to_string(run.task));
 }
@@ -270,7 +271,9 @@
     }
     const bool accepted =
         verdict == order_verdict::accepted || verdict == order_verdict::superseded;
-    if (accepted && known->second.phase == run_phase::stopping) {
+    // A delayed answer may be of the worker's previous process.
+    const bool by_known_process = order.process_start_ms == known->second.process_start_ms;
+    if (accepted && by_known_process && known->second.phase == run_phase::stopping) {
         known->second.phase = run_phase::stop_acknowledged;
         known->second.stop_acknowledged_at = now;
     }
