Bind process identity to the poll that asked, and refusals to the address

Done tasks started again (TWICE) after a worker's restart with the time of day set back: the new process has a lower start time, so all its reports counted as delayed answers of the previous one. An answer to a poll that was sent after the last report can't be of an earlier process, so the time of the question decides, not the start times. A poll after an answer of another incarnation, or a delayed answer after a newer directory entry, acknowledged ends to the wrong process; a refusal at an address that the worker has left released runs at its new one.

Changed tests: the fixture reports the start time that the entry has, as workers do; a late answer is now one to a poll that was sent before the newer process answered, as a process that has ended can't answer a later poll.

--- a/include/sesamesill/pool_evidence.h
+++ b/include/sesamesill/pool_evidence.h
@@ -30,8 +30,8 @@
     time_point asked;                  ///< when the question was sent; nothing later is covered
     std::int64_t process_start_ms = 0; ///< of the worker's process that answered; 0 if none did
     std::int64_t clock_ms = 0;         ///< of that process
-    /// False for the refusal of a repeated start, as an earlier send may have been executed, and
-    /// for a report that lacks later ends.
+    /// False for the refusal of a repeated start, as an earlier send may have been executed, for a
+    /// report that lacks later ends, and for an answer at an address that the worker has left.
     bool complete = true;
 };
 
--- a/src/pool_evidence.cc
+++ b/src/pool_evidence.cc
@@ -68,7 +68,7 @@
 {
     switch (evidence.source) {
     case evidence_source::other_incarnation:
-        return evidence.asked >= w.last_answer; // else it has answered since, at another address
+        return evidence.complete && evidence.asked >= w.last_answer; // else it has answered since
     case evidence_source::newer_incarnation:
     case evidence_source::lease_expired:
         return true;
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -149,7 +149,8 @@
 void scheduler::note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
                              time_point now)
 {
-    if (w.reported_start_ms != 0 && start_time_ms > w.reported_start_ms) {
+    const bool restarted = w.reported_start_ms != 0 && start_time_ms != w.reported_start_ms;
+    if (restarted) {
         add_decision(decision_kind::worker_restarted, "", w.entry.id,
                      "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
                          " were acknowledged to the new one before it was known");
@@ -165,11 +166,11 @@
         w.dropped_end = std::max(w.dropped_end, acknowledged_end);
     }
     w.reported_start_ms = start_time_ms;
-    w.process_known = true;
-    if (start_time_ms > w.entry.start_time_ms) {
+    if (restarted || start_time_ms > w.entry.start_time_ms) {
         w.entry.start_time_ms = start_time_ms;
         w.entry.revision = 0; // the entry in the directory is still that of the previous process
     }
+    w.process_known = start_time_ms >= w.entry.start_time_ms; // else a newer one is listed
 }
 
 void scheduler::on_poll(const poll_order& order, time_point sent, order_verdict verdict,
@@ -186,15 +187,20 @@
     if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
         note_unsent_poll(*w, order, sent, verdict);
     }
+    if (verdict != order_verdict::accepted) {
+        w->process_known = false; // it may have been restarted
+    }
     if (verdict == order_verdict::replaced) {
-        mark_worker_lost(*w, {evidence_source::other_incarnation, sent}, now);
+        run_evidence evidence{evidence_source::other_incarnation, sent};
+        evidence.complete = order.address == w->entry.address; // else it may have moved
+        mark_worker_lost(*w, evidence, now);
         return;
     }
     if (verdict != order_verdict::accepted) {
-        w->process_known = false; // it may have been restarted
         return;
     }
-    if (report.start_time_ms < w->reported_start_ms) {
+    // Start times don't order the processes, as the time of day may be set back in between.
+    if (report.start_time_ms != w->reported_start_ms && sent < w->clock_read_at) {
         return; // a delayed answer of the worker's previous process
     }
     w->last_answer = now;
--- a/test/pool_fixture.h
+++ b/test/pool_fixture.h
@@ -72,6 +72,9 @@
                         std::int64_t ms)
 {
     report.clock_ms = ms;
+    if (report.start_time_ms == 0) {
+        report.start_time_ms = wall_start_ms; // as its entry says
+    }
     const std::optional<poll_order> order = s.next_poll(worker, millis(0), at_ms(ms));
     s.on_poll(*order, at_ms(ms), order_verdict::accepted, report, at_ms(ms + 1));
 }
