--- a/support/check.sh
+++ b/support/check.sh
@@ -10,7 +10,7 @@
 build/release/bench_capacity --check docs/CAPACITY.md
 cmake -G Ninja -S . -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DSESAMESILL_SANITIZE=ON >/dev/null
 cmake --build build/sanitize --target sesamesill_tests
-build/sanitize/sesamesill_tests --jobs 4
+support/tests.sh build/sanitize
 support/path.sh
 support/scenarios.sh
 support/soak.sh 1 4 --seconds 8
@@ -18,4 +18,4 @@
 support/soak.sh 1 1 --seconds 21 --members 30 --fault_gap_ms 7000 \
     --series leader_killed,configuration_changes,worker_leaves,worker_leaves,worker_leaves
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
-build/release/sesamesill_tests --jobs 4
+support/tests.sh build/release
