Count leases by the slowest clock, for unknown processes as the longest, and end them in time

A worker could run on beside the next run of its task (TWICE), as its lease lasted longer than the leader believed: its clock was taken to run at full speed since an old report; a lease sent by the clock of its previous process was counted as the usual one, though the new process takes it for the longest; the first answer of a lost worker cut the count short; and the lease of a worker without a directory entry was renewed for ever, though members forget such a worker after 8 s. A delayed answer to a start confirmed a run that was being stopped.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -237,6 +237,7 @@
     void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
                             std::string detail, std::int64_t age_ms, time_point now);
     millis order_validity(time_point now) const;
+    time_point lease_end_of(const worker& w, time_point now, millis length) const;
     bool may_send_starts(time_point now) const;
     void update_hold(time_point now);
     void set_expiry(worker& w, run_record& run, start_order& order, time_point now);
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -73,11 +73,22 @@
     int runs = 0;        ///< compared runs of the last sample that had any
 };
 
+/// Lowest rate of a worker's clock relative to the leader's that the platform guarantees.
+constexpr double min_clock_rate = 0.98;
+
+/// Members remember a worker for this long after its directory entry was removed, so that a new
+/// leader asks it for its runs.
+constexpr millis removed_worker_retention{8000};
+/// The lease of a worker without an entry is renewed for this long after the removal. It ends
+/// before members forget the worker.
+constexpr millis unlisted_renewal{2500};
+
 /// One incarnation of a worker. Invariant: `allocated` is the sum of `allocated` over `runs`.
 struct worker {
     worker_entry entry;
     worker_number number = 0;
-    bool listed = true; ///< whether the platform's directory has its entry
+    bool listed = true;                       ///< whether the platform's directory has its entry
+    std::optional<time_point> unlisted_since; ///< first poll since its entry was removed
     bool heard = false; ///< whether it has answered this leader, so that its runs are known
     bool lost = false;  ///< whether its lease has certainly expired or its process is gone
     /// Whether a record was stored that was sent after `listed_at`, or the entry was read before
@@ -103,10 +114,17 @@
     worker_health health;
     progress_rate rate;
 
-    /// Returns a lower estimate of the worker's clock: the report's time in transit isn't added.
+    /// Returns a lower estimate of the worker's clock, which may be slow: the report's time in
+    /// transit isn't added.
     std::int64_t clock_at(time_point now) const
     {
-        return clock_ms.value_or(0) + to_millis(now - clock_read_at);
+        const double age_ms = static_cast<double>(to_millis(now - clock_read_at));
+        return clock_ms.value_or(0) + static_cast<std::int64_t>(age_ms * min_clock_rate);
+    }
+    /// Returns whether its lease may be renewed as far as its directory entry is concerned.
+    bool is_lease_renewable(time_point now) const
+    {
+        return listed || !unlisted_since || now - *unlisted_since <= unlisted_renewal;
     }
     /// Returns the number up to which the next poll acknowledges ends; 0 for none.
     std::uint64_t end_to_acknowledge() const
@@ -134,9 +152,6 @@
 /// has no effect.
 constexpr millis start_validity{1500};
 
-/// Lowest rate of a worker's clock relative to the leader's that the platform guarantees.
-constexpr double min_clock_rate = 0.98;
-
 /// Returns the time by which a lease of `length` sent at `sent` has expired on the slowest clock.
 constexpr time_point lease_end(time_point sent, millis length)
 {
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -24,8 +24,6 @@
 constexpr millis leader_read_timeout{500};
 constexpr double min_load_share = 0.05;
 constexpr millis election_period{20}; ///< between checks whether to claim the lead
-/// A worker that left the directory is kept for the longest lease plus a margin.
-constexpr millis removed_worker_retention{8000};
 /// The leader answers a forwarded job after an append; later than this, it is congested.
 constexpr millis late_submit{400};
 
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -108,6 +108,7 @@
         }
         w.entry = entry;
         w.listed = true;
+        w.unlisted_since.reset();
         w.process_known = w.process_known && entry.start_time_ms <= w.reported_start_ms;
     }
     placing_needed_ = true;
@@ -206,7 +207,6 @@
     w->last_answer = now;
     w->clock_ms = report.clock_ms;
     w->clock_read_at = now;
-    note_process(*w, report.start_time_ms, order.acknowledged_end, now);
     if (w->lost) {
         w->lost = false;
         placing_needed_ = true;
@@ -214,6 +214,7 @@
     if (!w->heard) {
         note_first_answer(*w, now);
     }
+    note_process(*w, report.start_time_ms, order.acknowledged_end, now);
     for (const ended_task& end : report.ended) {
         if (end.number > w->highest_end_seen) {
             w->highest_end_seen = end.number;
@@ -498,6 +499,13 @@
     placing_needed_ = placing_needed_ || !waiting_steps_.empty();
 }
 
+/// Returns the end of a lease that is sent now. A new process may take it for the longest one, as
+/// its clock has started anew.
+time_point scheduler::lease_end_of(const worker& w, time_point now, millis length) const
+{
+    return lease_end(now, w.process_known ? length : std::max(length, bounds_.max_lease));
+}
+
 std::optional<poll_order> scheduler::next_poll(const std::string& id, millis wait, time_point now)
 {
     worker* w = find_worker(id);
@@ -510,12 +518,15 @@
     order.fence = fence_;
     order.acknowledged_end = w->end_to_acknowledge();
     order.wait = wait;
-    if (w->clock_ms && w->is_responsive(now)) {
+    if (!w->listed && !w->unlisted_since) {
+        w->unlisted_since = now;
+    }
+    if (w->clock_ms && w->is_responsive(now) && w->is_lease_renewable(now)) {
         const millis length = granted_lease(bounds_);
         order.until_ms = w->clock_at(now) + length.count();
         w->lease_before_poll = w->lease_expires_at;
         w->poll_until_ms = order.until_ms;
-        w->lease_expires_at = std::max(w->lease_expires_at, lease_end(now, length));
+        w->lease_expires_at = std::max(w->lease_expires_at, lease_end_of(*w, now, length));
     }
     return order;
 }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -178,7 +178,7 @@
         if (clock_ms > 0 && clock_ms < w->clock_ms.value_or(0)) {
             w->process_known = false;
         }
-        if (!run.confirmed_at) {
+        if (!run.confirmed_at && run.phase == run_phase::starting) {
             run.confirmed_at = now;
             if (clock_ms > 0 && order.checkpoint.empty()) {
                 run.percent = 0; // a run with a checkpoint is compared from the first poll on
