Draw short tasks in the soak that may end before a restart is known

The tasks of the soak lasted 250 ms or more. A leader polls a worker again 100 ms after a poll that failed, so a run at a worker's new process hardly ended before the first poll of that process.

--- a/test/soak/clients.cc
+++ b/test/soak/clients.cc
@@ -18,6 +18,7 @@
 constexpr millis status_poll_gap{500};
 constexpr millis due_check_period{50};
 constexpr millis repeat_delay{2000};
+constexpr millis shortest_work{50}; ///< may end before a leader learns of its worker's restart
 constexpr double cancelled_share = 0.08;
 constexpr double repeated_share = 0.05;       ///< jobs submitted a second time after `repeat_delay`
 constexpr double always_failing_share = 0.02; ///< steps whose first task fails in every run
@@ -77,14 +78,15 @@
     std::uniform_int_distribution<int> percent(0, 99);
     pool::job_spec spec;
     char id[17];
-    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(random_()));
+    const std::uint64_t number = random_();
+    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(number));
     spec.id = id;
     spec.queue = percent(random_) < 50 ? "plain" : "placed";
     spec.payload = "payload of " + spec.id;
     const int kind = percent(random_);
     if (kind < 60) {
         spec.steps = {step_of(2, 1000, millis(300))};
-        work = {millis(250)};
+        work = {shortest_work + millis(number % 200)};
     }
     else if (kind < 80) {
         spec.steps = {step_of(4, 1000, millis(500)), step_of(3, 2000, millis(400))};
