Add worker_bounces to the soak: quick restarts of a worker under its id

The soak restarted workers after 0.2 to 4 s, and silenced a link only apart from that. The order of events of the incident TWICE needs a leader that doesn't know of the restart yet: a poll of the previous process is still without an answer while the new process accepts a start, ends the run and gets the next poll, which acknowledges ends of the previous one.

worker_bounces restarts one worker each 600 ms, down for 15 to 54 ms; at every second restart open connections carry no more bytes, at the others they are reset. It is played in series only, so that the draws of single faults and pairs stay. A test shows that the check of "twice" counts an end that an old poll acknowledges, and no end that was lost with its process.

--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -103,6 +103,24 @@
     cr_assert(w.violations().empty(), "%s", w.violations().c_str());
 }
 
+Test(soak, an_end_that_a_poll_of_the_previous_process_acknowledges_counts)
+{
+    checked_job w;
+    w.checks.on_worker("w1", {2000, 64000, 0});
+    w.start(0, 0, 1);
+    w.end(0, 0, 1, 1);
+    w.checks.on_ends_acknowledged("w1", 1);
+    w.start(0, 0, 2, "w2");
+    cr_assert_eq(w.violations(), "twice");
+    checked_job other;
+    other.start(0, 0, 1);
+    other.end(0, 0, 1, 1);
+    other.checks.on_worker("w1", {2000, 64000, 0});
+    other.checks.on_ends_acknowledged("w1", 1);
+    other.start(0, 0, 2, "w2");
+    cr_assert(other.violations().empty(), "the end was forgotten with its process");
+}
+
 Test(soak, a_step_that_begins_before_its_predecessor_is_done_is_reported)
 {
     checked_job w;
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -530,6 +530,39 @@
     }
 }
 
+void cell::worker_bounces(const planned_fault& fault)
+{
+    // Time for some ends of each process to be acknowledged before the next one.
+    constexpr millis bounce_period{600};
+    constexpr std::uint32_t min_down_ms = 15;
+    constexpr std::uint32_t max_extra_down_ms = 40;
+    const fleet_worker* w = target_worker(fault);
+    if (w == nullptr) {
+        return;
+    }
+    const millis down(min_down_ms + fault.target % max_extra_down_ms);
+    for (int n = 0; n * bounce_period <= fault.length; ++n) {
+        after(n * bounce_period,
+              [this, id = w->id(), hangs = n % 2 == 0, down] { bounce(id, hangs, down); });
+    }
+}
+
+/// Restarts a worker under its id. Its open connections are closed or, if it `hangs`, carry no more
+/// bytes, so that a poll of the previous process gets no answer while the new one accepts starts.
+void cell::bounce(const std::string& id, bool hangs, millis down)
+{
+    const fleet_worker* w = fleet_.find(id);
+    if (w == nullptr || w->draining()) {
+        return;
+    }
+    const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+    proxy& link = *links_[static_cast<std::size_t>(place)];
+    disturb_all();
+    hangs ? link.silence() : link.reset();
+    fleet_.crash(id);
+    add_worker_later(place, id, down);
+}
+
 const std::map<fault_kind, cell::method>& cell::methods()
 {
     static const std::map<fault_kind, method> table{
@@ -565,7 +598,8 @@
         {fault_kind::leader_stopped, &cell::leader_stopped},
         {fault_kind::worker_cut, &cell::worker_cut},
         {fault_kind::entries_expire, &cell::entries_expire},
-        {fault_kind::odd_entries, &cell::odd_entries}};
+        {fault_kind::odd_entries, &cell::odd_entries},
+        {fault_kind::worker_bounces, &cell::worker_bounces}};
     return table;
 }
 
--- a/test/soak/cell.h
+++ b/test/soak/cell.h
@@ -91,6 +91,8 @@
     void worker_cut(const planned_fault& fault);
     void entries_expire(const planned_fault& fault);
     void odd_entries(const planned_fault& fault);
+    void worker_bounces(const planned_fault& fault);
+    void bounce(const std::string& id, bool hangs, millis down);
     void stop(int member);
     /// Blocks the links in both directions for the time.
     void cut(const std::vector<proxy*>& links, millis length);
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -48,10 +48,12 @@
     leader_stopped, ///< SIGTERM
     worker_cut,     ///< from the store and all members: runs on, and its entry expires
     entries_expire, ///< the store is down and the workers' entries are gone until they return
-    odd_entries     ///< another writer's entries among those of the workers
+    odd_entries,    ///< another writer's entries among those of the workers
+    // Only in series:
+    worker_bounces ///< restarts under its id again and again, within tens of milliseconds
 };
 
-constexpr std::size_t fault_kinds = 33;
+constexpr std::size_t fault_kinds = 34;
 constexpr std::size_t single_fault_kinds = 28; ///< drawn by `draw_faults`
 
 std::string_view name_of(fault_kind kind);
