Wait for the leases of workers whose entries were removed before a member's first read

Ruled out: records of all workers that a leader uses; they would save the wait, but need a record for each worker before its first task.

Changed tests: 2 s after the first read, which two tests expected, was the fault; they expect the end of the leases now.

--- a/include/sesamesill/pool_directory.h
+++ b/include/sesamesill/pool_directory.h
@@ -3,9 +3,11 @@
 
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "sesamesill/clock.h"
+#include "sesamesill/pool_worker.h"
 
 namespace sesamesill::pool {
 
@@ -15,11 +17,15 @@
     explicit directory_knowledge(millis entry_return) : entry_return_(entry_return) {}
 
     /// Handles a complete read that was begun at `begun` and has ended now. A first read tells
-    /// nothing of the time before it, in which the store may have been down.
+    /// nothing of workers whose entries were removed before it: they are cut off from the store and
+    /// may run tasks until their leases end.
     void on_read(time_point begun, time_point now)
     {
-        if (may_lack_entries_) {
-            complete_after_ = now + entry_return_;
+        if (!read_begun_) {
+            complete_after_ = now + std::max(entry_return_, removed_worker_retention);
+        }
+        else if (may_lack_entries_) {
+            complete_after_ = std::max(complete_after_, now + entry_return_);
         }
         may_lack_entries_ = false;
         lost_at_.reset();
@@ -39,7 +45,8 @@
     std::optional<time_point> read_begun() const { return read_begun_; }
     /// Returns since when reads of the directory fail, or nothing if they don't.
     std::optional<time_point> lost_at() const { return lost_at_; }
-    /// Returns the time from which on a read that begins shows all live workers.
+    /// Returns the time from which on a read that begins shows all live workers; the others have no
+    /// lease then.
     time_point complete_after() const { return complete_after_; }
 
 private:
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -650,10 +650,10 @@
     cr_assert(verdicts == expected);
 }
 
-Test(pool_member, a_member_that_starts_in_an_outage_waits_for_entries_after_its_first_read)
+Test(pool_member, a_member_that_starts_in_an_outage_waits_for_the_leases_of_workers_without_entries)
 {
-    // Guards against tasks that start twice: a member that started while the store was down reads
-    // a directory in which the entries of most workers aren't back yet.
+    // Guards against tasks that start twice: a member that started while the store was down doesn't
+    // know of workers that are cut off from the store and run on.
     constexpr millis first_read{2600}; ///< later than the entries' return counted from the start
     lone_scheduler f(28721);
     const keyed_record record =
@@ -667,9 +667,12 @@
     f.loop.after(first_read, read_directory);
     f.loop.after(first_read + millis(300), read_directory);
     std::size_t early = 0;
-    f.loop.after(first_read + millis(1900), [&] { early = f.workers.started.size(); });
     f.loop.after(first_read + millis(2100), read_directory);
-    f.run(first_read + millis(2700));
+    const time_point lease_end = predecessor_lease_end(boot_clock::now(), platform_bounds());
+    f.loop.after(millis(to_millis(lease_end - boot_clock::now())),
+                 [&] { early = f.workers.started.size(); });
+    f.loop.after(millis(9000), read_directory);
+    f.run(millis(9800));
     cr_assert_eq(early, 0, "another worker, whose entry isn't back, may run the task");
     cr_assert_eq(f.workers.started.size(), 1);
 }
@@ -680,9 +683,9 @@
     // and an outage between two reads lets entries expire.
     directory_knowledge directory(millis(2000));
     directory.on_read(at_ms(1000), at_ms(1010));
-    cr_assert(directory.complete_after() == at_ms(3010), "the store may have been down before");
+    cr_assert(directory.complete_after() == at_ms(9010), "entries may have been removed before");
     directory.on_read(at_ms(5000), at_ms(5010));
-    cr_assert(directory.complete_after() == at_ms(3010));
+    cr_assert(directory.complete_after() == at_ms(9010));
     directory.on_store_lost();
     directory.on_read(at_ms(9000), at_ms(9900));
     cr_assert(directory.complete_after() == at_ms(11900), "counted from the end of a slow read");
