Clean up after the review: names, comments and unused includes

mark_worker_lost releases its runs without judging them a second time, set_expiry also counts the send and is called prepare_send, nested conditions are two.

--- a/include/sesamesill/pool_evidence.h
+++ b/include/sesamesill/pool_evidence.h
@@ -1,5 +1,6 @@
 // What shows that a run isn't at work: who said it, when it was asked, and whether it is complete.
-// All answers, reports and expiries that may release a run are judged here and nowhere else.
+// The scheduler builds a run_evidence of each answer, report or expiry; whether that releases a run
+// is judged here.
 
 #pragma once
 
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -240,7 +240,7 @@
     time_point lease_end_of(const worker& w, time_point now, millis length) const;
     bool may_send_starts(time_point now) const;
     void update_hold(time_point now);
-    void set_expiry(worker& w, run_record& run, start_order& order, time_point now);
+    void prepare_send(worker& w, run_record& run, start_order& order, time_point now);
     void add_due_occurrences(job_entry& entry, time_point now);
     void add_ready_steps(job_entry& entry, int occurrence, time_point now);
     void add_due_steps(time_point now);
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "sesamesill/clock.h"
 #include "sesamesill/pool_job.h"
--- a/src/pool_evidence.cc
+++ b/src/pool_evidence.cc
@@ -29,8 +29,10 @@
     if (restarted) {
         // The run has ended with its process. The new process doesn't know that it was stopped or
         // has ended, so it would execute a late send.
-        const bool all_answered = run.confirmed_at && run.sends <= 1;
-        return !all_answered ? run_fate::may_begin : confirmed ? run_fate::over : run_fate::may_run;
+        if (!run.confirmed_at || run.sends > 1) {
+            return run_fate::may_begin;
+        }
+        return confirmed ? run_fate::over : run_fate::may_run;
     }
     const bool stopped =
         run.phase == run_phase::stop_acknowledged && run.stop_acknowledged_at < report.asked;
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -226,7 +226,7 @@
 
 /// Sets the expiry of a start order that is sent now, and the end of the lease that it grants.
 /// Counts the send.
-void scheduler::set_expiry(worker& w, run_record& run, start_order& order, time_point now)
+void scheduler::prepare_send(worker& w, run_record& run, start_order& order, time_point now)
 {
     const millis validity = order_validity(now);
     const std::int64_t until_ms = w.clock_at(now) + validity.count();
@@ -279,7 +279,7 @@
     record.run = run;
     record.allocated = capacity_used_by(spec);
     record.ordered_at = now;
-    set_expiry(w, record, order, now);
+    prepare_send(w, record, order, now);
     add_start_decision(first_start ? decision_kind::begun : decision_kind::started, record,
                        w.entry.id, "", to_millis(now - job.accepted()), now);
     add_run(w, std::move(record));
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -460,7 +460,8 @@
     w.lost = true;
     w.heard = false;
     while (!w.runs.empty()) {
-        settle_run(w, w.runs.begin()->second, evidence, now);
+        const run_record run = w.runs.begin()->second;
+        release_run(w, run, evidence.source, now);
     }
     mark_verified(w.entry.id, evidence);
     placing_needed_ = true;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -58,7 +58,7 @@
     stop_run(*w, run->second, now);
 }
 
-/// Stops a run, again if its worker was restarted since an earlier stop.
+/// Stops a run and its task. May be called again, for the next process of the worker.
 void scheduler::stop_run(worker& w, run_record& run, time_point now)
 {
     const auto known = jobs_.find(run.task.job);
@@ -79,7 +79,7 @@
     case run_fate::may_run:
         break;
     case run_fate::may_begin:
-        run.confirmed_at.reset(); // by a process that has ended since
+        run.confirmed_at.reset(); // what the worker's previous process confirmed is over
         stop_run(w, run, now);
         break;
     case run_fate::over:
@@ -215,7 +215,7 @@
                 return; // the next poll tells whether the worker has begun the run
             }
             start_order resend = order;
-            set_expiry(w, run, resend, now);
+            prepare_send(w, run, resend, now);
             add_start_decision(decision_kind::start_repeated, run, order.worker,
                                ": attempt " + std::to_string(order.attempts + 1),
                                to_millis(now - run.ordered_at), now);
--- a/src/pool_worker.cc
+++ b/src/pool_worker.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "sesamesill/names.h"
-
 namespace sesamesill::pool {
 namespace {
 
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -70,11 +70,6 @@
         report.ended = ends_;
         return report;
     }
-    bool runs(const std::string& task) const
-    {
-        return std::any_of(running_.begin(), running_.end(),
-                           [&task](const auto& r) { return r.first == task; });
-    }
 
 private:
     std::int64_t start_time_ms_;
@@ -266,7 +261,7 @@
 /// The stop is next.
 start_order send_without_answer(restarting_cell& cell, std::int64_t ms)
 {
-    const start_order first = cell.start_one(first_job, ms);
+    start_order first = cell.start_one(first_job, ms);
     cell.s.on_start(first, order_verdict::unknown, 0, at_ms(ms + 130));
     const std::vector<start_order> second = cell.s.take_starts();
     cr_assert_eq(second.size(), 1);
@@ -504,7 +499,8 @@
     cr_assert_leq(lease_end_ms, removed_at + retention);
 }
 
-Test(pool_restart, a_released_run_that_begins_late_at_the_next_process_is_stopped_before_it_can_begin)
+Test(pool_restart,
+     a_released_run_that_begins_late_at_the_next_process_is_stopped_before_it_can_begin)
 {
     // The evidence that released the run holds for the process that gave it: the next one executes
     // a late send, as it knows of no stop.
