--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "sesamesill/http.h"
+#include "soak/proxy.h"
 
 using namespace sesamesill;
 
@@ -252,6 +253,36 @@
     cr_assert_eq(server.connections(), 0);
 }
 
+Test(http, after_a_timeout_no_request_waits_on_another_silent_connection, .timeout = 10)
+{
+    constexpr int connections = 3;
+    event_loop loop;
+    http_client client(loop, "t");
+    http_server server(loop);
+    const std::uint16_t port = free_port();
+    const endpoint via{"127.0.0.1", free_port()};
+    serve_echo(server, port);
+    soak::proxy link(loop, via, {"127.0.0.1", port});
+    error why;
+    cr_assert(link.start(why), "%s", why.reason.c_str());
+    http_call call;
+    call.method = "POST";
+    call.path = "/echo";
+    call.body = "text";
+    call.timeout = millis(200);
+    for (int i = 0; i < connections; ++i) {
+        client.send(via, call, [](const std::optional<http_reply>& reply, const error&) {
+            cr_assert(reply.has_value());
+        });
+    }
+    run_for(loop, millis(100));
+    cr_assert_eq(server.connections(), connections);
+    link.silence();
+    cr_assert_not(send_and_run(loop, client, via.port, call).reply);
+    const client_result next = send_and_run(loop, client, via.port, call);
+    cr_assert(next.reply.has_value(), "%s", next.why.reason.c_str());
+}
+
 Test(http, response_is_pending_until_all_bytes_are_sent, .timeout = 10)
 {
     event_loop loop;
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -24,6 +24,8 @@
 constexpr millis drain_notice{2500};
 constexpr int max_version_step = 3;
 
+enum member_links { peer_link, store_link, advice_link, links_per_member };
+
 enum member_ports { clients, readiness, peers, metrics, peer_proxy, store_proxy, advice_proxy };
 
 } // namespace
@@ -116,9 +118,10 @@
 
 void cell::publish_configuration()
 {
-    version_ += 1 + version_ % max_version_step;
+    published_.version += 1 + published_.version % max_version_step;
+    published_.at = boot_clock::now();
     Json::Value config;
-    config["Version"] = version_;
+    config["Version"] = published_.version;
     const auto route = [&config](const std::string& name, const std::string& prefix) {
         Json::Value row;
         row["Name"] = name;
@@ -137,7 +140,8 @@
     advised["Advice"]["PerWorkerMs"] = 1;
     advised["Advice"]["ValidMs"] = 2000;
     config["Routes"].append(advised);
-    config["Routes"].append(route("extra" + std::to_string(version_), "/extra/"));
+    config["Routes"].append(
+        route("version" + std::to_string(published_.version), version_prefix(published_.version)));
     Json::Value service;
     service["Name"] = fleet::service_name;
     config["Services"].append(service);
@@ -152,6 +156,7 @@
     }
     expected_signals_.erase(name);
     disturb(member);
+    ++starts_[member];
     processes_.start(name,
                      {settings_.program, "--settings", settings_.run_dir + "/" + name + ".ini"},
                      settings_.run_dir + "/" + name + ".log");
@@ -201,16 +206,27 @@
     }
 }
 
+int cell::starts_of(int member) const
+{
+    const auto known = starts_.find(member);
+    return known != starts_.end() ? known->second : 0;
+}
+
+bool cell::is_sound(int member) const
+{
+    const time_point now = boot_clock::now();
+    const millis quiet = checks_.bounds().fault_free_period;
+    const auto own = disturbed_.find(member);
+    return now - all_disturbed_ > quiet && (own == disturbed_.end() || now - own->second > quiet);
+}
+
 /// Returns whether the leader has led so long that orders of the previous one have expired, and
 /// neither it nor the store nor a link had a fault lately.
 bool cell::leader_is_sound() const
 {
     constexpr millis order_validity{1600};
-    const time_point now = boot_clock::now();
-    const millis quiet = checks_.bounds().fault_free_period;
-    const auto own = disturbed_.find(last_leader_);
-    return last_leader_ >= 0 && now - leader_since_ > order_validity &&
-           now - all_disturbed_ > quiet && (own == disturbed_.end() || now - own->second > quiet);
+    return last_leader_ >= 0 && boot_clock::now() - leader_since_ > order_validity &&
+           is_sound(last_leader_);
 }
 
 int cell::target_member(const planned_fault& fault) const
@@ -454,15 +470,35 @@
     });
 }
 
+proxy& cell::link_of(int member, int which) const
+{
+    return *links_[static_cast<std::size_t>(settings_.workers + links_per_member * member + which)];
+}
+
+void cell::connections_silenced(const planned_fault& /*fault*/)
+{
+    disturb_all();
+    for (const std::unique_ptr<proxy>& link : links_) {
+        link->silence();
+    }
+}
+
+/// Cuts each second member from the store. Its peers tell it of new versions, so that only the
+/// first moments excuse an answer by an older one.
+void cell::store_cut(const planned_fault& fault)
+{
+    disturb_all();
+    for (int m = static_cast<int>(fault.target % 2); m < settings_.members; m += 2) {
+        link_of(m, store_link).set_faults({millis(0), true, true, true});
+        after(2 * fault.length, [this, m] { link_of(m, store_link).set_faults({}); });
+    }
+}
+
 void cell::leader_cut(const planned_fault& fault)
 {
-    if (leader() < 0) {
-        return;
+    if (leader() >= 0) {
+        cut({&link_of(leader(), peer_link), &link_of(leader(), store_link)}, fault.length);
     }
-    const std::size_t links_per_member = 3;
-    const std::size_t first = static_cast<std::size_t>(settings_.workers) +
-                              links_per_member * static_cast<std::size_t>(leader());
-    cut({links_[first].get(), links_[first + 1].get()}, fault.length);
 }
 
 void cell::leader_stopped(const planned_fault& /*fault*/)
@@ -594,6 +630,8 @@
         {fault_kind::worker_slow, &cell::worker_fault},
         {fault_kind::worker_refuses, &cell::worker_fault},
         {fault_kind::configuration_changes, &cell::configuration_changes},
+        {fault_kind::connections_silenced, &cell::connections_silenced},
+        {fault_kind::store_cut, &cell::store_cut},
         {fault_kind::leader_cut, &cell::leader_cut},
         {fault_kind::leader_stopped, &cell::leader_stopped},
         {fault_kind::worker_cut, &cell::worker_cut},
--- a/test/soak/cell.h
+++ b/test/soak/cell.h
@@ -27,6 +27,12 @@
     std::uint64_t seed = 1;
 };
 
+/// The newest version of the configuration.
+struct published_version {
+    int version = 0;
+    time_point at;
+};
+
 class cell {
 public:
     cell(event_loop& loop, const cell_settings& settings, promises& checks);
@@ -38,6 +44,16 @@
     /// Returns the client endpoints of all members, running or not.
     std::vector<endpoint> entries() const;
     std::uint64_t store_calls() const { return store_.calls(); }
+    const published_version& published() const { return published_; }
+    /// Returns how often the member's process was started.
+    int starts_of(int member) const;
+    /// Returns whether neither the member nor the store nor a link had a fault lately.
+    bool is_sound(int member) const;
+    /// Returns the path prefix of the route that only this version has.
+    static std::string version_prefix(int version)
+    {
+        return "/version" + std::to_string(version) + "/";
+    }
 
     static constexpr const char* host = "soak.example";
     static constexpr const char* plain_prefix = "/plain/"; ///< route whose tasks any worker may run
@@ -55,6 +71,8 @@
     void start_later(int member);
     void collect_exited();
     void publish_configuration();
+    /// Returns the member's link to the store or, by `which`, to its peers or the advisor.
+    proxy& link_of(int member, int which) const;
     int leader() const;
     int target_member(const planned_fault& fault) const;
     fleet_worker* target_worker(const planned_fault& fault);
@@ -86,6 +104,8 @@
     void worker_leaves(const planned_fault& fault);
     void worker_fault(const planned_fault& fault);
     void configuration_changes(const planned_fault& fault);
+    void connections_silenced(const planned_fault& fault);
+    void store_cut(const planned_fault& fault);
     void leader_cut(const planned_fault& fault);
     void leader_stopped(const planned_fault& fault);
     void worker_cut(const planned_fault& fault);
@@ -109,7 +129,8 @@
     scenario::process_group processes_;
     std::map<std::string, int> expected_signals_; ///< by member: the signal that was sent to end it
     std::map<std::string, time_point> stop_deadlines_; ///< of members that got SIGTERM
-    int version_ = 0;
+    published_version published_;
+    std::map<int, int> starts_;           ///< of a member's process, by member
     std::map<int, time_point> disturbed_; ///< by member: its last fault, or its last start
     time_point all_disturbed_ = boot_clock::now();
     int last_leader_ = -1;
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -45,7 +45,9 @@
      {fault_kind::worker_cut, "worker_cut"},
      {fault_kind::entries_expire, "entries_expire"},
      {fault_kind::odd_entries, "odd_entries"},
-     {fault_kind::worker_bounces, "worker_bounces"}}};
+     {fault_kind::worker_bounces, "worker_bounces"},
+     {fault_kind::connections_silenced, "connections_silenced"},
+     {fault_kind::store_cut, "store_cut"}}};
 
 constexpr fault_kind leader_faults[] = {fault_kind::leader_killed, fault_kind::leader_paused,
                                         fault_kind::leader_cut, fault_kind::leader_stopped,
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -50,10 +50,12 @@
     entries_expire, ///< the store is down and the workers' entries are gone until they return
     odd_entries,    ///< another writer's entries among those of the workers
     // Only in series:
-    worker_bounces ///< restarts under its id again and again, within tens of milliseconds
+    worker_bounces,       ///< restarts under its id again and again, within tens of milliseconds
+    connections_silenced, ///< all open connections carry no more bytes until they are closed
+    store_cut             ///< each second member is cut from the store, not from the others
 };
 
-constexpr std::size_t fault_kinds = 34;
+constexpr std::size_t fault_kinds = 36;
 constexpr std::size_t single_fault_kinds = 28; ///< drawn by `draw_faults`
 
 std::string_view name_of(fault_kind kind);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -10,6 +10,7 @@
 
 #include "cell.h"
 #include "clients.h"
+#include "configuration_probe.h"
 #include "sesamesill/log.h"
 
 DEFINE_string(program, "build/release/sesamesill-member", "path of the member executable");
@@ -64,7 +65,8 @@
                 {FLAGS_program, FLAGS_run_dir, static_cast<std::uint16_t>(FLAGS_first_port),
                  FLAGS_members, FLAGS_workers, FLAGS_seed},
                 checks_),
-          clients_(loop, cell_.entries(), checks_, FLAGS_seed)
+          clients_(loop, cell_.entries(), checks_, FLAGS_seed),
+          probe_(loop, cell_, checks_, FLAGS_seed)
     {
     }
 
@@ -76,6 +78,7 @@
         started_at_ = boot_clock::now();
         loop_.after(warm_up_period, [this] {
             clients_.start(millis(FLAGS_job_gap_ms));
+            probe_.start();
             plan();
         });
         loop_.every(check_period, [this] {
@@ -170,6 +173,7 @@
     promises checks_;
     cell cell_;
     clients clients_;
+    configuration_probe probe_;
     time_point started_at_;
     std::size_t faults_ = 0;
 };
