Log which configuration each 404 and each start rests on

What a member held when it answered 404 couldn't be told from its log: the version had no line of its own there, and the age of the knowledge was nowhere. One type now says which version a member holds, from a load or a read, and since when it is known to be the newest; 404 (route_unknown) and task_started print it, configuration prints the version before, the offset and how long the read took. The frontend and the member use that one place instead of copies of their own. No decision changes; a load now counts as a complete read, which it is.

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -12,6 +12,7 @@
 #include "names.h"
 #include "sesamesill/log.h"
 #include "sesamesill/metrics.h"
+#include "sesamesill/pool_configuration.h"
 #include "sesamesill/pool_follower.h"
 #include "sesamesill/pool_member.h"
 #include "sesamesill/pool_settings.h"
@@ -27,8 +28,6 @@
 using namespace sesamesill;
 
 constexpr std::size_t max_idle_connections = 16; ///< for each peer
-constexpr millis configuration_wait{2000};       ///< how long a read waits for a new version
-constexpr millis configuration_pause{20};        ///< time between reads, prevents a busy loop
 constexpr millis max_directory_pause{300};
 /// Reads of the directory by the leader within the time in which a draining worker may start tasks.
 constexpr int reads_per_drain_limit = 6;
@@ -53,10 +52,9 @@
                   {settings.name, settings.data_center, settings.peer_listen, settings.peer_address,
                    settings.processor_share, settings.bounds, settings.link_mbps},
                   pool_log_, executors_, advisor_),
-          frontend_(loop, member_, {}), metrics_(loop),
-          operator_follower_(loop, operator_log_, "declared",
-                             {configuration_wait, configuration_pause},
-                             [this](const pool::keyed_record& r) { on_operator_record(r); }),
+          declared_(loop, operator_log_, platform::wire::configuration_key,
+                    platform::decode_configuration),
+          frontend_(loop, member_, declared_, {}), metrics_(loop),
           directory_follower_(loop, directory_log_, "directory", {millis(0), max_directory_pause},
                               [this](const pool::keyed_record& r) { on_directory_record(r); })
     {
@@ -82,7 +80,8 @@
             [this](time_point started) { member_.on_directory_loaded(started); });
         directory_follower_.on_lost([this] { member_.on_directory_lost(); });
         loop_.every(directory_timing_period, [this] { update_directory_timing(); });
-        operator_follower_.start();
+        member_.follow(declared_);
+        declared_.start();
         return true;
     }
 
@@ -134,29 +133,6 @@
         directory_follower_.set_timing({millis(0), is_leader ? pause : idle, !is_leader});
     }
 
-    void on_operator_record(const pool::keyed_record& record)
-    {
-        if (record.key != platform::wire::configuration_key || record.value.empty()) {
-            return;
-        }
-        error why;
-        const std::optional<pool::configuration> config =
-            platform::decode_configuration(record.value, why);
-        if (!config) {
-            log_error("configuration_unreadable", why);
-            return;
-        }
-        if (config->version <= version_) {
-            return; // an older version never replaces a newer one
-        }
-        version_ = config->version;
-        log_event(
-            log_level::info, "configuration",
-            {{"version", version_}, {"queues", static_cast<std::int64_t>(config->queues.size())}});
-        frontend_.configure(*config);
-        member_.configure(*config);
-    }
-
     void on_directory_record(const pool::keyed_record& record)
     {
         if (record.value.empty()) {
@@ -182,11 +158,10 @@
     platform::executor_gateway executors_;
     platform::advice_client advisor_;
     pool::member member_;
+    pool::declared_configuration declared_;
     platform::frontend frontend_;
     http_server metrics_;
-    pool::keyed_follower operator_follower_;
     pool::keyed_follower directory_follower_;
-    std::int64_t version_ = 0;
     bool directory_started_ = false;
     bool leaving_ = false;
     time_point shutdown_deadline_;
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -41,8 +41,8 @@
     void set_timing(follow_timing timing);
     /// Reads now, or right after the read in progress.
     void read_now();
-    /// Calls `callback` after each read that reached the end of the log, with the time at which
-    /// that read started.
+    /// Calls `callback` after each load, and each read that reached the end of the log, with the
+    /// time at which it started.
     void on_complete(std::function<void(time_point started)> callback)
     {
         on_complete_ = std::move(callback);
@@ -65,6 +65,10 @@
     time_point last_read() const { return last_read_; }
     /// Returns the duration of the last successful read.
     millis last_read_duration() const { return last_read_duration_; }
+    /// Returns the time since the read in progress, or the last one, began.
+    millis read_age() const { return millis(to_millis(boot_clock::now() - read_started_)); }
+    /// Returns whether the record that is being applied is from a load of the newest records.
+    bool is_applying_load() const { return applying_load_; }
     /// Returns when the last record was applied outside of a load.
     time_point last_record() const { return last_record_; }
 
@@ -92,6 +96,7 @@
     bool loaded_ = false;
     bool paused_ = false;
     bool reading_ = false;
+    bool applying_load_ = false;
     bool read_requested_ = false;            ///< `read_now` was called during the read in progress
     std::optional<time_point> next_read_at_; ///< set while a timer waits to call `read_next`
     bool failing_ = false;
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -14,6 +14,7 @@
 
 #include "sesamesill/clock.h"
 #include "sesamesill/http.h"
+#include "sesamesill/pool_configuration.h"
 #include "sesamesill/pool_election.h"
 #include "sesamesill/pool_follower.h"
 #include "sesamesill/pool_job.h"
@@ -72,7 +73,10 @@
     member& operator=(member&&) = delete;
 
     bool start(error& why);
+    /// Uses this configuration from now on.
     void configure(const configuration& config);
+    /// Uses the newest version of `declared` from now on.
+    void follow(declared_configuration& declared);
     void list_worker(const worker_entry& entry);
     void unlist_worker(const std::string& id);
     /// Notes that a complete read of the workers' directory, begun at `begun`, has ended.
--- /dev/null
+++ b/src/pool_configuration.cc
@@ -0,0 +1,97 @@
+// Reads the declared configuration and keeps the newest version of it.
+
+#include "sesamesill/pool_configuration.h"
+
+#include "sesamesill/metrics.h"
+#include "sesamesill/names.h"
+
+namespace sesamesill::pool {
+namespace {
+
+constexpr name_table<configuration_source, 3> source_names{{{configuration_source::none, "none"},
+                                                            {configuration_source::load, "load"},
+                                                            {configuration_source::read, "read"}}};
+
+constexpr millis read_wait{2000}; ///< how long a read waits for a new version
+constexpr millis read_pause{20};  ///< time between reads, prevents a busy loop
+
+} // namespace
+
+std::string_view name_of(configuration_source source)
+{
+    return name_in(source_names, source);
+}
+
+bool configuration_knowledge::on_version(std::int64_t version, configuration_source source)
+{
+    if (version <= version_) {
+        return false;
+    }
+    version_ = version;
+    source_ = source;
+    return true;
+}
+
+void configuration_knowledge::on_read(time_point begun)
+{
+    newest_at_ = std::max(newest_at_.value_or(begun), begun);
+}
+
+std::vector<log_field> configuration_knowledge::fields(time_point now) const
+{
+    std::vector<log_field> fields{{"configuration", version_},
+                                  {"source", std::string(name_of(source_))}};
+    if (newest_at_) {
+        fields.push_back({"read_age_ms", to_millis(now - *newest_at_)});
+    }
+    return fields;
+}
+
+declared_configuration::declared_configuration(event_loop& loop, record_log& log, std::string key,
+                                               decoder decode)
+    : key_(std::move(key)), decode_(std::move(decode)),
+      follower_(loop, log, "declared", {read_wait, read_pause},
+                [this](const keyed_record& r) { on_record(r); })
+{
+    follower_.on_complete([this](time_point begun) { knowledge_.on_read(begun); });
+}
+
+void declared_configuration::start()
+{
+    follower_.start();
+}
+
+void declared_configuration::on_record(const keyed_record& record)
+{
+    if (record.key != key_ || record.value.empty()) {
+        return;
+    }
+    error why;
+    const std::optional<configuration> read = decode_(record.value, why);
+    if (!read) {
+        log_error("configuration_unreadable", why);
+        return;
+    }
+    const std::int64_t held = knowledge_.version();
+    const configuration_source source =
+        follower_.is_applying_load() ? configuration_source::load : configuration_source::read;
+    if (!knowledge_.on_version(read->version, source)) {
+        return; // an older version never replaces a newer one
+    }
+    current_ = *read;
+    process_metrics().gauge("sesamesill_pool_configuration_version",
+                            "Version of the configuration in force at this member") =
+        static_cast<double>(current_.version);
+    log_event(log_level::info, "configuration",
+              {{"version", current_.version},
+               {"queues", static_cast<std::int64_t>(current_.queues.size())},
+               {"held", held},
+               {"source", std::string(name_of(source))},
+               {"offset", static_cast<std::int64_t>(record.offset)},
+               {"read_took_ms", follower_.read_age().count()}});
+    if (on_change_) {
+        on_change_(current_);
+    }
+}
+
+} // namespace sesamesill::pool
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -177,13 +177,13 @@
             return;
         }
         finish_load();
+        if (on_complete_) {
+            on_complete_(load_started_);
+        }
         if (!timing_.reload) {
             read_next();
             return;
         }
-        if (on_complete_) {
-            on_complete_(load_started_);
-        }
         schedule_read(read_requested_ ? millis(0) : timing_.pause);
         read_requested_ = false;
     });
@@ -204,6 +204,7 @@
                    {"took_ms", to_millis(boot_clock::now() - load_started_)}});
     }
     loaded_ = true;
+    applying_load_ = true;
     next_ = load_end_;
     for (const keyed_record& record : removed) {
         apply(record);
@@ -213,6 +214,7 @@
     for (const std::pair<const std::string, keyed_record>& record : loaded) {
         apply(record.second);
     }
+    applying_load_ = false;
 }
 
 void keyed_follower::apply(const keyed_record& record)
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -35,10 +35,11 @@
 
 leader::leader(event_loop& loop, const member_settings& settings, leader_record self,
                record_log& log, worker_gateway& workers, advisor& advice, http_client& peers,
-               std::uint64_t end, std::function<void()> deposed,
+               const declared_configuration* declared, std::uint64_t end,
+               std::function<void()> deposed,
                std::function<void(const std::vector<keyed_record>&, std::uint64_t)> on_written)
     : loop_(loop), settings_(settings), self_(std::move(self)), workers_(workers), advice_(advice),
-      peer_client_(peers), deposed_(deposed),
+      peer_client_(peers), declared_(declared), deposed_(deposed),
       scheduler_(self_.fence, settings.bounds, boot_clock::now()),
       writer_(loop, log, end, std::move(deposed), std::move(on_written),
               link_bytes_per_ms(settings.link_mbps), settings.bounds.max_append_bytes),
@@ -290,6 +291,11 @@
         if (d.directory_age_ms) {
             fields.push_back({"directory_age_ms", *d.directory_age_ms});
         }
+        if (d.kind == decision_kind::started && declared_ != nullptr) {
+            for (const log_field& f : declared_->knowledge().fields(boot_clock::now())) {
+                fields.push_back(f);
+            }
+        }
         if (d.evidence) {
             const std::string evidence(name_of(*d.evidence));
             fields.push_back({"evidence", evidence});
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -16,6 +16,7 @@
 #include "pool_budget.h"
 #include "pool_lag.h"
 #include "pool_window.h"
+#include "sesamesill/pool_configuration.h"
 #include "sesamesill/pool_directory.h"
 #include "sesamesill/pool_member.h"
 
@@ -28,8 +29,8 @@
     /// Leads from the log's next offset `end` on. Calls `deposed` when a newer leader has claimed,
     /// and `on_written` with the records that were stored and the next offset of the log.
     leader(event_loop& loop, const member_settings& settings, leader_record self, record_log& log,
-           worker_gateway& workers, advisor& advice, http_client& peers, std::uint64_t end,
-           std::function<void()> deposed,
+           worker_gateway& workers, advisor& advice, http_client& peers,
+           const declared_configuration* declared, std::uint64_t end, std::function<void()> deposed,
            std::function<void(const std::vector<keyed_record>&, std::uint64_t)> on_written);
     ~leader();
     leader(const leader&) = delete;
@@ -121,6 +122,7 @@
     worker_gateway& workers_;
     advisor& advice_;
     http_client& peer_client_;
+    const declared_configuration* declared_; ///< null if nothing is known of its freshness
     std::function<void()> deposed_;
     scheduler scheduler_;
     record_writer writer_;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -213,7 +213,7 @@
     leader_election.on_lead_taken();
     follower.apply_records({{leader_key, encode(self), claim_offset}}, claim_offset + 1);
     lead = std::make_unique<leader>(
-        loop, settings, self, log, workers, advice, peers, claim_offset + 1,
+        loop, settings, self, log, workers, advice, peers, declared, claim_offset + 1,
         [this, fence = self.fence] {
             loop.after(millis(0), [this, fence] {
                 if (leads() && lead->fence() == fence) {
@@ -264,6 +264,12 @@
     }
 }
 
+void member::follow(declared_configuration& declared)
+{
+    parts_->declared = &declared;
+    declared.on_change([this](const configuration& config) { configure(config); });
+}
+
 void member::list_worker(const worker_entry& entry)
 {
     const auto known = parts_->known_workers.find(entry.id);
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -85,6 +85,7 @@
     election leader_election;
     keyed_follower follower;
     configuration config;
+    declared_configuration* declared = nullptr;        ///< null if the owner calls `configure`
     std::map<std::string, known_peer> known_peers;     ///< by name
     std::map<std::string, worker_entry> known_workers; ///< in the directory, by id
     std::map<std::string, removed_worker> removed_workers;
