Close a peer's idle connections after a request without an answer on one of them

Callers got 404 for routes in force for longer than ConfigApplyMs: when all open connections went silent, the next read of the configuration took another dead connection from the idle pool after the first had cost the wait and the timeout, 2.9 s each. Ruled out: a trim, a load, and a store that is down, by the log.

A request that got no byte on a reused connection now closes the idle ones to that peer: they were opened over the same path. New connections tell whether the peer itself is silent. It holds for executors and other members, too, as all use this client.

--- a/include/sesamesill/http.h
+++ b/include/sesamesill/http.h
@@ -152,7 +152,8 @@
     millis delay{0};                ///< added before each request is sent
 };
 
-/// Sends requests over keep-alive connections, one request at a time on each connection.
+/// Sends requests over keep-alive connections, one request at a time on each connection. A request
+/// without an answer closes the peer's idle connections if it went over one of them.
 class http_client {
 public:
     /// Keeps at most `max_idle` idle connections to each peer.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -47,6 +47,7 @@
     {
     }
     evhttp_connection* acquire_connection(const endpoint& to, bool& opened);
+    void close_idle(const endpoint& to);
     void return_connection(const endpoint& to, evhttp_connection* connection, bool healthy);
     void sweep(time_point now);
 };
@@ -64,6 +65,7 @@
     http_done done;
     evbuffer_cb_entry* output_watch = nullptr;
     bool connecting = false;       ///< on a new connection, while nothing has been written
+    bool reused = false;           ///< the connection has carried an earlier request
     bool headers_received = false; ///< the response headers have arrived
     time_point connect_deadline;
     time_point first_byte_deadline;
@@ -212,6 +214,12 @@
 {
     std::unique_ptr<exchange> x(expired);
     const error why{code, step::http, to_string(x->to), reason};
+    const std::shared_ptr<http_client::state> client = x->client.lock();
+    if (client != nullptr && x->reused && !x->headers_received) {
+        // The path may have lost all connections without a reset; new ones show whether the peer
+        // itself is silent.
+        client->close_idle(x->to);
+    }
     evhttp_cancel_request(x->request); // doesn't call on_answer
     complete(std::move(x), std::nullopt, why);
 }
@@ -318,16 +326,21 @@
     }
 }
 
-void http_client::close_idle(const endpoint& to)
+void http_client::state::close_idle(const endpoint& to)
 {
-    const auto pool = state_->idle.find(to);
-    if (pool == state_->idle.end()) {
+    const auto pool = idle.find(to);
+    if (pool == idle.end()) {
         return;
     }
     for (const idle_connection& c : pool->second) {
-        free_later(state_->loop, c.handle);
+        free_later(loop, c.handle);
     }
-    state_->idle.erase(pool);
+    idle.erase(pool);
+}
+
+void http_client::close_idle(const endpoint& to)
+{
+    state_->close_idle(to);
 }
 
 namespace {
@@ -401,6 +414,7 @@
     x->to = to;
     x->done = std::move(done);
     x->connection = state_->acquire_connection(to, x->connecting);
+    x->reused = !x->connecting;
     x->deadline = now + call.timeout;
     x->stall_timeout = call.stall_timeout;
     x->last_deadline = now + std::max(call.timeout, max_response_time);
