Load the newest records when a page lacks records that the log has

A follower that got a page without a record moved to the log's end: if the log had grown, the records between were skipped for good, a version of the configuration with them. The platform's page doesn't say whether a page holds at least one record, whatever MaxKb is. Found by reading.

Such a page is handled like a trimmed one. The test failed before.

--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -52,8 +52,8 @@
     /// Stops reading while the owner appends to the log and calls `apply_records`.
     void pause() { paused_ = true; }
     void resume();
-    /// Applies records that the caller has read or appended; the log now ends at `end`.
-    void apply_records(const std::vector<keyed_record>& records, std::uint64_t end);
+    /// Applies records that the caller has read or appended.
+    void apply_records(const std::vector<keyed_record>& records);
     /// Reads to the end of the log now and passes to `done` whether that succeeded.
     void catch_up(std::function<void(bool)> done);
 
@@ -74,6 +74,7 @@
 
 private:
     void read_next();
+    bool needs_load(const read_result& r);
     void load(const std::string& after);
     void finish_load();
     void apply(const keyed_record& record);
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -109,6 +109,23 @@
     }
 }
 
+/// Returns whether records from `next_` on can't be read, because they were trimmed or because the
+/// page lacks them. Then the newest records are loaded, so that none is skipped.
+bool keyed_follower::needs_load(const read_result& r)
+{
+    const bool lacks_records = r.ok && r.records.empty() && r.end > next_;
+    if (!r.trimmed && !lacks_records) {
+        return false;
+    }
+    log_event(log_level::info, "log_reload",
+              {{"log", name_},
+               {"next", static_cast<std::int64_t>(next_)},
+               {"end", static_cast<std::int64_t>(r.end)},
+               {"reason", r.trimmed ? "trimmed" : "a page without the records that the log has"}});
+    loaded_ = false;
+    return true;
+}
+
 void keyed_follower::read_next()
 {
     if (paused_ || reading_) {
@@ -128,10 +145,7 @@
                       return;
                   }
                   reading_ = false;
-                  if (r.trimmed) {
-                      log_event(log_level::info, "log_reload",
-                                {{"log", name_}, {"next", static_cast<std::int64_t>(next_)}});
-                      loaded_ = false;
+                  if (needs_load(r)) {
                       read_next();
                       return;
                   }
@@ -142,7 +156,7 @@
                   on_success();
                   if (!paused_) {
                       const time_point started = read_started_;
-                      apply_records(r.records, r.end);
+                      apply_records(r.records);
                       if (on_complete_ && next_ >= r.end) {
                           on_complete_(started);
                       }
@@ -232,7 +246,7 @@
     on_record_(record);
 }
 
-void keyed_follower::apply_records(const std::vector<keyed_record>& records, std::uint64_t end)
+void keyed_follower::apply_records(const std::vector<keyed_record>& records)
 {
     for (const keyed_record& record : records) {
         if (record.offset >= next_) {
@@ -241,9 +255,6 @@
             apply(record);
         }
     }
-    if (records.empty()) {
-        next_ = std::max(next_, end);
-    }
 }
 
 void keyed_follower::catch_up(std::function<void(bool)> done)
@@ -258,16 +269,17 @@
                   if (!*alive) {
                       return;
                   }
-                  if (r.trimmed) {
-                      loaded_ = false;
+                  if (needs_load(r)) {
                       read_next();
+                      done(false);
+                      return;
                   }
-                  if (!r.ok || r.trimmed) {
+                  if (!r.ok) {
                       done(false);
                       return;
                   }
                   on_success();
-                  apply_records(r.records, r.end);
+                  apply_records(r.records);
                   if (next_ < r.end) {
                       catch_up(done);
                       return;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -211,7 +211,7 @@
     const leader_record self{settings.name, incarnation, settings.peer_address, claim_offset + 1,
                              expected_members()};
     leader_election.on_lead_taken();
-    follower.apply_records({{leader_key, encode(self), claim_offset}}, claim_offset + 1);
+    follower.apply_records({{leader_key, encode(self), claim_offset}});
     lead = std::make_unique<leader>(
         loop, settings, self, log, workers, advice, peers, declared, claim_offset + 1,
         [this, fence = self.fence] {
@@ -221,8 +221,8 @@
                 }
             });
         },
-        [this](const std::vector<keyed_record>& records, std::uint64_t end) {
-            follower.apply_records(records, end);
+        [this](const std::vector<keyed_record>& records, std::uint64_t /*end*/) {
+            follower.apply_records(records);
         });
     lead->restore(follower.values(), all_workers(), directory, config);
     for (const std::pair<const std::string, removed_worker>& w : removed_workers) {
--- a/test/fake_log.h
+++ b/test/fake_log.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sesamesill/pool_ports.h"
@@ -64,8 +65,9 @@
         r.trimmed = from < first_retained;
         r.ok = !r.trimmed && !unavailable;
         std::size_t bytes = 0;
+        const std::uint64_t shown = std::exchange(hides_next_page, false) ? from : records.size();
         for (std::uint64_t i = from;
-             r.ok && i < records.size() && bytes < std::min(max_bytes, max_read_bytes); ++i) {
+             r.ok && i < shown && bytes < std::min(max_bytes, max_read_bytes); ++i) {
             r.records.push_back(records[i]);
             bytes += records[i].value.size();
         }
@@ -132,7 +134,8 @@
     std::size_t bytes_per_ms = 0; ///< of the link that answers to reads pass; 0 is unlimited
     std::size_t bytes_read = 0;
     int appends = 0;
-    int loads = 0; ///< reads of the newest records from the first key on
+    bool hides_next_page = false; ///< the next read has no records, whatever its end says
+    int loads = 0;                ///< reads of the newest records from the first key on
 
 private:
     bool exceeds_limits(const std::vector<keyed_record>& added) const
--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -154,6 +154,25 @@
     cr_assert_eq(removed.size(), 2);
 }
 
+Test(pool_log, a_page_without_the_records_that_the_log_has_skips_none)
+{
+    event_loop loop;
+    fake_log log(loop);
+    std::vector<std::string> seen;
+    keyed_follower follower(loop, log, "log", {millis(0), millis(10)},
+                            [&seen](const keyed_record& r) { seen.push_back(r.value); });
+    follower.start();
+    loop.after(millis(50), [&log] {
+        log.hides_next_page = true;
+        log.store({{"config", "v2", 0}}, 0);
+    });
+    loop.after(millis(150), [&loop] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(seen.size(), 1);
+    cr_assert(seen[0] == "v2");
+    cr_assert_eq(follower.next(), 1);
+}
+
 Test(pool_log, a_long_pause_that_has_begun_does_not_delay_the_reads_of_a_shorter_one)
 {
     event_loop loop;
