Answer 404 only by a configuration that is known to be the newest

Callers got 404 for a route that had been added: the entry decided by its own version alone, whatever the age of the read behind it.

The bound is a setting now (configuration_limit_ms, from the platform's). A read waits a quarter of it. A route that the current version lacks is refused with 404 only if that version was the newest one within the last half of the bound; otherwise the log is read first, and if that fails the client gets 503 with Retry-After: nothing was run. The answer to a waiting read may take longer while its bytes arrive, as the shorter wait shortens its timeout.

--- a/include/sesamesill/pool_configuration.h
+++ b/include/sesamesill/pool_configuration.h
@@ -41,6 +41,12 @@
     /// has shown that.
     std::optional<time_point> newest_at() const { return newest_at_; }
 
+    /// Returns whether the version was the newest one at most `max_age` ago.
+    bool is_fresh(millis max_age, time_point now) const
+    {
+        return newest_at_ && now - *newest_at_ <= max_age;
+    }
+
     /// Returns the fields of a log line about a decision that rests on this knowledge.
     std::vector<log_field> fields(time_point now) const;
 
@@ -57,8 +63,9 @@
     using decoder =
         std::function<std::optional<configuration>(const std::string& value, error& why)>;
 
-    /// Follows the record `key` of `log`.
-    declared_configuration(event_loop& loop, record_log& log, std::string key, decoder decode);
+    /// Follows the record `key` of `log`. A version has to apply `apply_limit` after it was stored.
+    declared_configuration(event_loop& loop, record_log& log, std::string key, decoder decode,
+                           millis apply_limit);
 
     void start();
     /// Sets a callback that runs when a newer version replaces the current one.
@@ -69,16 +76,23 @@
     /// Returns the configuration in force at this member; its version is 0 before the first read.
     const configuration& current() const { return current_; }
     const configuration_knowledge& knowledge() const { return knowledge_; }
+    /// Returns whether a decision may rest on what the current version lacks.
+    bool is_fresh() const;
+    /// Passes to `done` whether the current version is fresh, after a read if it isn't yet.
+    void confirm(std::function<void(bool)> done);
 
 private:
     void on_record(const keyed_record& record);
+    void refresh(int attempts);
 
     std::string key_;
+    millis apply_limit_;
     decoder decode_;
     configuration current_;
     configuration_knowledge knowledge_;
     keyed_follower follower_;
     std::function<void(const configuration&)> on_change_;
+    std::vector<std::function<void(bool)>> waiting_; ///< calls of `confirm` until the read's end
 };
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -57,7 +57,13 @@
     /// Reads to the end of the log now and passes to `done` whether that succeeded.
     void catch_up(std::function<void(bool)> done);
 
+    /// Reads to the end of the log without waiting for records, beside a read that waits for them.
+    /// Passes to `done` whether the log's end was reached.
+    void refresh(millis timeout, std::function<void(bool)> done);
+
     const std::map<std::string, keyed_record>& values() const { return values_; }
+    /// Returns whether the last read failed.
+    bool is_failing() const { return failing_; }
     /// Returns whether the newest record of each key has been loaded.
     bool is_loaded() const { return loaded_; }
     std::uint64_t next() const { return next_; }
--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -274,6 +274,8 @@
     millis entry_return{2000};
     millis status_kept{120000}; ///< how long the state of a finished job must be known
     millis grace{6000};         ///< time from a planned stop to the kill
+    /// A version of the configuration applies at all members this long after it was stored.
+    millis configuration_limit{2000};
     double remote_factor = 2; ///< a task runs this many times longer on a rack that lacks its data
     millis restore{100};      ///< time to resume from a checkpoint
     std::size_t max_record_bytes = 262144;  ///< of one record of the store, with its key
--- a/src/pool_configuration.cc
+++ b/src/pool_configuration.cc
@@ -12,8 +12,15 @@
                                                             {configuration_source::load, "load"},
                                                             {configuration_source::read, "read"}}};
 
-constexpr millis read_wait{2000}; ///< how long a read waits for a new version
-constexpr millis read_pause{20};  ///< time between reads, prevents a busy loop
+constexpr millis read_pause{20}; ///< time between reads, prevents a busy loop
+/// Shares of the time in which a version has to apply. A read waits for a new version; the store
+/// may miss one that arrives together with the read. What is older than the validity is confirmed
+/// before a decision rests on it.
+constexpr int waits_per_limit = 4;
+constexpr int validities_per_limit = 2;
+constexpr int confirmations_per_limit = 8;
+/// The second read takes a new connection if the first got no answer.
+constexpr int confirmation_attempts = 2;
 
 } // namespace
 
@@ -48,9 +55,9 @@
 }
 
 declared_configuration::declared_configuration(event_loop& loop, record_log& log, std::string key,
-                                               decoder decode)
-    : key_(std::move(key)), decode_(std::move(decode)),
-      follower_(loop, log, "declared", {read_wait, read_pause},
+                                               decoder decode, millis apply_limit)
+    : key_(std::move(key)), apply_limit_(apply_limit), decode_(std::move(decode)),
+      follower_(loop, log, "declared", {apply_limit / waits_per_limit, read_pause},
                 [this](const keyed_record& r) { on_record(r); })
 {
     follower_.on_complete([this](time_point begun) { knowledge_.on_read(begun); });
@@ -61,6 +68,38 @@
     follower_.start();
 }
 
+bool declared_configuration::is_fresh() const
+{
+    return knowledge_.is_fresh(apply_limit_ / validities_per_limit, boot_clock::now());
+}
+
+void declared_configuration::confirm(std::function<void(bool)> done)
+{
+    if (is_fresh() || follower_.is_failing()) {
+        done(is_fresh());
+        return;
+    }
+    waiting_.push_back(std::move(done));
+    if (waiting_.size() == 1) {
+        refresh(confirmation_attempts);
+    }
+}
+
+void declared_configuration::refresh(int attempts)
+{
+    follower_.refresh(apply_limit_ / confirmations_per_limit, [this, attempts](bool complete) {
+        if (!complete && !is_fresh() && attempts > 1) {
+            refresh(attempts - 1);
+            return;
+        }
+        std::vector<std::function<void(bool)>> waiting;
+        waiting.swap(waiting_);
+        for (const std::function<void(bool)>& done : waiting) {
+            done(is_fresh());
+        }
+    });
+}
+
 void declared_configuration::on_record(const keyed_record& record)
 {
     if (record.key != key_ || record.value.empty()) {
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -257,6 +257,39 @@
     }
 }
 
+void keyed_follower::refresh(millis timeout, std::function<void(bool)> done)
+{
+    if (!loaded_ || paused_) {
+        done(false);
+        return;
+    }
+    const time_point begun = boot_clock::now();
+    log_.read(next_, page_bytes_, millis(0), timeout,
+              [this, timeout, begun, alive = alive_, done = std::move(done)](const read_result& r) {
+                  if (!*alive) {
+                      return;
+                  }
+                  if (needs_load(r)) {
+                      read_next();
+                      done(false);
+                      return;
+                  }
+                  if (!r.ok) {
+                      done(false);
+                      return;
+                  }
+                  apply_records(r.records);
+                  if (next_ < r.end) {
+                      refresh(timeout, done);
+                      return;
+                  }
+                  if (on_complete_) {
+                      on_complete_(begun);
+                  }
+                  done(true);
+              });
+}
+
 void keyed_follower::catch_up(std::function<void(bool)> done)
 {
     if (!loaded_) {
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -34,6 +34,7 @@
     {"bounds", "drain_limit_ms", &platform_bounds::drain_limit, false},
     {"bounds", "status_kept_s", &platform_bounds::status_kept, false},
     {"bounds", "grace_s", &platform_bounds::grace, false},
+    {"bounds", "configuration_limit_ms", &platform_bounds::configuration_limit, false},
     {"bounds", "remote_factor", &platform_bounds::remote_factor, false},
     {"bounds", "restore_ms", &platform_bounds::restore, false},
     {"bounds", "max_record_bytes", &platform_bounds::max_record_bytes, false},
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include "directory.h"
+#include "fake_log.h"
 #include "frontend.h"
 #include "sesamesill/pool_settings.h"
 #include "store.h"
@@ -247,3 +248,72 @@
     cr_assert_not(pool::parse_daemon_settings("[member]\nname = e1\nlisten = here\n", faults));
     cr_assert_geq(faults.size(), 2);
 }
+
+namespace {
+
+/// A frontend of a member without peers, whose configuration is read from `log`.
+struct entry_fixture {
+    static constexpr std::uint16_t port = 28641;
+    event_loop loop;
+    pool::testing::fake_log log{loop};
+    pool::testing::fake_log pool_log{loop};
+    http_client client{loop, "t"};
+    executor_gateway workers{client};
+    advice_client advisor{client, {"127.0.0.1", 9}};
+    pool::member member{loop,
+                        {"m1", "d1", {"127.0.0.1", port + 1}, {"127.0.0.1", port + 1}, 1, {}},
+                        pool_log,
+                        workers,
+                        advisor};
+    pool::declared_configuration declared{loop, log, "config", decode_configuration, millis(400)};
+    frontend entry{loop, member, declared, {}};
+
+    entry_fixture()
+    {
+        error why;
+        log.store({{"config", configuration_text, 0}}, 0);
+        cr_assert(member.start(why) &&
+                      entry.listen({"127.0.0.1", port}, {"127.0.0.1", port + 2}, why),
+                  "%s", why.reason.c_str());
+        member.follow(declared);
+        declared.start();
+        run(millis(200));
+    }
+
+    void run(millis duration)
+    {
+        loop.after(duration, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    int status_of(const std::string& path)
+    {
+        http_call call;
+        call.path = path;
+        call.headers["Host"] = "h.example";
+        int status = 0;
+        client.send({"127.0.0.1", port}, std::move(call),
+                    [this, &status](const std::optional<http_reply>& reply, const error&) {
+                        status = reply ? reply->status : 0;
+                        loop.stop();
+                    });
+        loop.run();
+        return status;
+    }
+};
+
+} // namespace
+
+Test(platform, a_route_is_not_called_unknown_by_a_configuration_that_may_be_replaced)
+{
+    entry_fixture f;
+    cr_assert_eq(f.status_of("/a/"), 200);
+    cr_assert_eq(f.status_of("/other/"), 404);
+    f.log.unavailable = true;
+    f.run(millis(500));
+    cr_assert_eq(f.status_of("/a/"), 200);
+    cr_assert_eq(f.status_of("/other/"), 503);
+    f.log.unavailable = false;
+    f.run(millis(700));
+    cr_assert_eq(f.status_of("/other/"), 404);
+}
