Tell other members which configuration is newest, and pass it on

Heartbeats carry the version now, both ways, and the answer its age. A member that hears of a newer one doesn't call an unknown route unknown, and asks that peer for the text if the store hasn't brought it within an eighth of the bound. An answer's age counts from the question, a message's own isn't taken, as it may have been delayed.

Test: members_pass_a_version_on_to_those_that_the_store_does_not_answer fails with the request to the peer switched off.

--- a/include/sesamesill/pool_configuration.h
+++ b/include/sesamesill/pool_configuration.h
@@ -21,7 +21,8 @@
 enum class configuration_source : std::uint8_t {
     none, ///< it holds no version yet
     load, ///< a read of the newest records
-    read  ///< a read of the records since
+    read, ///< a read of the records since
+    peer  ///< another member
 };
 
 std::string_view name_of(configuration_source source);
@@ -34,17 +35,23 @@
     /// Handles a complete read that was begun at `begun`: no version stored before it is newer than
     /// the one that is held.
     void on_read(time_point begun);
+    /// Handles that `peer` holds `version`, which was the newest one at `newest_at` if that is
+    /// known.
+    void on_told(std::int64_t version, const std::string& peer, std::optional<time_point> newest_at,
+                 time_point now);
 
     std::int64_t version() const { return version_; }
     configuration_source source() const { return source_; }
     /// Returns since when the version is known to have been the newest one, or nothing if no read
     /// has shown that.
     std::optional<time_point> newest_at() const { return newest_at_; }
+    /// Returns since when another member is known to hold a newer version, or nothing if none is.
+    std::optional<time_point> behind_since() const { return behind_since_; }
 
     /// Returns whether the version was the newest one at most `max_age` ago.
     bool is_fresh(millis max_age, time_point now) const
     {
-        return newest_at_ && now - *newest_at_ <= max_age;
+        return !behind_since_ && newest_at_ && now - *newest_at_ <= max_age;
     }
 
     /// Returns the fields of a log line about a decision that rests on this knowledge.
@@ -54,9 +61,13 @@
     std::int64_t version_ = 0;
     configuration_source source_ = configuration_source::none;
     std::optional<time_point> newest_at_;
+    std::int64_t told_version_ = 0; ///< the newest one that another member holds
+    std::string told_by_;
+    std::optional<time_point> behind_since_; ///< set while `told_version_` exceeds `version_`
 };
 
-/// Follows the declared configuration in the platform's store.
+/// Follows the declared configuration in the platform's store. Other members tell of newer versions
+/// and pass them on, as the store may not answer this member.
 class declared_configuration {
 public:
     /// Decodes the value of a record; returns nothing and sets the reason if it can't be read.
@@ -76,6 +87,17 @@
     /// Returns the configuration in force at this member; its version is 0 before the first read.
     const configuration& current() const { return current_; }
     const configuration_knowledge& knowledge() const { return knowledge_; }
+    /// Returns the current version as it was stored, for other members; empty before the first
+    /// read.
+    const std::string& text() const { return text_; }
+    /// See `configuration_knowledge::on_told`.
+    void on_told(std::int64_t version, const std::string& peer,
+                 std::optional<time_point> newest_at);
+    /// Returns whether a member that holds a newer version should be asked for it now: reads of the
+    /// store have had time to bring it.
+    bool should_ask_peer(time_point now) const;
+    /// Adopts the version that `peer` has sent if it is newer.
+    void adopt(const std::string& text, const std::string& peer);
     /// Returns whether a decision may rest on what the current version lacks.
     bool is_fresh() const;
     /// Passes to `done` whether the current version is fresh, after a read if it isn't yet.
@@ -83,12 +105,15 @@
 
 private:
     void on_record(const keyed_record& record);
+    void adopt(const std::string& text, configuration_source source,
+               const std::vector<log_field>& details);
     void refresh(int attempts);
 
     std::string key_;
     millis apply_limit_;
     decoder decode_;
     configuration current_;
+    std::string text_;
     configuration_knowledge knowledge_;
     keyed_follower follower_;
     std::function<void(const configuration&)> on_change_;
--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -216,6 +216,14 @@
                       [this](const http_request& request, const http_respond& respond) {
                           serve_advise(request, respond);
                       });
+    peer_server.route("GET", "/pool/configuration",
+                      [this](const http_request&, const http_respond& respond) {
+                          const bool known = declared != nullptr && !declared->text().empty();
+                          http_reply reply;
+                          reply.status = known ? 200 : 404;
+                          reply.body = known ? declared->text() : std::string();
+                          respond(std::move(reply));
+                      });
     const auto leading_only = [this](auto handler) {
         return [this, handler](const http_request& request, const http_respond& respond) {
             if (!leads()) {
--- a/src/pool_configuration.cc
+++ b/src/pool_configuration.cc
@@ -8,9 +8,10 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<configuration_source, 3> source_names{{{configuration_source::none, "none"},
+constexpr name_table<configuration_source, 4> source_names{{{configuration_source::none, "none"},
                                                             {configuration_source::load, "load"},
-                                                            {configuration_source::read, "read"}}};
+                                                            {configuration_source::read, "read"},
+                                                            {configuration_source::peer, "peer"}}};
 
 constexpr millis read_pause{20}; ///< time between reads, prevents a busy loop
 /// Shares of the time in which a version has to apply. A read waits for a new version; the store
@@ -19,6 +20,8 @@
 constexpr int waits_per_limit = 4;
 constexpr int validities_per_limit = 2;
 constexpr int confirmations_per_limit = 8;
+/// A peer is asked for a newer version after this share, as the store usually brings it first.
+constexpr int peer_delays_per_limit = 8;
 /// The second read takes a new connection if the first got no answer.
 constexpr int confirmation_attempts = 2;
 
@@ -36,6 +39,9 @@
     }
     version_ = version;
     source_ = source;
+    if (version_ >= told_version_) {
+        behind_since_.reset();
+    }
     return true;
 }
 
@@ -44,6 +50,20 @@
     newest_at_ = std::max(newest_at_.value_or(begun), begun);
 }
 
+void configuration_knowledge::on_told(std::int64_t version, const std::string& peer,
+                                      std::optional<time_point> newest_at, time_point now)
+{
+    if (version == version_ && newest_at) {
+        on_read(*newest_at);
+    }
+    if (version <= std::max(version_, told_version_)) {
+        return;
+    }
+    told_version_ = version;
+    told_by_ = peer;
+    behind_since_ = behind_since_.value_or(now);
+}
+
 std::vector<log_field> configuration_knowledge::fields(time_point now) const
 {
     std::vector<log_field> fields{{"configuration", version_},
@@ -51,6 +71,10 @@
     if (newest_at_) {
         fields.push_back({"read_age_ms", to_millis(now - *newest_at_)});
     }
+    if (behind_since_) {
+        fields.push_back({"newer", told_version_});
+        fields.push_back({"newer_by", told_by_});
+    }
     return fields;
 }
 
@@ -100,34 +124,64 @@
     });
 }
 
+void declared_configuration::on_told(std::int64_t version, const std::string& peer,
+                                     std::optional<time_point> newest_at)
+{
+    const time_point now = boot_clock::now();
+    const bool was_behind = knowledge_.behind_since().has_value();
+    knowledge_.on_told(version, peer, newest_at, now);
+    if (!was_behind && knowledge_.behind_since()) {
+        log_event(log_level::info, "configuration_behind", knowledge_.fields(now));
+    }
+}
+
+bool declared_configuration::should_ask_peer(time_point now) const
+{
+    return knowledge_.behind_since() &&
+           now - *knowledge_.behind_since() > apply_limit_ / peer_delays_per_limit;
+}
+
+void declared_configuration::adopt(const std::string& text, const std::string& peer)
+{
+    adopt(text, configuration_source::peer, {{"peer", peer}});
+}
+
 void declared_configuration::on_record(const keyed_record& record)
 {
     if (record.key != key_ || record.value.empty()) {
         return;
     }
+    adopt(record.value,
+          follower_.is_applying_load() ? configuration_source::load : configuration_source::read,
+          {{"offset", static_cast<std::int64_t>(record.offset)},
+           {"read_took_ms", follower_.read_age().count()}});
+}
+
+/// Makes the version in `text` the current one if it is newer; `details` tell where it is from.
+void declared_configuration::adopt(const std::string& text, configuration_source source,
+                                   const std::vector<log_field>& details)
+{
     error why;
-    const std::optional<configuration> read = decode_(record.value, why);
+    const std::optional<configuration> read = decode_(text, why);
     if (!read) {
         log_error("configuration_unreadable", why);
         return;
     }
     const std::int64_t held = knowledge_.version();
-    const configuration_source source =
-        follower_.is_applying_load() ? configuration_source::load : configuration_source::read;
     if (!knowledge_.on_version(read->version, source)) {
         return; // an older version never replaces a newer one
     }
     current_ = *read;
+    text_ = text;
     process_metrics().gauge("sesamesill_pool_configuration_version",
                             "Version of the configuration in force at this member") =
         static_cast<double>(current_.version);
-    log_event(log_level::info, "configuration",
-              {{"version", current_.version},
-               {"queues", static_cast<std::int64_t>(current_.queues.size())},
-               {"held", held},
-               {"source", std::string(name_of(source))},
-               {"offset", static_cast<std::int64_t>(record.offset)},
-               {"read_took_ms", follower_.read_age().count()}});
+    std::vector<log_field> fields{{"version", current_.version},
+                                  {"queues", static_cast<std::int64_t>(current_.queues.size())},
+                                  {"held", held},
+                                  {"source", std::string(name_of(source))}};
+    fields.insert(fields.end(), details.begin(), details.end());
+    log_event(log_level::info, "configuration", fields);
     if (on_change_) {
         on_change_(current_);
     }
--- a/src/pool_heartbeats.cc
+++ b/src/pool_heartbeats.cc
@@ -24,6 +24,8 @@
 /// Lets a member with a larger processor share claim first. It learns of a lost leader from its own
 /// heartbeat or from a member that asks it for the leader.
 constexpr millis smaller_member_delay{400};
+/// Of each step of an answer with a configuration, which may be large.
+constexpr millis configuration_timeout{900};
 constexpr std::size_t max_peers_asked = 4; ///< for the leader, after a failed heartbeat
 
 } // namespace
@@ -65,6 +67,55 @@
     leader_election.set_delay(spread + (has_larger_peer ? smaller_member_delay : millis(0)));
 }
 
+/// Adds the version of the configuration that this member holds, and how long ago it was known to
+/// be the newest one.
+void member::parts::add_configuration(Json::Value& message) const
+{
+    message["configuration"] = static_cast<Json::Int64>(config.version);
+    if (declared != nullptr && declared->knowledge().newest_at()) {
+        message["configuration_age_ms"] = static_cast<Json::Int64>(
+            to_millis(boot_clock::now() - *declared->knowledge().newest_at()));
+    }
+}
+
+/// Learns which version a member holds. If `told` answers a question that was sent at `asked`, the
+/// age that it tells counts from then at the latest; a message of its own may have been delayed.
+void member::parts::learn_configuration(const Json::Value& told, const std::string& peer,
+                                        const endpoint& address, std::optional<time_point> asked)
+{
+    if (declared == nullptr || !told["configuration"].isInt64()) {
+        return;
+    }
+    std::optional<time_point> newest_at;
+    if (asked && told["configuration_age_ms"].isInt64()) {
+        newest_at = *asked - millis(told["configuration_age_ms"].asInt64());
+    }
+    declared->on_told(told["configuration"].asInt64(), peer, newest_at);
+    if (told["configuration"].asInt64() > config.version) {
+        fetch_configuration(peer, address);
+    }
+}
+
+/// Asks a member that holds a newer version for it, unless the store is about to send it.
+void member::parts::fetch_configuration(const std::string& peer, const endpoint& address)
+{
+    if (fetching_configuration || !declared->should_ask_peer(boot_clock::now())) {
+        return;
+    }
+    fetching_configuration = true;
+    http_call call;
+    call.path = "/pool/configuration";
+    call.timeout = configuration_timeout;
+    call.stall_timeout = configuration_timeout;
+    peers.send(address, std::move(call),
+               [this, peer](const std::optional<http_reply>& reply, const error&) {
+                   fetching_configuration = false; // without a reply, the next heartbeat asks again
+                   if (reply && reply->status == 200) {
+                       declared->adopt(reply->body, peer);
+                   }
+               });
+}
+
 /// Asks some members for the leader, which also makes them check theirs. Those with the largest
 /// processor shares come first, as they should succeed a lost leader.
 void member::parts::ask_peers_for_leader()
@@ -156,16 +207,19 @@
     params["peers_known"] = static_cast<Json::UInt64>(known_peers.size());
     params["processor_share"] = settings.processor_share;
     params["fence"] = static_cast<Json::UInt64>(leader_election.leader()->fence);
+    add_configuration(params);
     call_rpc(peers, leader_election.leader()->address, "heartbeat", params, heartbeat_timeout,
-             [this, asked_fence = heartbeat_fence,
-              asked_incarnation = leader_election.leader()->incarnation](
+             [this, sent = boot_clock::now(), asked = *leader_election.leader()](
                  const std::optional<Json::Value>& answer, const error& why) {
-                 if (heartbeat_fence == asked_fence) {
+                 if (heartbeat_fence == asked.fence) {
                      heartbeat_fence = 0;
                  }
                  const time_point now = boot_clock::now();
+                 if (answer) {
+                     learn_configuration(*answer, asked.name, asked.address, sent);
+                 }
                  if (!leader_election.leader() ||
-                     leader_election.leader()->incarnation != asked_incarnation) {
+                     leader_election.leader()->incarnation != asked.incarnation) {
                      return;
                  }
                  if (answer) {
@@ -176,10 +230,10 @@
                          check_store();
                      }
                  }
-                 if (leader_election.leader()->incarnation != asked_incarnation) {
+                 if (leader_election.leader()->incarnation != asked.incarnation) {
                      return;
                  }
-                 if (answer && (*answer)["incarnation"].asString() == asked_incarnation &&
+                 if (answer && (*answer)["incarnation"].asString() == asked.incarnation &&
                      (*answer)["leads"].asBool()) {
                      leader_election.on_contact(now);
                      has_answering_leader = true;
@@ -215,6 +269,7 @@
         lead->on_peer(params["name"].asString(), seen);
     }
     known_peers[params["name"].asString()] = {*address, params["processor_share"].asDouble()};
+    learn_configuration(params, params["name"].asString(), *address, std::nullopt);
     Json::Value answer;
     const auto add_peer = [&answer](const std::string& name, const known_peer& p) {
         Json::Value row;
@@ -232,6 +287,7 @@
         answer["leader"] = to_json(*leader_election.leader());
     }
     answer["incarnation"] = incarnation;
+    add_configuration(answer);
     answer["job_bytes_per_ms"] = submit_overcommit * submit_share *
                                  link_bytes_per_ms(settings.link_mbps) /
                                  static_cast<double>(known_peers.size() + 1);
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -86,6 +86,7 @@
     keyed_follower follower;
     configuration config;
     declared_configuration* declared = nullptr;        ///< null if the owner calls `configure`
+    bool fetching_configuration = false;               ///< from another member
     std::map<std::string, known_peer> known_peers;     ///< by name
     std::map<std::string, worker_entry> known_workers; ///< in the directory, by id
     std::map<std::string, removed_worker> removed_workers;
@@ -122,6 +123,10 @@
     void lose_lead();
     void learn_leader(const Json::Value& value);
     void learn_peers(const Json::Value& addresses);
+    void learn_configuration(const Json::Value& told, const std::string& peer,
+                             const endpoint& address, std::optional<time_point> asked);
+    void add_configuration(Json::Value& message) const;
+    void fetch_configuration(const std::string& peer, const endpoint& address);
     void ask_peers_for_leader();
     void announce_leader(const leader_record& self);
     bool leads() const { return lead != nullptr; }
