Bound how long a request waits for the configuration to be confirmed

The two reads now end within the slack in which a member may show versions in either order (rollback_slack_ms, from the platform's bounds).

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -53,7 +53,7 @@
                    settings.processor_share, settings.bounds, settings.link_mbps},
                   pool_log_, executors_, advisor_),
           declared_(loop, operator_log_, platform::wire::configuration_key,
-                    platform::decode_configuration, settings.bounds.configuration_limit),
+                    platform::decode_configuration, settings.bounds.configuration),
           frontend_(loop, member_, declared_, {}), metrics_(loop),
           directory_follower_(loop, directory_log_, "directory", {millis(0), max_directory_pause},
                               [this](const pool::keyed_record& r) { on_directory_record(r); })
--- a/include/sesamesill/pool_configuration.h
+++ b/include/sesamesill/pool_configuration.h
@@ -74,9 +74,9 @@
     using decoder =
         std::function<std::optional<configuration>(const std::string& value, error& why)>;
 
-    /// Follows the record `key` of `log`. A version has to apply `apply_limit` after it was stored.
+    /// Follows the record `key` of `log`.
     declared_configuration(event_loop& loop, record_log& log, std::string key, decoder decode,
-                           millis apply_limit);
+                           configuration_bounds bounds);
 
     void start();
     /// Sets a callback that runs when a newer version replaces the current one.
@@ -87,6 +87,7 @@
     /// Returns the configuration in force at this member; its version is 0 before the first read.
     const configuration& current() const { return current_; }
     const configuration_knowledge& knowledge() const { return knowledge_; }
+    const configuration_bounds& bounds() const { return bounds_; }
     /// Returns the current version as it was stored, for other members; empty before the first
     /// read.
     const std::string& text() const { return text_; }
@@ -110,7 +111,7 @@
     void refresh(int attempts);
 
     std::string key_;
-    millis apply_limit_;
+    configuration_bounds bounds_;
     decoder decode_;
     configuration current_;
     std::string text_;
--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -264,6 +264,14 @@
     std::vector<service_policy> services;
 };
 
+/// When a version of the configuration has to apply.
+struct configuration_bounds {
+    millis limit{2000}; ///< at all members this long after it was stored
+    /// A member that has shown a version serves no request by an older one that is sent later than
+    /// this.
+    millis rollback_slack{250};
+};
+
 /// Limits of the platform that the control plane relies on.
 struct platform_bounds {
     millis max_lease{6000};    ///< longest lease a worker grants
@@ -274,8 +282,7 @@
     millis entry_return{2000};
     millis status_kept{120000}; ///< how long the state of a finished job must be known
     millis grace{6000};         ///< time from a planned stop to the kill
-    /// A version of the configuration applies at all members this long after it was stored.
-    millis configuration_limit{2000};
+    configuration_bounds configuration;
     double remote_factor = 2; ///< a task runs this many times longer on a rack that lacks its data
     millis restore{100};      ///< time to resume from a checkpoint
     std::size_t max_record_bytes = 262144;  ///< of one record of the store, with its key
--- a/src/pool_configuration.cc
+++ b/src/pool_configuration.cc
@@ -19,11 +19,12 @@
 /// before a decision rests on it.
 constexpr int waits_per_limit = 4;
 constexpr int validities_per_limit = 2;
-constexpr int confirmations_per_limit = 8;
 /// A peer is asked for a newer version after this share, as the store usually brings it first.
 constexpr int peer_delays_per_limit = 8;
-/// The second read takes a new connection if the first got no answer.
+/// The second read takes a new connection if the first got no answer. Both end within the slack:
+/// meanwhile, other requests are served by the version that is to be confirmed.
 constexpr int confirmation_attempts = 2;
+constexpr int confirmations_per_slack = 3;
 
 } // namespace
 
@@ -79,9 +80,9 @@
 }
 
 declared_configuration::declared_configuration(event_loop& loop, record_log& log, std::string key,
-                                               decoder decode, millis apply_limit)
-    : key_(std::move(key)), apply_limit_(apply_limit), decode_(std::move(decode)),
-      follower_(loop, log, "declared", {apply_limit / waits_per_limit, read_pause},
+                                               decoder decode, configuration_bounds bounds)
+    : key_(std::move(key)), bounds_(bounds), decode_(std::move(decode)),
+      follower_(loop, log, "declared", {bounds.limit / waits_per_limit, read_pause},
                 [this](const keyed_record& r) { on_record(r); })
 {
     follower_.on_complete([this](time_point begun) { knowledge_.on_read(begun); });
@@ -94,7 +95,7 @@
 
 bool declared_configuration::is_fresh() const
 {
-    return knowledge_.is_fresh(apply_limit_ / validities_per_limit, boot_clock::now());
+    return knowledge_.is_fresh(bounds_.limit / validities_per_limit, boot_clock::now());
 }
 
 void declared_configuration::confirm(std::function<void(bool)> done)
@@ -111,17 +112,18 @@
 
 void declared_configuration::refresh(int attempts)
 {
-    follower_.refresh(apply_limit_ / confirmations_per_limit, [this, attempts](bool complete) {
-        if (!complete && !is_fresh() && attempts > 1) {
-            refresh(attempts - 1);
-            return;
-        }
-        std::vector<std::function<void(bool)>> waiting;
-        waiting.swap(waiting_);
-        for (const std::function<void(bool)>& done : waiting) {
-            done(is_fresh());
-        }
-    });
+    follower_.refresh(bounds_.rollback_slack / confirmations_per_slack,
+                      [this, attempts](bool complete) {
+                          if (!complete && !is_fresh() && attempts > 1) {
+                              refresh(attempts - 1);
+                              return;
+                          }
+                          std::vector<std::function<void(bool)>> waiting;
+                          waiting.swap(waiting_);
+                          for (const std::function<void(bool)>& done : waiting) {
+                              done(is_fresh());
+                          }
+                      });
 }
 
 void declared_configuration::on_told(std::int64_t version, const std::string& peer,
@@ -138,7 +140,7 @@
 bool declared_configuration::should_ask_peer(time_point now) const
 {
     return knowledge_.behind_since() &&
-           now - *knowledge_.behind_since() > apply_limit_ / peer_delays_per_limit;
+           now - *knowledge_.behind_since() > bounds_.limit / peer_delays_per_limit;
 }
 
 void declared_configuration::adopt(const std::string& text, const std::string& peer)
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -10,9 +10,10 @@
 namespace sesamesill::pool {
 namespace {
 
-using member_pointer = std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
-                                    double daemon_settings::*, millis platform_bounds::*,
-                                    double platform_bounds::*, std::size_t platform_bounds::*>;
+using member_pointer =
+    std::variant<std::string daemon_settings::*, endpoint daemon_settings::*,
+                 double daemon_settings::*, millis platform_bounds::*, double platform_bounds::*,
+                 std::size_t platform_bounds::*, millis configuration_bounds::*>;
 
 using setting = ini_setting<member_pointer>;
 
@@ -34,7 +35,8 @@
     {"bounds", "drain_limit_ms", &platform_bounds::drain_limit, false},
     {"bounds", "status_kept_s", &platform_bounds::status_kept, false},
     {"bounds", "grace_s", &platform_bounds::grace, false},
-    {"bounds", "configuration_limit_ms", &platform_bounds::configuration_limit, false},
+    {"bounds", "configuration_limit_ms", &configuration_bounds::limit, false},
+    {"bounds", "rollback_slack_ms", &configuration_bounds::rollback_slack, false},
     {"bounds", "remote_factor", &platform_bounds::remote_factor, false},
     {"bounds", "restore_ms", &platform_bounds::restore, false},
     {"bounds", "max_record_bytes", &platform_bounds::max_record_bytes, false},
@@ -74,7 +76,13 @@
         }
     }
 
-    void operator()(millis platform_bounds::*member)
+    void operator()(millis platform_bounds::*member) { read(target.bounds.*member); }
+    void operator()(millis configuration_bounds::*member)
+    {
+        read(target.bounds.configuration.*member);
+    }
+
+    void read(millis& destination)
     {
         constexpr double ms_per_second = 1000;
         const std::optional<double> value = parse_number(entry.value);
@@ -84,8 +92,7 @@
         }
         const bool in_seconds =
             entry.key.size() > 2 && entry.key.compare(entry.key.size() - 3, 3, "_ms") != 0;
-        target.bounds.*member =
-            millis(static_cast<std::int64_t>(*value * (in_seconds ? ms_per_second : 1)));
+        destination = millis(static_cast<std::int64_t>(*value * (in_seconds ? ms_per_second : 1)));
     }
 
     void operator()(std::size_t platform_bounds::*member)
--- a/support/check.sh
+++ b/support/check.sh
@@ -17,5 +17,9 @@
 support/soak.sh 1 2 --seconds 15 --pairs --fault_gap_ms 5000
 support/soak.sh 1 1 --seconds 21 --members 30 --fault_gap_ms 7000 \
     --series leader_killed,configuration_changes,worker_leaves,worker_leaves,worker_leaves
+support/soak.sh 1 1 --seconds 18 --members 30 --fault_gap_ms 8000 \
+    --series connections_silenced,configuration_changes
+support/soak.sh 11 12 --seconds 18 --fault_gap_ms 9000 --series store_cut,configuration_changes
+support/soak.sh 1 2 --seconds 27 --fault_gap_ms 9000 --changes
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
 support/tests.sh build/release
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -2,6 +2,7 @@
 // data that is accepted, crashes a decoder or is rejected without a reason.
 
 #include <random>
+#include <regex>
 
 #include <criterion/criterion.h>
 
@@ -253,33 +254,36 @@
 
 /// A frontend of a member without peers, whose configuration is read from `log`.
 struct entry_fixture {
-    static constexpr std::uint16_t port = 28641;
+    std::uint16_t port;
     event_loop loop;
     pool::testing::fake_log log{loop};
     pool::testing::fake_log pool_log{loop};
     http_client client{loop, "t"};
     executor_gateway workers{client};
     advice_client advisor{client, {"127.0.0.1", 9}};
-    pool::member member{loop,
-                        {"m1", "d1", {"127.0.0.1", port + 1}, {"127.0.0.1", port + 1}, 1, {}},
-                        pool_log,
-                        workers,
-                        advisor};
-    pool::declared_configuration declared{loop, log, "config", decode_configuration, millis(400)};
+    pool::member member;
+    pool::declared_configuration declared;
     frontend entry{loop, member, declared, {}};
 
-    entry_fixture()
+    /// Uses two more ports after `first_port`.
+    entry_fixture(std::uint16_t first_port, pool::configuration_bounds bounds)
+        : port(first_port),
+          member(loop, {"m1", "d1", at(1), at(1), 1, {}}, pool_log, workers, advisor),
+          declared(loop, log, "config", decode_configuration, bounds)
     {
         error why;
         log.store({{"config", configuration_text, 0}}, 0);
-        cr_assert(member.start(why) &&
-                      entry.listen({"127.0.0.1", port}, {"127.0.0.1", port + 2}, why),
-                  "%s", why.reason.c_str());
+        cr_assert(member.start(why) && entry.listen(at(0), at(2), why), "%s", why.reason.c_str());
         member.follow(declared);
         declared.start();
         run(millis(200));
     }
 
+    endpoint at(int offset) const
+    {
+        return {"127.0.0.1", static_cast<std::uint16_t>(port + offset)};
+    }
+
     void run(millis duration)
     {
         loop.after(duration, [this] { loop.stop(); });
@@ -292,7 +296,7 @@
         call.path = path;
         call.headers["Host"] = "h.example";
         int status = 0;
-        client.send({"127.0.0.1", port}, std::move(call),
+        client.send(at(0), std::move(call),
                     [this, &status](const std::optional<http_reply>& reply, const error&) {
                         status = reply ? reply->status : 0;
                         loop.stop();
@@ -306,7 +310,7 @@
 
 Test(platform, a_route_is_not_called_unknown_by_a_configuration_that_may_be_replaced)
 {
-    entry_fixture f;
+    entry_fixture f(28641, {millis(400), millis(250)});
     cr_assert_eq(f.status_of("/a/"), 200);
     cr_assert_eq(f.status_of("/other/"), 404);
     f.log.unavailable = true;
@@ -317,3 +321,16 @@
     f.run(millis(700));
     cr_assert_eq(f.status_of("/other/"), 404);
 }
+
+Test(platform, a_request_that_waited_is_not_served_by_a_version_newer_than_that_of_later_ones)
+{
+    const std::string added =
+        std::regex_replace(std::string(configuration_text), std::regex("\"Version\":7(.*)/a/b/"),
+                           "\"Version\":8$1/added/");
+    for (const millis slack : {millis(250), millis(0)}) {
+        // Shorter than the pause between reads: no knowledge is fresh without a read.
+        entry_fixture f(28651, {millis(4), slack});
+        f.log.store({{"config", added, 0}}, 1);
+        cr_assert_eq(f.status_of("/added/"), slack > millis(0) ? 200 : 503);
+    }
+}
--- a/test/pool_configuration-test.cc
+++ b/test/pool_configuration-test.cc
@@ -59,7 +59,7 @@
 struct declared_fixture {
     event_loop loop;
     waiting_log log{loop};
-    declared_configuration declared{loop, log, key, decode, apply_limit};
+    declared_configuration declared{loop, log, key, decode, {apply_limit, millis(250)}};
 
     declared_fixture()
     {
@@ -178,7 +178,7 @@
                      std::uint16_t port)
         : log(loop), m(loop, {name, "d1", {"127.0.0.1", port}, {"127.0.0.1", port}, 1, {}},
                        pool_log, workers, advice),
-          declared(loop, log, key, decode, apply_limit)
+          declared(loop, log, key, decode, {apply_limit, millis(250)})
     {
         log.put(1);
         error why;
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -1,5 +1,6 @@
 // Guards against soak checks that miss a kind of broken promise or report one that is kept.
 
+#include <algorithm>
 #include <set>
 #include <thread>
 
@@ -219,6 +220,24 @@
     }
 }
 
+Test(soak, changes_come_before_in_and_after_faults_of_all_kinds)
+{
+    constexpr millis period{5000};
+    const std::vector<planned_fault> faults =
+        draw_changes(7, period * static_cast<std::int64_t>(fault_kinds), period);
+    std::set<fault_kind> kinds;
+    std::size_t changes = 0;
+    for (const planned_fault& f : faults) {
+        kinds.insert(f.kind);
+        changes += f.kind == fault_kind::configuration_changes ? 1 : 0;
+    }
+    cr_assert_eq(kinds.size(), fault_kinds);
+    cr_assert_geq(changes, 2 * fault_kinds);
+    cr_assert(std::is_sorted(
+        faults.begin(), faults.end(),
+        [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; }));
+}
+
 Test(soak, a_start_on_a_draining_worker_breaks_a_promise_whatever_happened_to_other_members)
 {
     checked_job w;
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -134,6 +134,44 @@
     return faults;
 }
 
+std::vector<planned_fault> draw_changes(std::uint64_t seed, millis duration, millis period)
+{
+    constexpr double change_share = 0.6;
+    constexpr double silence_share = 0.3;
+    constexpr millis lead{300};
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<> share(0, 1);
+    std::uniform_int_distribution<std::int64_t> length(min_fault_length.count(),
+                                                       max_fault_length.count());
+    std::vector<fault_kind> kinds;
+    for (std::size_t kind = 0; kind < fault_kinds; ++kind) {
+        if (static_cast<fault_kind>(kind) != fault_kind::configuration_changes) {
+            kinds.push_back(static_cast<fault_kind>(kind));
+        }
+    }
+    std::shuffle(kinds.begin(), kinds.end(), random);
+    std::vector<planned_fault> faults;
+    std::size_t turn = 0;
+    for (millis begin = lead; begin < duration; begin += period) {
+        planned_fault fault{begin, kinds[turn++ % kinds.size()],
+                            static_cast<std::uint32_t>(random()), millis(length(random))};
+        faults.push_back(fault);
+        const millis end = begin + fault.length;
+        if (share(random) < silence_share) {
+            faults.push_back({begin + millis(length(random)), fault_kind::connections_silenced});
+        }
+        for (const millis at : {begin - lead, begin + fault.length / 2, end - millis(50),
+                                end + millis(150), end + millis(2000)}) {
+            if (share(random) < change_share) {
+                faults.push_back({at, fault_kind::configuration_changes});
+            }
+        }
+    }
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    return faults;
+}
+
 std::vector<planned_fault> repeat_series(const std::vector<fault_kind>& kinds, std::uint64_t seed,
                                          millis duration, millis period, millis gap)
 {
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -28,6 +28,8 @@
     "instead of random faults, repeat these kinds, one series each fault_gap_ms: KIND,KIND");
 DEFINE_int32(series_gap_ms, 400, "time between two faults of a series");
 DEFINE_bool(pairs, false, "draw pairs of faults aimed at the leader, one each fault_gap_ms");
+DEFINE_bool(changes, false,
+            "draw faults of all kinds among changes of the configuration, one each fault_gap_ms");
 DEFINE_bool(verbose, false, "print each fault when it is applied");
 
 namespace {
@@ -111,6 +113,9 @@
         if (FLAGS_pairs) {
             return draw_pairs(FLAGS_seed, duration, gap);
         }
+        if (FLAGS_changes) {
+            return draw_changes(FLAGS_seed, duration, gap);
+        }
         return FLAGS_series.empty() ? draw_faults(FLAGS_seed, duration, gap)
                                     : repeat_series(*kinds_in(FLAGS_series), FLAGS_seed, duration,
                                                     gap, millis(FLAGS_series_gap_ms));
