Decide in one place whether a request waited too long for the configuration

The two reads of a follower beside its own, catch_up and refresh, were written twice; one is left. A claim's read counts as a complete one for the follower's callback, which it is.

--- a/include/sesamesill/pool_configuration.h
+++ b/include/sesamesill/pool_configuration.h
@@ -42,13 +42,13 @@
 
     std::int64_t version() const { return version_; }
     configuration_source source() const { return source_; }
-    /// Returns since when the version is known to have been the newest one, or nothing if no read
-    /// has shown that.
+    /// Returns the time before which no newer version than the one that is held was stored, or
+    /// nothing if no read has shown that.
     std::optional<time_point> newest_at() const { return newest_at_; }
     /// Returns since when another member is known to hold a newer version, or nothing if none is.
     std::optional<time_point> behind_since() const { return behind_since_; }
 
-    /// Returns whether the version was the newest one at most `max_age` ago.
+    /// Returns whether the version is known to have been the newest one at most `max_age` ago.
     bool is_fresh(millis max_age, time_point now) const
     {
         return !behind_since_ && newest_at_ && now - *newest_at_ <= max_age;
@@ -87,7 +87,6 @@
     /// Returns the configuration in force at this member; its version is 0 before the first read.
     const configuration& current() const { return current_; }
     const configuration_knowledge& knowledge() const { return knowledge_; }
-    const configuration_bounds& bounds() const { return bounds_; }
     /// Returns the current version as it was stored, for other members; empty before the first
     /// read.
     const std::string& text() const { return text_; }
@@ -101,10 +100,18 @@
     void adopt(const std::string& text, const std::string& peer);
     /// Returns whether a decision may rest on what the current version lacks.
     bool is_fresh() const;
-    /// Passes to `done` whether the current version is fresh, after a read if it isn't yet.
+    /// Passes to `done` whether a request that came now may be decided by the version that is the
+    /// current one then: it's fresh, after a read if needed, and didn't come so late that requests
+    /// after this one have been served by an older one.
     void confirm(std::function<void(bool)> done);
 
 private:
+    struct unconfirmed_request {
+        std::int64_t version = 0; ///< the current one when it came
+        time_point came;
+        std::function<void(bool)> done;
+    };
+
     void on_record(const keyed_record& record);
     void adopt(const std::string& text, configuration_source source,
                const std::vector<log_field>& details);
@@ -118,7 +125,7 @@
     configuration_knowledge knowledge_;
     keyed_follower follower_;
     std::function<void(const configuration&)> on_change_;
-    std::vector<std::function<void(bool)>> waiting_; ///< calls of `confirm` until the read's end
+    std::vector<unconfirmed_request> waiting_; ///< for the read in progress that confirms
 };
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -54,12 +54,9 @@
     void resume();
     /// Applies records that the caller has read or appended.
     void apply_records(const std::vector<keyed_record>& records);
-    /// Reads to the end of the log now and passes to `done` whether that succeeded.
-    void catch_up(std::function<void(bool)> done);
-
-    /// Reads to the end of the log without waiting for records, beside a read that waits for them.
-    /// Passes to `done` whether the log's end was reached.
-    void refresh(millis timeout, std::function<void(bool)> done);
+    /// Reads to the end of the log now, also while paused or beside a read that waits for records,
+    /// and passes to `done` whether that succeeded. `timeout` is that of each page.
+    void catch_up(millis timeout, std::function<void(bool)> done);
 
     const std::map<std::string, keyed_record>& values() const { return values_; }
     /// Returns whether the last read failed.
@@ -85,7 +82,7 @@
     void finish_load();
     void apply(const keyed_record& record);
     void on_failure(const error& why);
-    void on_success();
+    void on_success(time_point begun);
     void schedule_read(millis delay);
 
     event_loop& loop_;
--- a/src/pool_configuration.cc
+++ b/src/pool_configuration.cc
@@ -104,7 +104,7 @@
         done(is_fresh());
         return;
     }
-    waiting_.push_back(std::move(done));
+    waiting_.push_back({current_.version, boot_clock::now(), std::move(done)});
     if (waiting_.size() == 1) {
         refresh(confirmation_attempts);
     }
@@ -112,18 +112,22 @@
 
 void declared_configuration::refresh(int attempts)
 {
-    follower_.refresh(bounds_.rollback_slack / confirmations_per_slack,
-                      [this, attempts](bool complete) {
-                          if (!complete && !is_fresh() && attempts > 1) {
-                              refresh(attempts - 1);
-                              return;
-                          }
-                          std::vector<std::function<void(bool)>> waiting;
-                          waiting.swap(waiting_);
-                          for (const std::function<void(bool)>& done : waiting) {
-                              done(is_fresh());
-                          }
-                      });
+    follower_.catch_up(
+        bounds_.rollback_slack / confirmations_per_slack, [this, attempts](bool complete) {
+            if (!complete && !is_fresh() && attempts > 1) {
+                refresh(attempts - 1);
+                return;
+            }
+            const time_point now = boot_clock::now();
+            const bool confirmed = (complete && !knowledge_.behind_since()) || is_fresh();
+            std::vector<unconfirmed_request> waiting;
+            waiting.swap(waiting_);
+            for (const unconfirmed_request& r : waiting) {
+                const bool in_order =
+                    r.version == current_.version || now - r.came <= bounds_.rollback_slack;
+                r.done(in_order && confirmed);
+            }
+        });
 }
 
 void declared_configuration::on_told(std::int64_t version, const std::string& peer,
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -91,7 +91,8 @@
     schedule_read(backoff_);
 }
 
-void keyed_follower::on_success()
+/// Handles the answer to a read that was begun at `begun`.
+void keyed_follower::on_success(time_point begun)
 {
     if (failing_) {
         log_event(log_level::info, "log_regained",
@@ -99,8 +100,8 @@
     }
     failing_ = false;
     backoff_ = millis(0);
-    last_read_ = read_started_;
-    last_read_duration_ = millis(to_millis(boot_clock::now() - read_started_));
+    last_read_ = begun;
+    last_read_duration_ = millis(to_millis(boot_clock::now() - begun));
     if (last_read_duration_ > timing_.max_wait + slow_read) {
         page_bytes_ = std::max(min_page_bytes, page_bytes_ / 2);
     }
@@ -153,7 +154,7 @@
                       on_failure(r.why);
                       return;
                   }
-                  on_success();
+                  on_success(read_started_);
                   if (!paused_) {
                       const time_point started = read_started_;
                       apply_records(r.records);
@@ -179,7 +180,7 @@
             on_failure(r.why);
             return;
         }
-        on_success();
+        on_success(read_started_);
         if (after.empty()) {
             load_end_ = r.end; // records appended during the load are read again from here
         }
@@ -257,9 +258,9 @@
     }
 }
 
-void keyed_follower::refresh(millis timeout, std::function<void(bool)> done)
+void keyed_follower::catch_up(millis timeout, std::function<void(bool)> done)
 {
-    if (!loaded_ || paused_) {
+    if (!loaded_) {
         done(false);
         return;
     }
@@ -278,9 +279,10 @@
                       done(false);
                       return;
                   }
+                  on_success(begun);
                   apply_records(r.records);
                   if (next_ < r.end) {
-                      refresh(timeout, done);
+                      catch_up(timeout, done);
                       return;
                   }
                   if (on_complete_) {
@@ -290,35 +292,4 @@
               });
 }
 
-void keyed_follower::catch_up(std::function<void(bool)> done)
-{
-    if (!loaded_) {
-        done(false);
-        return;
-    }
-    read_started_ = boot_clock::now();
-    log_.read(next_, page_bytes_, millis(0), read_timeout,
-              [this, alive = alive_, done = std::move(done)](const read_result& r) {
-                  if (!*alive) {
-                      return;
-                  }
-                  if (needs_load(r)) {
-                      read_next();
-                      done(false);
-                      return;
-                  }
-                  if (!r.ok) {
-                      done(false);
-                      return;
-                  }
-                  on_success();
-                  apply_records(r.records);
-                  if (next_ < r.end) {
-                      catch_up(done);
-                      return;
-                  }
-                  done(true);
-              });
-}
-
 } // namespace sesamesill::pool
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -22,6 +22,7 @@
 constexpr millis standby_load_spread_per_member{15};
 constexpr millis max_standby_load_spread{4000};
 constexpr millis leader_read_timeout{500};
+constexpr millis catch_up_timeout{900}; ///< of each page that a claim rests on
 constexpr double min_load_share = 0.05;
 constexpr millis election_period{20}; ///< between checks whether to claim the lead
 /// The leader answers a forwarded job after an append; later than this, it is congested.
@@ -160,7 +161,7 @@
 {
     claiming = true;
     follower.pause();
-    follower.catch_up([this](bool ok) {
+    follower.catch_up(catch_up_timeout, [this](bool ok) {
         const time_point now = boot_clock::now();
         if (!ok || !leader_election.should_claim(now)) {
             claiming = false;
--- a/test/pool_configuration-test.cc
+++ b/test/pool_configuration-test.cc
@@ -195,8 +195,10 @@
     constexpr std::uint16_t first_port = 28611;
     event_loop loop;
     fake_log pool_log(loop);
+    constexpr int count = 3;
     std::vector<std::unique_ptr<following_member>> members;
-    for (int n = 0; n < 3; ++n) {
+    members.reserve(count);
+    for (int n = 0; n < count; ++n) {
         members.push_back(std::make_unique<following_member>(
             loop, pool_log, "m" + std::to_string(n), static_cast<std::uint16_t>(first_port + n)));
     }
--- a/test/soak-test.cc
+++ b/test/soak-test.cc
@@ -233,9 +233,9 @@
     }
     cr_assert_eq(kinds.size(), fault_kinds);
     cr_assert_geq(changes, 2 * fault_kinds);
-    cr_assert(std::is_sorted(
-        faults.begin(), faults.end(),
-        [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; }));
+    cr_assert(
+        std::is_sorted(faults.begin(), faults.end(),
+                       [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; }));
 }
 
 Test(soak, a_start_on_a_draining_worker_breaks_a_promise_whatever_happened_to_other_members)
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -472,7 +472,8 @@
 
 proxy& cell::link_of(int member, int which) const
 {
-    return *links_[static_cast<std::size_t>(settings_.workers + links_per_member * member + which)];
+    const int link = settings_.workers + links_per_member * member + which;
+    return *links_[static_cast<std::size_t>(link)];
 }
 
 void cell::connections_silenced(const planned_fault& /*fault*/)
