--- a/include/sesamesill/pool_follower.h
+++ b/include/sesamesill/pool_follower.h
@@ -64,12 +64,11 @@
     /// Returns whether the newest record of each key has been loaded.
     bool is_loaded() const { return loaded_; }
     std::uint64_t next() const { return next_; }
-    /// Returns the start time of the last successful read: the store was reachable after it.
+    /// Returns the start time of the last successful read: the store was reachable after it. While
+    /// a record is applied, that is the read which brought it.
     time_point last_read() const { return last_read_; }
     /// Returns the duration of the last successful read.
     millis last_read_duration() const { return last_read_duration_; }
-    /// Returns the time since the read in progress, or the last one, began.
-    millis read_age() const { return millis(to_millis(boot_clock::now() - read_started_)); }
     /// Returns whether the record that is being applied is from a load of the newest records.
     bool is_applying_load() const { return applying_load_; }
     /// Returns when the last record was applied outside of a load.
--- a/src/pool_configuration.cc
+++ b/src/pool_configuration.cc
@@ -160,7 +160,7 @@
     adopt(record.value,
           follower_.is_applying_load() ? configuration_source::load : configuration_source::read,
           {{"offset", static_cast<std::int64_t>(record.offset)},
-           {"read_took_ms", follower_.read_age().count()}});
+           {"read_took_ms", to_millis(boot_clock::now() - follower_.last_read())}});
 }
 
 /// Makes the version in `text` the current one if it is newer; `details` tell where it is from.
