Note the expiry of a lease in the soak also where nothing runs

Trace: worker_cut kept w12 from all members, its lease of 5,000 ms (5,148 on the slowest clock) lapsed, its ends had not been acknowledged. The platform's rules exempt just this: an end counts when it is taken note of, unless the lease lapsed in between. The stand-in told of a lapse only while something ran, and w12's runs had ended. Leases of runs are checked as before.

--- a/test/platform_standin/workers.cc
+++ b/test/platform_standin/workers.cc
@@ -137,6 +137,7 @@
 {
     const std::int64_t latest_end = clock_ms() + fleet_.bounds_.max_lease.count();
     lease_ms_ = std::max(lease_ms_, std::min(until_ms, latest_end));
+    has_lease_ = has_lease_ || lease_ms_ > clock_ms();
 }
 
 void fleet_worker::serve_order(const http_request& request, const http_respond& respond,
@@ -349,7 +350,8 @@
 void fleet_worker::tick(millis period)
 {
     const time_point now = boot_clock::now();
-    if (!runs_.empty() && clock_ms() > lease_ms_) {
+    if ((has_lease_ || !runs_.empty()) && clock_ms() > lease_ms_) {
+        has_lease_ = false; // also without runs: ends that aren't acknowledged no longer count
         fleet_.observer_.on_lease_expired(id_);
         end_all(pool::end_reason::lease_expired);
     }
--- a/test/platform_standin/workers.h
+++ b/test/platform_standin/workers.h
@@ -112,6 +112,7 @@
     std::int64_t start_time_ms_ = 0;
     double clock_rate_ = 1;
     std::uint64_t fence_ = 0;
+    bool has_lease_ = false;                    ///< it hasn't expired since it was granted
     std::int64_t lease_ms_ = 0;                 ///< end of the lease, on this worker's clock
     std::map<std::string, run> runs_;           ///< by task
     std::map<std::string, std::int64_t> ended_; ///< highest run ended or stopped, by task
