--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -72,6 +72,8 @@
     /// Age of the directory read that a start order is based on.
     std::optional<std::int64_t> directory_age_ms;
     std::optional<evidence_source> evidence; ///< why a run was released
+    /// Until when the runs of `worker` may go on at the latest, if one was given up.
+    std::optional<lease_bound> lease;
 };
 
 enum class admission : std::uint8_t { accept, known, refuse };
@@ -130,7 +132,7 @@
     void restore(const std::string& id, const std::string* job, const progress_parts& progress,
                  std::int64_t wall_ms, time_point now);
     /// Ends the restore phase. Each worker listed so far stays unverified until it answers or
-    /// `verify_until` passes.
+    /// `verify_until` passes, the end of the leases of earlier leaders.
     void finish_restore(time_point now, time_point verify_until);
 
     void list_worker(const worker_entry& entry, time_point now);
@@ -237,7 +239,8 @@
     void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
                             std::string detail, std::int64_t age_ms, time_point now);
     millis order_validity(time_point now) const;
-    time_point lease_end_of(const worker& w, time_point now, millis length) const;
+    lease_bound sent_lease(const worker& w, lease_origin origin, millis length,
+                           std::int64_t until_ms, time_point now) const;
     bool may_send_starts(time_point now) const;
     void update_hold(time_point now);
     void prepare_send(worker& w, run_record& run, start_order& order, time_point now);
@@ -303,6 +306,7 @@
     void release_missing_runs(worker& w, const worker_report& report, const run_evidence& evidence,
                               time_point now);
     void settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now);
+    std::string other_runs_of(const run_record& run) const;
     void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict);
@@ -343,7 +347,7 @@
     std::set<std::string> unverified_workers_; ///< workers that may run unreported tasks
     /// The element of `unverified_workers_` that stands for all undiscovered workers.
     static constexpr const char* undiscovered_workers = "";
-    time_point verify_until_;
+    lease_bound inherited_leases_; ///< of all workers, by orders of earlier leaders
     time_point restored_at_;
     time_point directory_read_at_; ///< when the last complete read of the directory began
     std::optional<time_point> directory_lost_at_; ///< set while reads of the directory fail
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -11,6 +11,7 @@
 
 #include "sesamesill/clock.h"
 #include "sesamesill/pool_job.h"
+#include "sesamesill/pool_lease.h"
 #include "sesamesill/pool_ports.h"
 
 namespace sesamesill::pool {
@@ -72,9 +73,6 @@
     int runs = 0;        ///< compared runs of the last sample that had any
 };
 
-/// Lowest rate of a worker's clock relative to the leader's that the platform guarantees.
-constexpr double min_clock_rate = 0.98;
-
 /// Members remember a worker for this long after its directory entry was removed, so that a new
 /// leader asks it for its runs.
 constexpr millis removed_worker_retention{8000};
@@ -105,10 +103,9 @@
     bool process_known = false;
     std::optional<std::int64_t> clock_ms; ///< its steady clock, as last reported
     time_point clock_read_at;             ///< when `clock_ms` was received
-    time_point lease_sent;                ///< when the last order with a lease was sent
     time_point last_answer;
-    time_point lease_expires_at;  ///< all its runs have ended by then, unless it is renewed
-    time_point lease_before_poll; ///< `lease_expires_at` without the last poll
+    lease_bound lease;             ///< all its runs have ended by then, unless it is renewed
+    lease_bound lease_before_poll; ///< `lease` without the last poll
     std::optional<std::int64_t> poll_until_ms; ///< lease that the last poll carried
     worker_health health;
     progress_rate rate;
@@ -151,34 +148,6 @@
 /// has no effect.
 constexpr millis start_validity{1500};
 
-/// Returns the time by which a lease of `length` sent at `sent` has expired on the slowest clock.
-constexpr time_point lease_end(time_point sent, millis length)
-{
-    constexpr millis rounding{50}; ///< covers the worker's timers and its rounding to milliseconds
-    return sent +
-           micros(static_cast<std::int64_t>(static_cast<double>(length.count()) * 1000 /
-                                            min_clock_rate)) +
-           rounding;
-}
-
-/// A leader sends orders for this long after its last stored record, which showed that its claim
-/// was still the newest.
-constexpr millis unconfirmed_order_limit{2500};
-
-/// Returns the length of the leases that leaders grant.
-constexpr millis granted_lease(const platform_bounds& bounds)
-{
-    constexpr millis preferred{5000};
-    return std::min(preferred, bounds.max_lease);
-}
-
-/// Returns the time by which all leases have expired that were granted by leaders whose successor
-/// claimed the lead at `claimed` or earlier.
-constexpr time_point predecessor_lease_end(time_point claimed, const platform_bounds& bounds)
-{
-    return lease_end(claimed + unconfirmed_order_limit, granted_lease(bounds));
-}
-
 /// Adds the run and allocates its capacity.
 void add_run(worker& w, run_record run);
 /// Removes the run and frees its capacity; returns whether it was known.
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -24,6 +24,19 @@
 constexpr millis idle_record_period{250};
 constexpr double ms_per_second = 1000;
 
+/// Adds until when the runs of a worker may go on at the latest, in Unix milliseconds, and which
+/// order, process and clock that follows from.
+void add_lease_fields(std::vector<log_field>& fields, const lease_bound& lease, time_point now)
+{
+    fields.push_back({"runs_until_ms", wall_clock_ms() + to_millis(lease.end - now)});
+    fields.push_back({"lease_origin", std::string(name_of(lease.origin))});
+    fields.push_back({"lease_ms", static_cast<std::int64_t>(lease.length.count())});
+    fields.push_back({"lease_process_start_ms", lease.process_start_ms});
+    if (lease.until_ms) {
+        fields.push_back({"lease_until_clock_ms", *lease.until_ms});
+    }
+}
+
 } // namespace
 
 std::int64_t wall_clock_ms()
@@ -296,6 +309,9 @@
                 fields.push_back(f);
             }
         }
+        if (d.lease) {
+            add_lease_fields(fields, *d.lease, boot_clock::now());
+        }
         if (d.evidence) {
             const std::string evidence(name_of(*d.evidence));
             fields.push_back({"evidence", evidence});
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -244,9 +244,9 @@
     run.process_start_ms = w.reported_start_ms;
     ++run.sends;
     ++run.sends_in_flight;
-    const time_point lease = lease_end_of(w, now, validity);
-    w.lease_expires_at = std::max(w.lease_expires_at, lease);
-    w.lease_before_poll = std::max(w.lease_before_poll, lease);
+    const lease_bound lease = sent_lease(w, lease_origin::start, validity, order.until_ms, now);
+    extend(w.lease, lease);
+    extend(w.lease_before_poll, lease);
 }
 
 void scheduler::start_task(waiting_step& ws, int index, worker& w, std::int64_t run, time_point now)
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -30,6 +30,7 @@
     placing_needed_ = true;
     if (evidence.source != evidence_source::report) {
         add_decision(decision_kind::worker_verified, "", id, std::string(name_of(evidence.source)));
+        decisions_.back().lease = inherited_leases_;
     }
 }
 
@@ -73,7 +74,7 @@
         w.entry = entry;
         w.listed_at = now;
         w.last_answer = now;
-        w.lease_expires_at = predecessor_lease_end(now, bounds_);
+        w.lease = predecessor_lease(now, bounds_);
         const worker_number next = static_cast<worker_number>(workers_by_number_.size());
         w.number = worker_numbers_.emplace(entry.id, next).first->second;
         if (w.number == next) {
@@ -127,7 +128,8 @@
 /// accepts no more leases of earlier leaders.
 void scheduler::note_first_answer(worker& w, time_point now)
 {
-    w.lease_expires_at = std::min(w.lease_expires_at, lease_end(now, granted_lease(bounds_)));
+    const lease_bound inherited = bound_of(lease_origin::first_answer, now, granted_lease(bounds_));
+    w.lease = inherited.end < w.lease.end ? inherited : w.lease;
     w.heard = true;
     placing_needed_ = true;
 }
@@ -137,7 +139,7 @@
                                  order_verdict verdict)
 {
     if (order.until_ms && order.until_ms == w.poll_until_ms) {
-        w.lease_expires_at = w.lease_before_poll;
+        w.lease = w.lease_before_poll;
         w.poll_until_ms.reset();
     }
     if (verdict == order_verdict::no_listener && w.entry.draining && !w.listed && !w.heard) {
@@ -155,13 +157,14 @@
         add_decision(decision_kind::worker_restarted, "", w.entry.id,
                      "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
                          " were acknowledged to the new one before it was known");
+        decisions_.back().lease = w.lease;
         w.highest_end_seen = 0;
         w.acknowledged_end = 0;
         w.dropped_end = 0;
         workers_with_ends_.erase(w.entry.id);
         // A late start still carries an expiry by the previous process's clock, and the lease that
         // it grants is limited by the platform only.
-        w.lease_expires_at = std::max(w.lease_expires_at, lease_end(now, bounds_.max_lease));
+        extend(w.lease, bound_of(lease_origin::restart, now, bounds_.max_lease));
     }
     else {
         w.dropped_end = std::max(w.dropped_end, acknowledged_end);
@@ -456,6 +459,7 @@
     if (!w.lost) {
         add_decision(decision_kind::worker_lost, "", w.entry.id,
                      std::string(name_of(evidence.source)), to_millis(now - w.last_answer));
+        decisions_.back().lease = w.lease;
     }
     w.lost = true;
     w.heard = false;
@@ -477,11 +481,11 @@
                 send_stop(w, r.second, now);
             }
         }
-        if (!w.lost && now > w.lease_expires_at && !w.is_responsive(now)) {
+        if (!w.lost && now > w.lease.end && !w.is_responsive(now)) {
             mark_worker_lost(w, {evidence_source::lease_expired, now}, now);
         }
     }
-    if (!unverified_workers_.empty() && now > verify_until_) {
+    if (!unverified_workers_.empty() && now > inherited_leases_.end) {
         while (!unverified_workers_.empty()) {
             const std::string id = *unverified_workers_.begin();
             mark_verified(id, {evidence_source::lease_expired, now});
@@ -489,7 +493,7 @@
     }
     for (auto w = workers_.begin(); w != workers_.end();) {
         const bool removable = !w->second.listed && w->second.runs.empty() &&
-                               (w->second.lost || now > w->second.lease_expires_at);
+                               (w->second.lost || now > w->second.lease.end);
         if (removable) {
             mark_verified(w->first, {evidence_source::lease_expired, now});
             workers_with_ends_.erase(w->first);
@@ -500,11 +504,16 @@
     placing_needed_ = placing_needed_ || !waiting_steps_.empty();
 }
 
-/// Returns the end of a lease that is sent now. A new process may take it for the longest one, as
+/// Returns the bound of a lease that is sent now. A new process may take it for the longest one, as
 /// its clock has started anew.
-time_point scheduler::lease_end_of(const worker& w, time_point now, millis length) const
+lease_bound scheduler::sent_lease(const worker& w, lease_origin origin, millis length,
+                                  std::int64_t until_ms, time_point now) const
 {
-    return lease_end(now, w.process_known ? length : std::max(length, bounds_.max_lease));
+    lease_bound bound =
+        bound_of(origin, now, w.process_known ? length : std::max(length, bounds_.max_lease));
+    bound.process_start_ms = w.process_known ? w.reported_start_ms : 0;
+    bound.until_ms = until_ms;
+    return bound;
 }
 
 std::optional<poll_order> scheduler::next_poll(const std::string& id, millis wait, time_point now)
@@ -525,9 +534,9 @@
     if (w->clock_ms && w->is_responsive(now) && w->is_lease_renewable(now)) {
         const millis length = granted_lease(bounds_);
         order.until_ms = w->clock_at(now) + length.count();
-        w->lease_before_poll = w->lease_expires_at;
+        w->lease_before_poll = w->lease;
         w->poll_until_ms = order.until_ms;
-        w->lease_expires_at = std::max(w->lease_expires_at, lease_end_of(*w, now, length));
+        extend(w->lease, sent_lease(*w, lease_origin::poll, length, *order.until_ms, now));
     }
     return order;
 }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -115,6 +115,23 @@
     surplus_runs_.erase(surplus);
 }
 
+/// Names the other runs of the run's task that may be at work.
+std::string scheduler::other_runs_of(const run_record& run) const
+{
+    const std::string task = to_string(run.task);
+    std::string others;
+    for (const std::pair<const std::string, worker>& w : workers_) {
+        for (auto r = w.second.runs.lower_bound({task, 0});
+             r != w.second.runs.end() && r->first.first == task; ++r) {
+            if (r->first.second != run.run) {
+                others.append(" ").append(std::to_string(r->first.second));
+                others.append(" on ").append(w.first);
+            }
+        }
+    }
+    return others.empty() ? "no other run is known" : "other runs:" + others;
+}
+
 /// Frees the capacity of a run. Its task becomes waiting unless it has another run.
 void scheduler::release_run(worker& w, const run_record& run, evidence_source evidence,
                             time_point now)
@@ -122,9 +139,13 @@
     const run_record copy = run;
     add_decision(decision_kind::run_released, copy.task.job, w.entry.id,
                  to_string(copy.task) + " run " + std::to_string(copy.run) + ", sent " +
-                     std::to_string(copy.sends) + " times",
+                     std::to_string(copy.sends) + " times, " +
+                     std::to_string(copy.sends_in_flight) +
+                     " without an answer so far, to process " +
+                     std::to_string(copy.process_start_ms) + "; " + other_runs_of(copy),
                  to_millis(now - copy.ordered_at));
     decisions_.back().evidence = evidence;
+    decisions_.back().lease = w.lease;
     drop_run(w, to_string(copy.task), copy.run);
     placing_needed_ = true;
     const auto known = jobs_.find(copy.task.job);
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -48,7 +48,7 @@
 }
 
 scheduler::scheduler(std::uint64_t fence, platform_bounds bounds, time_point now)
-    : fence_(fence), bounds_(bounds), verify_until_(now)
+    : fence_(fence), bounds_(bounds), inherited_leases_(predecessor_lease(now, bounds))
 {
 }
 
@@ -58,7 +58,7 @@
     const auto known = jobs_.find(job);
     const std::string queue =
         known != jobs_.end() ? known->second.progress.spec().queue : std::string();
-    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms, {}, {}});
+    decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms, {}, {}, {}});
 }
 
 /// Adds a decision about the start order of a run, with the age of the directory read.
@@ -224,7 +224,8 @@
 
 void scheduler::finish_restore(time_point now, time_point verify_until)
 {
-    verify_until_ = verify_until;
+    inherited_leases_ = predecessor_lease(now, bounds_);
+    inherited_leases_.end = verify_until;
     restored_at_ = now;
     for (std::pair<const std::string, worker>& w : workers_) {
         unverified_workers_.insert(w.first);
--- a/src/pool_worker.cc
+++ b/src/pool_worker.cc
@@ -5,9 +5,18 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sesamesill/names.h"
+
 namespace sesamesill::pool {
 namespace {
 
+constexpr name_table<lease_origin, 5> lease_names{
+    {{lease_origin::predecessors, "orders of earlier leaders"},
+     {lease_origin::first_answer, "orders of earlier leaders until its first answer"},
+     {lease_origin::restart, "orders to its previous process"},
+     {lease_origin::poll, "poll"},
+     {lease_origin::start, "start"}}};
+
 /// Failures in a row, of different jobs: faulty jobs rarely follow each other so closely.
 constexpr int avoidance_threshold = 3;
 constexpr millis first_avoidance{2000};   ///< about the length of a task
@@ -26,6 +35,11 @@
 
 } // namespace
 
+std::string_view name_of(lease_origin origin)
+{
+    return name_in(lease_names, origin);
+}
+
 bool is_outdated(const worker_entry& entry, const worker_entry& known)
 {
     if (entry.start_time_ms != known.start_time_ms) {
