Count the longest lease for a start that a process may have executed before it was known

What callers saw: as before, without a change of the lead. Cause: between the crash of a worker's process and the failure of the poll that waits at it (up to 2 s), the previous process counts as the known one. A start sent then counts as 1.5 s on its clock; the next process takes the expiry for the longest lease, and for all that it runs. Change: a second bound, for the case that the next process has executed the orders since the last report. It counts while a run is at the worker that the known process hasn't listed. Ruled out: the longest lease for every order, as it would hold each task of a crashed worker back for one more second.

--- a/include/sesamesill/pool_lease.h
+++ b/include/sesamesill/pool_lease.h
@@ -86,6 +86,12 @@
     return predecessor_lease(claimed, bounds).end;
 }
 
+/// The ends of the leases that orders of this leader and of earlier ones may have granted.
+struct worker_leases {
+    lease_bound known;     ///< if the known process has executed all orders of this leader
+    lease_bound restarted; ///< if the next process has executed those since its last report
+};
+
 /// Makes `bound` the later one of the two.
 constexpr void extend(lease_bound& bound, const lease_bound& other)
 {
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -37,7 +37,8 @@
     int sends_in_flight = 0; ///< those without an answer or a timeout
     time_point ordered_at;
     std::optional<time_point> confirmed_at; ///< first time that the worker reported the run
-    time_point stop_acknowledged_at;        ///< valid in phase `stop_acknowledged`
+    bool reported = false; ///< by the worker's process `process_start_ms`, in its list of runs
+    time_point stop_acknowledged_at; ///< valid in phase `stop_acknowledged`
     /// Latest expiry of its sends, on the clock of the process `process_start_ms`; nothing if an
     /// earlier send has its expiry by the clock of another process.
     std::optional<std::int64_t> until_ms;
@@ -104,8 +105,8 @@
     std::optional<std::int64_t> clock_ms; ///< its steady clock, as last reported
     time_point clock_read_at;             ///< when `clock_ms` was received
     time_point last_answer;
-    lease_bound lease;             ///< all its runs have ended by then, unless it is renewed
-    lease_bound lease_before_poll; ///< `lease` without the last poll
+    worker_leases leases;
+    worker_leases leases_before_poll;          ///< `leases` without the last poll
     std::optional<std::int64_t> poll_until_ms; ///< lease that the last poll carried
     worker_health health;
     progress_rate rate;
@@ -127,6 +128,15 @@
     {
         return process_known && acknowledged_end > dropped_end ? acknowledged_end : 0;
     }
+    /// Returns the bound of all its runs: they have ended by then, unless the lease is renewed. A
+    /// run that the known process hasn't reported may be at work at a process that isn't known.
+    const lease_bound& last_lease() const
+    {
+        const bool all_reported =
+            std::all_of(runs.begin(), runs.end(), [](const auto& r) { return r.second.reported; });
+        return all_reported || leases.known.end > leases.restarted.end ? leases.known
+                                                                       : leases.restarted;
+    }
     /// Returns the capacity that no run has allocated.
     resources room() const { return entry.capacity - allocated; }
     /// Returns whether its last answer is recent enough for a renewal of its lease.
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -244,9 +244,12 @@
     run.process_start_ms = w.reported_start_ms;
     ++run.sends;
     ++run.sends_in_flight;
-    const lease_bound lease = sent_lease(w, lease_origin::start, validity, order.until_ms, now);
-    extend(w.lease, lease);
-    extend(w.lease_before_poll, lease);
+    const lease_bound sent = sent_lease(w, lease_origin::start, validity, order.until_ms, now);
+    const lease_bound longest = bound_of(lease_origin::start, now, bounds_.max_lease);
+    for (worker_leases* leases : {&w.leases, &w.leases_before_poll}) {
+        extend(leases->known, sent);
+        extend(leases->restarted, longest);
+    }
 }
 
 void scheduler::start_task(waiting_step& ws, int index, worker& w, std::int64_t run, time_point now)
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -74,7 +74,7 @@
         w.entry = entry;
         w.listed_at = now;
         w.last_answer = now;
-        w.lease = predecessor_lease(now, bounds_);
+        w.leases.known = predecessor_lease(now, bounds_);
         const worker_number next = static_cast<worker_number>(workers_by_number_.size());
         w.number = worker_numbers_.emplace(entry.id, next).first->second;
         if (w.number == next) {
@@ -129,7 +129,9 @@
 void scheduler::note_first_answer(worker& w, time_point now)
 {
     const lease_bound inherited = bound_of(lease_origin::first_answer, now, bounds_.max_lease);
-    w.lease = inherited.end < w.lease.end ? inherited : w.lease;
+    if (inherited.end < w.leases.known.end) {
+        w.leases.known = inherited;
+    }
     w.heard = true;
     placing_needed_ = true;
 }
@@ -139,7 +141,7 @@
                                  order_verdict verdict)
 {
     if (order.until_ms && order.until_ms == w.poll_until_ms) {
-        w.lease = w.lease_before_poll;
+        w.leases = w.leases_before_poll;
         w.poll_until_ms.reset();
     }
     if (verdict == order_verdict::no_listener && w.entry.draining && !w.listed && !w.heard) {
@@ -157,14 +159,17 @@
         add_decision(decision_kind::worker_restarted, "", w.entry.id,
                      "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
                          " were acknowledged to the new one before it was known");
-        decisions_.back().lease = w.lease;
+        decisions_.back().lease = w.last_lease();
         w.highest_end_seen = 0;
         w.acknowledged_end = 0;
         w.dropped_end = 0;
         workers_with_ends_.erase(w.entry.id);
+        for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
+            r.second.reported = false;
+        }
         // A late start still carries an expiry by the previous process's clock, and the lease that
         // it grants is limited by the platform only.
-        extend(w.lease, bound_of(lease_origin::restart, now, bounds_.max_lease));
+        extend(w.leases.known, bound_of(lease_origin::restart, now, bounds_.max_lease));
     }
     else {
         w.dropped_end = std::max(w.dropped_end, acknowledged_end);
@@ -376,6 +381,7 @@
     reported.confirmed_at = now;
     reported.process_start_ms = w.reported_start_ms;
     reported.adopted = true;
+    reported.reported = true;
     const bool step_known = known != jobs_.end() &&
                             id->step < static_cast<int>(known->second.progress.spec().steps.size());
     // A run whose step isn't known may use all the capacity that is left on the worker.
@@ -407,6 +413,7 @@
         run->second.confirmed_at = now;
     }
     const bool restarted = run->second.process_start_ms != w.reported_start_ms;
+    run->second.reported = true;
     run->second.process_start_ms = w.reported_start_ms;
     if (restarted && run->second.phase == run_phase::stop_acknowledged) {
         send_stop(w, run->second, now); // a late send began it at the next process
@@ -459,7 +466,7 @@
     if (!w.lost) {
         add_decision(decision_kind::worker_lost, "", w.entry.id,
                      std::string(name_of(evidence.source)), to_millis(now - w.last_answer));
-        decisions_.back().lease = w.lease;
+        decisions_.back().lease = w.last_lease();
     }
     w.lost = true;
     w.heard = false;
@@ -481,7 +488,7 @@
                 send_stop(w, r.second, now);
             }
         }
-        if (!w.lost && now > w.lease.end && !w.is_responsive(now)) {
+        if (!w.lost && !w.is_responsive(now) && now > w.last_lease().end) {
             mark_worker_lost(w, {evidence_source::lease_expired, now}, now);
         }
     }
@@ -493,7 +500,7 @@
     }
     for (auto w = workers_.begin(); w != workers_.end();) {
         const bool removable = !w->second.listed && w->second.runs.empty() &&
-                               (w->second.lost || now > w->second.lease.end);
+                               (w->second.lost || now > w->second.last_lease().end);
         if (removable) {
             mark_verified(w->first, {evidence_source::lease_expired, now});
             workers_with_ends_.erase(w->first);
@@ -534,9 +541,11 @@
     if (w->clock_ms && w->is_responsive(now) && w->is_lease_renewable(now)) {
         const millis length = granted_lease(bounds_);
         order.until_ms = w->clock_at(now) + length.count();
-        w->lease_before_poll = w->lease;
+        w->leases_before_poll = w->leases;
         w->poll_until_ms = order.until_ms;
-        extend(w->lease, sent_lease(*w, lease_origin::poll, length, *order.until_ms, now));
+        const lease_bound sent = sent_lease(*w, lease_origin::poll, length, *order.until_ms, now);
+        extend(w->leases.known, sent);
+        extend(w->leases.restarted, bound_of(lease_origin::poll, now, bounds_.max_lease));
     }
     return order;
 }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -80,6 +80,7 @@
         break;
     case run_fate::may_begin:
         run.confirmed_at.reset(); // what the worker's previous process confirmed is over
+        run.reported = false;
         stop_run(w, run, now);
         break;
     case run_fate::over:
@@ -145,7 +146,7 @@
                      std::to_string(copy.process_start_ms) + "; " + other_runs_of(copy),
                  to_millis(now - copy.ordered_at));
     decisions_.back().evidence = evidence;
-    decisions_.back().lease = w.lease;
+    decisions_.back().lease = w.last_lease();
     drop_run(w, to_string(copy.task), copy.run);
     placing_needed_ = true;
     const auto known = jobs_.find(copy.task.job);
@@ -187,6 +188,10 @@
     }
     run_record& run = known->second;
     --run.sends_in_flight;
+    if (verdict == order_verdict::accepted || verdict == order_verdict::unknown) {
+        // It may have been executed until now, by a process that isn't known yet.
+        extend(w->leases.restarted, bound_of(lease_origin::start, now, bounds_.max_lease));
+    }
     if (verdict == order_verdict::accepted) {
         if (order.attempts > 1) {
             add_start_decision(decision_kind::start_confirmed, run, order.worker,
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -286,8 +286,8 @@
     const poll_order order = *s.next_poll("w1", millis(0), at_ms(10500));
     cr_assert(order.until_ms.has_value());
     const std::int64_t lease_ms = (*order.until_ms - slow_clock(10500)) * 100 / 98;
-    cr_assert(s.workers().at("w1").lease.end >= at_ms(10500 + lease_ms), "the lease lasts %lld ms",
-              static_cast<long long>(lease_ms));
+    cr_assert(s.workers().at("w1").leases.known.end >= at_ms(10500 + lease_ms),
+              "the lease lasts %lld ms", static_cast<long long>(lease_ms));
 }
 
 Test(pool_restart, a_lease_sent_to_an_unknown_process_counts_as_the_longest_one)
@@ -301,7 +301,7 @@
     const std::int64_t lease_ms = std::min(*order.until_ms - cell.process.clock_ms(20411),
                                            platform_bounds().max_lease.count());
     cell.s.on_poll(order, at_ms(20410), order_verdict::unknown, {}, at_ms(20710)); // cut off
-    cr_assert(cell.s.workers().at("w1").lease.end >= at_ms(20411 + lease_ms));
+    cr_assert(cell.s.workers().at("w1").leases.known.end >= at_ms(20411 + lease_ms));
 }
 
 Test(pool_restart, a_late_poll_that_drops_ends_of_the_next_process_does_not_start_a_done_task_again)
@@ -355,7 +355,8 @@
     cell.s.on_poll(order, at_ms(20010), order_verdict::replaced, {}, at_ms(20011));
     cell.restart(20020);
     cell.poll(20100);
-    cr_assert(cell.s.workers().at("w1").lease.end >= at_ms(20100) + platform_bounds().max_lease,
+    cr_assert(cell.s.workers().at("w1").leases.known.end >=
+                  at_ms(20100) + platform_bounds().max_lease,
               "as for a worker that wasn't lost");
 }
 
