Raise the fence of the orders to a worker whose process may have been replaced

What callers saw: a task started again after it was done, or ran twice at the same time, when workers had been restarted under their ids and orders got no answer. Cause: an order without an answer may be executed seconds later, by the next process of the worker, which has seen no fence: a start begins a run that was given up, a poll renews leases or drops ends that nobody read. Change: offsets of the leader's own records rise above its claim's and stay below that of each later claim. After a poll without an answer, an answer by another clock or a newer entry, orders to that worker carry the highest one. The first answer to a poll with a new fence shows that no earlier order can act at that process any more, so a run that it doesn't list is over. A refusal by a lower fence of this leader is no sign of another one. No start is sent while the fence can't rise. Ruled out: waiting for late orders, as the platform names no bound; no starts after each failed poll, as tests of other faults show that work then waits without need. In a_delayed_stop_answer_... a new start after the barrier was forbidden because a late send might begin; it checks the phase, no start before the barrier, and that the late send is refused after it.

--- a/include/sesamesill/pool_evidence.h
+++ b/include/sesamesill/pool_evidence.h
@@ -31,6 +31,8 @@
     time_point asked;                  ///< when the question was sent; nothing later is covered
     std::int64_t process_start_ms = 0; ///< of the worker's process that answered; 0 if none did
     std::int64_t clock_ms = 0;         ///< of that process
+    /// The process executes no order with a lower fence any more; 0 if that isn't known.
+    std::uint64_t fence = 0;
     /// False for the refusal of a repeated start, as an earlier send may have been executed, for a
     /// report that lacks later ends, and for an answer at an address that the worker has left.
     bool complete = true;
--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -139,7 +139,7 @@
 
 enum class order_verdict : std::uint8_t {
     accepted,
-    fenced,     ///< the worker has seen an order with a higher fence, from a newer leader
+    fenced,     ///< the worker has seen an order with a higher fence
     superseded, ///< a run of the task with this number or a higher one has ended at this worker
     expired,    ///< the order expired before it arrived
     no_room,
@@ -179,6 +179,7 @@
     std::string worker;
     endpoint address;
     std::uint64_t fence = 0;
+    bool first_of_fence = false; ///< no earlier poll or start to the worker had this fence
     /// Ends up to this number are stored; the worker may drop them.
     std::uint64_t acknowledged_end = 0;
     std::optional<std::int64_t> until_ms; ///< on the worker's clock: the new end of its lease
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -150,7 +150,9 @@
     void expect_entries_until(time_point time) { entries_back_at_ = time; }
     /// Handles the storing of a record that was sent at `sent`. A later leader learns of all
     /// workers that were listed before that time and polls them, so only those workers get tasks.
-    void on_record_stored(time_point sent);
+    /// `log_end` is the next offset of the log: above the fences of all orders so far, and below
+    /// that of each later claim.
+    void on_record_stored(time_point sent, std::uint64_t log_end);
 
     /// Returns whether the pool can run the job, and in time. Does not add the job.
     admission_answer admit(const job_spec& spec, time_point now) const;
@@ -313,6 +315,8 @@
     void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
                       time_point now);
     void note_first_answer(worker& w, time_point now);
+    void raise_fence(worker& w);
+    void doubt_process(worker& w);
     void mark_older_incarnations_lost(const worker_entry& entry, time_point now);
     bool has_newer_incarnation(const worker_entry& entry) const;
     void mark_worker_lost(worker& w, const run_evidence& evidence, time_point now);
@@ -320,6 +324,7 @@
     void restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now);
 
     std::uint64_t fence_;
+    std::uint64_t highest_fence_; ///< that an order may have
     platform_bounds bounds_;
     configuration config_;
     std::unordered_map<std::string, const queue_policy*> queues_; ///< of `config_`, by name
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -35,6 +35,7 @@
     bool adopted = false;    ///< started by an earlier leader, so its start time isn't known
     int sends = 0;           ///< how often the start was sent
     int sends_in_flight = 0; ///< those without an answer or a timeout
+    std::uint64_t fence = 0; ///< highest one of its sends; 0 for those of earlier leaders
     time_point ordered_at;
     std::optional<time_point> confirmed_at; ///< first time that the worker reported the run
     bool reported = false; ///< by the worker's process `process_start_ms`, in its list of runs
@@ -88,7 +89,15 @@
     bool listed = true;                       ///< whether the platform's directory has its entry
     std::optional<time_point> unlisted_since; ///< first poll since its entry was removed
     bool heard = false; ///< whether it has answered this leader, so that its runs are known
-    bool lost = false;  ///< whether its lease has certainly expired or its process is gone
+    /// Fence of the orders to it: the leader's, or a later offset of the leader's records. It rises
+    /// when the worker's process may have been replaced, as the next one has seen no fence.
+    std::uint64_t fence = 0;
+    bool fence_used = false;     ///< a poll or a start with `fence` was sent
+    bool fence_outdated = false; ///< it should have risen, but no record was stored since it did
+    /// Whether the first poll with `fence` was answered. Invariant: the process that answered
+    /// executes no earlier order any more.
+    bool fence_confirmed = false;
+    bool lost = false; ///< whether its lease has certainly expired or its process is gone
     /// Whether a record was stored that was sent after `listed_at`, or the entry was read before
     /// the claim: a new leader then reads the entry too.
     bool visible_to_successor = false;
@@ -144,8 +153,8 @@
     /// Returns whether new runs may start on the worker.
     bool is_schedulable(time_point now) const
     {
-        return listed && heard && visible_to_successor && !lost && !entry.draining &&
-               is_responsive(now) && now >= health.avoid_until;
+        return listed && heard && !fence_outdated && visible_to_successor && !lost &&
+               !entry.draining && is_responsive(now) && now >= health.avoid_until;
     }
 
     /// Time without an answer after which the lease isn't renewed. If it were renewed, the runs of
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -50,6 +50,8 @@
     void pause_until(time_point until);
     /// Returns whether no append is in progress.
     bool is_idle() const { return !in_flight_ && sent_.empty(); }
+    /// Returns the next offset of the log after the last stored batch.
+    std::uint64_t end() const { return end_; }
     /// Returns when an append last succeeded.
     time_point last_stored() const { return last_stored_; }
     /// Returns when the last stored batch was first sent: no other leader had claimed the lead by
--- a/src/pool_evidence.cc
+++ b/src/pool_evidence.cc
@@ -19,6 +19,9 @@
 /// Judges a run that a complete report doesn't list, neither as running nor as ended.
 run_fate fate_if_unlisted(const run_record& run, const run_evidence& report)
 {
+    if (run.fence < report.fence) {
+        return run_fate::over; // its process has ended, or refuses all sends of its start
+    }
     const bool confirmed = run.confirmed_at && *run.confirmed_at < report.asked;
     const bool restarted =
         run.process_start_ms != 0 && run.process_start_ms != report.process_start_ms;
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -217,7 +217,7 @@
     const time_point now = boot_clock::now();
     loop_lag_.add(std::max(millis(0), millis(to_millis(now - next_tick_))), now);
     next_tick_ = now + tick_period;
-    scheduler_.on_record_stored(writer_.lead_confirmed_at());
+    scheduler_.on_record_stored(writer_.lead_confirmed_at(), writer_.end());
     scheduler_.tick(now);
     process_metrics().gauge(
         "sesamesill_pool_directory_age_seconds",
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -242,6 +242,9 @@
         run.until_ms = std::max(*run.until_ms, order.until_ms);
     }
     run.process_start_ms = w.reported_start_ms;
+    order.fence = w.fence;
+    w.fence_used = true;
+    run.fence = w.fence;
     ++run.sends;
     ++run.sends_in_flight;
     const lease_bound sent = sent_lease(w, lease_origin::start, validity, order.until_ms, now);
@@ -269,7 +272,6 @@
     order.task = to_string(id);
     order.run = run;
     order.payload = job.spec().payload;
-    order.fence = fence_;
     if (spec.saves_progress || spec.gang) {
         order.checkpoint = job.find(id)->checkpoint;
     }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -75,6 +75,8 @@
         w.listed_at = now;
         w.last_answer = now;
         w.leases.known = predecessor_lease(now, bounds_);
+        w.fence =
+            highest_fence_; // it may have been listed before, and seen higher ones than `fence_`
         const worker_number next = static_cast<worker_number>(workers_by_number_.size());
         w.number = worker_numbers_.emplace(entry.id, next).first->second;
         if (w.number == next) {
@@ -110,7 +112,9 @@
         w.entry = entry;
         w.listed = true;
         w.unlisted_since.reset();
-        w.process_known = w.process_known && entry.start_time_ms <= w.reported_start_ms;
+        if (w.process_known && entry.start_time_ms > w.reported_start_ms) {
+            doubt_process(w);
+        }
     }
     placing_needed_ = true;
 }
@@ -136,6 +140,27 @@
     placing_needed_ = true;
 }
 
+/// Gives the orders to the worker a fence that no earlier one had, if a record was stored since the
+/// last time.
+void scheduler::raise_fence(worker& w)
+{
+    w.fence_outdated = w.fence_used && highest_fence_ <= w.fence;
+    if (w.fence_used && !w.fence_outdated) {
+        w.fence = highest_fence_;
+        w.fence_used = false;
+    }
+}
+
+/// Handles a sign that the worker's process may have been replaced: an order without an answer, an
+/// answer by another clock, a newer entry. Orders without an answer may be executed later by the
+/// next process, until it has seen a higher fence.
+void scheduler::doubt_process(worker& w)
+{
+    w.process_known = false;
+    w.fence_confirmed = false;
+    raise_fence(w);
+}
+
 /// Handles a poll that the worker has not seen, nor the lease that it carried.
 void scheduler::note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                                  order_verdict verdict)
@@ -156,9 +181,11 @@
 {
     const bool restarted = w.reported_start_ms != 0 && start_time_ms != w.reported_start_ms;
     if (restarted) {
-        add_decision(decision_kind::worker_restarted, "", w.entry.id,
-                     "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
-                         " were acknowledged to the new one before it was known");
+        add_decision(
+            decision_kind::worker_restarted, "", w.entry.id,
+            "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
+                " were acknowledged to the new one before it was known; orders carry fence " +
+                std::to_string(w.fence));
         decisions_.back().lease = w.last_lease();
         w.highest_end_seen = 0;
         w.acknowledged_end = 0;
@@ -189,7 +216,7 @@
     if (w == nullptr) {
         return;
     }
-    if (verdict == order_verdict::fenced) {
+    if (verdict == order_verdict::fenced && order.fence == w->fence) {
         fenced_ = true;
         return;
     }
@@ -197,7 +224,7 @@
         note_unsent_poll(*w, order, sent, verdict);
     }
     if (verdict != order_verdict::accepted) {
-        w->process_known = false; // it may have been restarted
+        doubt_process(*w);
     }
     if (verdict == order_verdict::replaced) {
         run_evidence evidence{evidence_source::other_incarnation, sent};
@@ -222,6 +249,14 @@
     if (!w->heard) {
         note_first_answer(*w, now);
     }
+    const bool refuses_earlier = order.first_of_fence && order.fence == w->fence;
+    if (refuses_earlier) {
+        w->fence_confirmed = true;
+        placing_needed_ = true;
+    }
+    else if (report.start_time_ms != w->reported_start_ms) {
+        doubt_process(*w);
+    }
     note_process(*w, report.start_time_ms, order.acknowledged_end, now);
     for (const ended_task& end : report.ended) {
         if (end.number > w->highest_end_seen) {
@@ -234,6 +269,7 @@
         handle_running(*w, row, now);
     }
     run_evidence evidence{evidence_source::report, sent, report.start_time_ms, report.clock_ms};
+    evidence.fence = refuses_earlier ? order.fence : 0;
     evidence.complete = report.ended.size() < max_reported_ends; // else the next report has more
     release_missing_runs(*w, report, evidence, now);
     mark_verified(order.worker, evidence);
@@ -532,7 +568,12 @@
     poll_order order;
     order.worker = id;
     order.address = w->entry.address;
-    order.fence = fence_;
+    if (!w->fence_confirmed) {
+        raise_fence(*w);
+    }
+    order.fence = w->fence;
+    order.first_of_fence = !w->fence_used;
+    w->fence_used = true;
     order.acknowledged_end = w->end_to_acknowledge();
     order.wait = wait;
     if (!w->listed && !w->unlisted_since) {
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -35,7 +35,7 @@
     run.ordered_at = now;
     run.process_start_ms = w.reported_start_ms;
     stops_.push_back(
-        {w.entry.id, w.entry.address, to_string(run.task), run.run, fence_, run.process_start_ms});
+        {w.entry.id, w.entry.address, to_string(run.task), run.run, w.fence, run.process_start_ms});
 }
 
 void scheduler::stop_task(const task_id& id, time_point now)
@@ -138,13 +138,13 @@
                             time_point now)
 {
     const run_record copy = run;
-    add_decision(decision_kind::run_released, copy.task.job, w.entry.id,
-                 to_string(copy.task) + " run " + std::to_string(copy.run) + ", sent " +
-                     std::to_string(copy.sends) + " times, " +
-                     std::to_string(copy.sends_in_flight) +
-                     " without an answer so far, to process " +
-                     std::to_string(copy.process_start_ms) + "; " + other_runs_of(copy),
-                 to_millis(now - copy.ordered_at));
+    add_decision(
+        decision_kind::run_released, copy.task.job, w.entry.id,
+        to_string(copy.task) + " run " + std::to_string(copy.run) + ", sent " +
+            std::to_string(copy.sends) + " times, " + std::to_string(copy.sends_in_flight) +
+            " without an answer so far, last with fence " + std::to_string(copy.fence) +
+            " to process " + std::to_string(copy.process_start_ms) + "; " + other_runs_of(copy),
+        to_millis(now - copy.ordered_at));
     decisions_.back().evidence = evidence;
     decisions_.back().lease = w.last_lease();
     drop_run(w, to_string(copy.task), copy.run);
@@ -202,7 +202,7 @@
         // The answer doesn't name its process, so it may be of the previous one: only reports set
         // the clock.
         if (clock_ms > 0 && clock_ms < w->clock_ms.value_or(0)) {
-            w->process_known = false;
+            doubt_process(*w);
         }
         if (!run.confirmed_at && run.phase == run_phase::starting) {
             run.confirmed_at = now;
@@ -260,7 +260,7 @@
         run.confirmed_at = run.confirmed_at.value_or(now);
         return;
     case order_verdict::fenced:
-        fenced_ = true;
+        fenced_ = fenced_ || order.fence == w.fence; // else a later order of this leader was first
         break;
     case order_verdict::unhealthy:
         w.health.avoid_until = std::max(w.health.avoid_until, now + unhealthy_pause);
@@ -290,7 +290,7 @@
     if (w == nullptr) {
         return;
     }
-    fenced_ = fenced_ || verdict == order_verdict::fenced;
+    fenced_ = fenced_ || (verdict == order_verdict::fenced && order.fence == w->fence);
     const auto known = w->runs.find({order.task, order.run});
     if (known == w->runs.end()) {
         return;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -48,7 +48,8 @@
 }
 
 scheduler::scheduler(std::uint64_t fence, platform_bounds bounds, time_point now)
-    : fence_(fence), bounds_(bounds), inherited_leases_(predecessor_lease(now, bounds))
+    : fence_(fence), highest_fence_(fence), bounds_(bounds),
+      inherited_leases_(predecessor_lease(now, bounds))
 {
 }
 
@@ -246,9 +247,14 @@
     }
 }
 
-void scheduler::on_record_stored(time_point sent)
+void scheduler::on_record_stored(time_point sent, std::uint64_t log_end)
 {
+    highest_fence_ = std::max(highest_fence_, log_end);
     for (std::pair<const std::string, worker>& w : workers_) {
+        if (w.second.fence_outdated) {
+            raise_fence(w.second);
+            placing_needed_ = true;
+        }
         if (!w.second.visible_to_successor && w.second.listed_at < sent) {
             w.second.visible_to_successor = true;
             placing_needed_ = true;
--- a/test/pool_fixture.h
+++ b/test/pool_fixture.h
@@ -130,7 +130,7 @@
 /// Places without another read of the worker directory.
 inline std::vector<start_order> place_by_last_read(scheduler& s, std::int64_t ms)
 {
-    s.on_record_stored(at_ms(ms));
+    s.on_record_stored(at_ms(ms), s.fence() + static_cast<std::uint64_t>(ms));
     s.tick(at_ms(ms));
     s.place(at_ms(ms));
     return s.take_starts();
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -104,6 +104,57 @@
     cr_assert_leq(*next.until_ms, cell.process.clock_ms(5300) + longest_lease);
 }
 
+Test(pool_restart, orders_without_an_answer_are_refused_once_the_next_process_has_answered)
+{
+    restarting_cell cell;
+    const start_order late = cell.start_one(first_job, 10);
+    const poll_order late_poll = *cell.s.next_poll("w1", millis(0), at_ms(20));
+    cell.restart(30);
+    cell.s.on_poll(late_poll, at_ms(20), order_verdict::unknown, {}, at_ms(320));
+    cell.poll(330);
+    cr_assert(cell.process.start(late, 340) == order_verdict::fenced);
+    cr_assert(cell.process.poll(late_poll, 340) == order_verdict::fenced);
+    cr_assert_eq(place(cell.s, 350).size(), 1, "no send can begin the run any more");
+    cr_assert_not(cell.s.fenced(), "no other leader has sent an order");
+}
+
+Test(pool_restart, a_refusal_of_an_order_that_a_later_one_overtook_does_not_end_the_lead)
+{
+    restarting_cell cell;
+    const start_order order = cell.start_one(first_job, 10);
+    cell.poll_without_answer(20);
+    cell.poll(330);
+    cell.s.on_start(order, cell.process.start(order, 331), 0, at_ms(332));
+    cr_assert_not(cell.s.fenced());
+}
+
+Test(pool_restart, a_worker_that_returns_gets_no_lower_fence_than_before)
+{
+    restarting_cell cell;
+    place(cell.s, 10);
+    cell.poll_without_answer(20);
+    const std::uint64_t fence = cell.s.next_poll("w1", millis(0), at_ms(400))->fence;
+    cr_assert_gt(fence, cell.s.fence());
+    cell.s.unlist_worker("w1");
+    cell.s.tick(at_ms(20000));
+    cr_assert_eq(cell.s.workers().count("w1"), 0);
+    cell.s.list_worker(worker_of("w1"), at_ms(20010));
+    cr_assert_geq(cell.s.next_poll("w1", millis(0), at_ms(20020))->fence, fence);
+}
+
+Test(pool_restart, a_worker_in_doubt_gets_no_start_until_its_fence_can_rise)
+{
+    restarting_cell cell;
+    cell.poll(5000);
+    place(cell.s, 5001);
+    cell.poll_without_answer(5010);
+    cell.poll_without_answer(5410); // no record was stored since the last rise
+    add_job(cell.s, cell.store, job_of(first_job, {step_of(1, 1)}), 5800);
+    cell.s.place(at_ms(5801));
+    cr_assert_eq(cell.s.take_starts().size(), 0);
+    cr_assert_eq(place(cell.s, 5900).size(), 1, "a record was stored");
+}
+
 Test(pool_restart, a_delayed_refusal_at_an_old_address_does_not_release_runs)
 {
     restarting_cell cell;
@@ -202,7 +253,7 @@
 {
     restarting_cell cell;
     cell.poll(5000);
-    send_without_answer(cell, 5010);
+    const start_order late = send_without_answer(cell, 5010);
     const std::vector<stop_order> stops = cell.s.take_stops();
     cr_assert_eq(stops.size(), 1);
     const order_verdict delayed = cell.process.stop(stops[0]);
@@ -210,8 +261,10 @@
     cell.poll(5900); // another stop is sent to the new process, which doesn't get it yet
     cr_assert_eq(cell.s.take_stops().size(), 1);
     cell.s.on_stop(stops[0], delayed, at_ms(5950));
+    cr_assert(cell.s.workers().at("w1").runs.begin()->second.phase == run_phase::stopping);
+    cr_assert_eq(place(cell.s, 5951).size(), 0, "a late send may begin at the new process");
     cell.poll(6000);
-    cr_assert_eq(place(cell.s, 6001).size(), 0, "a late send may begin at the new process");
+    cr_assert(cell.process.start(late, 6002) == order_verdict::fenced, "it may begin still");
 }
 
 Test(pool_restart, a_stopped_run_that_begins_late_at_the_next_process_is_stopped_again)
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -529,10 +529,10 @@
     s.on_directory_loaded(at_ms(20));
     s.place(at_ms(21));
     cr_assert_eq(s.take_starts().size(), 0, "a successor might not know of w1");
-    s.on_record_stored(at_ms(9));
+    s.on_record_stored(at_ms(9), s.fence());
     s.place(at_ms(22));
     cr_assert_eq(s.take_starts().size(), 0, "the record was sent before w1 joined");
-    s.on_record_stored(at_ms(15));
+    s.on_record_stored(at_ms(15), s.fence());
     s.place(at_ms(30));
     cr_assert_eq(s.take_starts().size(), 1);
 }
