Count a job as waiting until a worker has begun its first task

Cause: a job left the count of a queue when its first start was ordered. A start that waits without an answer at a worker that has gone dark has begun nothing, for seconds. Change: the count, and the state 'running', follow the worker's answer or report. First starts are logged and ranked by their order, as before. Changed test: it called a job begun once it was ordered; it asks for both moments now.

--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -90,7 +90,9 @@
     task_record* find(const task_id& id);
     /// Returns whether all steps in the step's `after` list are done.
     bool is_ready(int occurrence, int number) const;
-    /// Returns whether any task has ever been started.
+    /// Returns whether a start of any task was ever sent, or has begun.
+    bool is_ordered() const { return ordered_ || begun_; }
+    /// Returns whether any task has ever begun, as far as workers have said.
     bool has_begun() const { return begun_; }
 
     void started(const task_id& id, const std::string& worker, std::int64_t run, time_point now);
@@ -138,6 +140,7 @@
     std::int64_t unfinished_tasks_; ///< of all occurrences
     std::set<int> unsaved_parts_;
     job_state state_ = job_state::queued;
+    bool ordered_ = false;
     bool begun_ = false;
 };
 
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -60,7 +60,7 @@
     const job_size left = remaining_size(job, ws.first.occurrence, estimates);
     ws.run_ms = estimates[static_cast<std::size_t>(ws.first.step)];
     ws.rank.interrupted = job.spec().steps[static_cast<std::size_t>(ws.first.step)].long_running &&
-                          (job.has_begun() || ws.inherited);
+                          (job.is_ordered() || ws.inherited);
     ws.rank.job_work = size.core_seconds;
     ws.rank.mean_work = estimates_[job.spec().queue].mean_work;
     ws.rank.remaining_work = left.core_seconds;
@@ -261,11 +261,8 @@
     const step_spec& spec = job.spec().steps[static_cast<std::size_t>(ws.first.step)];
     task_id id = ws.first;
     id.index = index;
-    const bool first_start = !job.has_begun();
+    const bool first_start = !job.is_ordered();
     job.started(id, w.entry.id, run, now);
-    if (first_start) {
-        update_waiting_count(jobs_.at(id.job));
-    }
     start_order order;
     order.worker = w.entry.id;
     order.address = w.entry.address;
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -175,16 +175,17 @@
     task.started = now;
     task.advanced = now;
     task.percent = 0;
-    begun_ = true;
-    update_state();
+    ordered_ = true;
 }
 
 void job_progress::confirm(const task_id& id)
 {
     task_record& task = *find(id);
+    begun_ = true;
     if (task.phase == task_phase::starting) {
         set_phase(step_at(id.occurrence, id.step), task, task_phase::running);
     }
+    update_state();
 }
 
 void job_progress::adopt(const task_id& id, const std::string& worker, std::int64_t run,
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -465,6 +465,7 @@
     if (run->second.phase == run_phase::starting) {
         run->second.phase = run_phase::running;
         known->second.progress.confirm(run->second.task);
+        update_waiting_count(known->second);
     }
     if (row.percent > task->percent) {
         task->percent = row.percent;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -216,6 +216,7 @@
             const auto job = jobs_.find(run.task.job);
             if (job != jobs_.end()) {
                 job->second.progress.confirm(run.task);
+                update_waiting_count(job->second);
             }
         }
         return;
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -142,7 +142,7 @@
     return ids;
 }
 
-/// Counts the job as waiting until its first task is started or its state is final.
+/// Counts the job as waiting until a worker has begun its first task or its state is final.
 void scheduler::update_waiting_count(job_entry& entry)
 {
     const bool waits = !is_final(entry.progress.state()) && !entry.progress.has_begun();
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -747,7 +747,9 @@
     add_job(s, store, job_of("00000000000000bb", {step_of(1, 8)}), 0);
     add_job(s, store, job_of("00000000000000cc", {step_of(1, 8)}), 0);
     cr_assert_eq(s.waiting_in("holds"), 3);
-    place(s, 1);
+    const std::vector<start_order> orders = place(s, 1);
+    cr_assert_eq(s.waiting_in("holds"), 3, "its worker may be cut off");
+    accept_starts(s, orders, 2);
     cr_assert_eq(s.waiting_in("holds"), 2);
     s.cancel("00000000000000cc", at_ms(2));
     cr_assert_eq(s.waiting_in("holds"), 1);
