Use no ticket that was issued for a worker's previous process

What callers saw: starts that are refused for want of a ticket after a restart, and wait for another. Change: tickets of a worker count as expired once its restart is known; the approval stays.

--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -194,6 +194,12 @@
         for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
             r.second.reported = false;
         }
+        for (std::pair<const std::string, waiting_step>& ws : waiting_steps_) {
+            const auto ticket = ws.second.approved.find(w.number);
+            if (ticket != ws.second.approved.end()) { // issued for the previous process
+                ticket->second.until = std::min(ticket->second.until, now);
+            }
+        }
         // A late start still carries an expiry by the previous process's clock, and the lease that
         // it grants is limited by the platform only.
         extend(w.leases.known, bound_of(lease_origin::restart, now, bounds_.max_lease));
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -155,6 +155,25 @@
     cr_assert_eq(place(cell.s, 5900).size(), 1, "a record was stored");
 }
 
+Test(pool_restart, a_ticket_of_the_previous_process_is_not_used_for_the_next_one)
+{
+    restarting_cell cell;
+    cell.s.configure(config_of(advice_terms{10, 0.1, millis(5000)}), at_ms(1));
+    add_job(cell.s, cell.store, job_of(first_job, {step_of(1, 1)}), 10);
+    place(cell.s, 11);
+    advice_answer answer;
+    answer.ok = true;
+    answer.valid = millis(5000);
+    answer.approved = {{"w1", "ticket"}};
+    const std::optional<advice_call> call = cell.s.next_advice(millis::max(), at_ms(12));
+    cr_assert(call.has_value());
+    cell.restart(13);
+    cell.s.on_advice(*call, answer, at_ms(20));
+    cell.poll(25);
+    cr_assert_eq(place(cell.s, 30).size(), 0, "the worker would refuse the ticket");
+    cr_assert(cell.s.next_advice(millis::max(), at_ms(31)).has_value(), "a new one is asked for");
+}
+
 Test(pool_restart, a_delayed_refusal_at_an_old_address_does_not_release_runs)
 {
     restarting_cell cell;
