--- a/test/pool_lease-test.cc
+++ b/test/pool_lease-test.cc
@@ -104,3 +104,17 @@
                       static_cast<long long>(next));
     }
 }
+
+Test(pool_lease,
+     a_poll_that_was_not_sent_does_not_shorten_the_lease_of_a_start_that_was_answered_late)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const start_order order = cell.start_one(first_job, 20010);
+    const poll_order unsent = *cell.s.next_poll("w1", millis(400), at_ms(20020));
+    cell.s.on_start(order, order_verdict::accepted, 0, at_ms(20400));
+    cell.s.on_poll(unsent, at_ms(20020), order_verdict::not_sent, {}, at_ms(20500));
+    cr_assert(cell.s.workers().at("w1").last_lease().end >=
+                  at_ms(20400) + platform_bounds().max_lease,
+              "the next process may have executed the start until then");
+}
