Name the other runs of a released run without a search of all workers

What operators would see: a leader that stands still for seconds when the leases of many workers end at once. Cause: the detail of run_released looked for runs of the same task on each worker, for each released run. Change: the task's current run and its surplus runs are looked up; a leader knows of no others. No test: a bound on time would depend on the machine.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -308,7 +308,7 @@
     void release_missing_runs(worker& w, const worker_report& report, const run_evidence& evidence,
                               time_point now);
     void settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now);
-    std::string other_runs_of(const run_record& run) const;
+    std::string other_runs_of(const run_record& run);
     void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict);
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -116,19 +116,24 @@
     surplus_runs_.erase(surplus);
 }
 
-/// Names the other runs of the run's task that may be at work.
-std::string scheduler::other_runs_of(const run_record& run) const
+/// Names the other runs of the run's task that may be at work: the current one and surplus runs.
+std::string scheduler::other_runs_of(const run_record& run)
 {
-    const std::string task = to_string(run.task);
     std::string others;
-    for (const std::pair<const std::string, worker>& w : workers_) {
-        for (auto r = w.second.runs.lower_bound({task, 0});
-             r != w.second.runs.end() && r->first.first == task; ++r) {
-            if (r->first.second != run.run) {
-                others.append(" ").append(std::to_string(r->first.second));
-                others.append(" on ").append(w.first);
-            }
+    const auto add = [&](const std::string& on, std::int64_t number) {
+        if (number != run.run && !on.empty()) {
+            others.append(" ").append(std::to_string(number)).append(" on ").append(on);
         }
+    };
+    const auto known = jobs_.find(run.task.job);
+    const task_record* task =
+        known != jobs_.end() ? known->second.progress.find(run.task) : nullptr;
+    if (task != nullptr && task->phase != task_phase::done) {
+        add(task->worker, task->run);
+    }
+    const auto surplus = surplus_runs_.equal_range(to_string(run.task));
+    for (auto s = surplus.first; s != surplus.second; ++s) {
+        add(s->second.first, s->second.second);
     }
     return others.empty() ? "no other run is known" : "other runs:" + others;
 }
