Count the longest lease until the answer or timeout of an order, and for repeated starts

What clients could see: a task that runs twice, once on a worker that was restarted and cut off. Cause: the bound of runs at a process that isn't known was counted from the sending of a poll, though it may be executed until its timeout; the extension by a start's answer was lost if a poll in flight turned out unsent; and a run that the previous process had reported counted by its clock, though another send without an answer may begin it at the next process. A start that is refused for want of room or as old also extends the lease (PROTOCOL.md, Running tasks); its answer wasn't counted. Change: such orders extend `restarted` when they end; only runs that were sent once count by the known process alone. The refusals for room are covered by reading only.

--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -138,11 +138,13 @@
         return process_known && acknowledged_end > dropped_end ? acknowledged_end : 0;
     }
     /// Returns the bound of all its runs: they have ended by then, unless the lease is renewed. A
-    /// run that the known process hasn't reported may be at work at a process that isn't known.
+    /// run that the known process hasn't reported may be at work at a process that isn't known, and
+    /// so may one with another send, which has no answer.
     const lease_bound& last_lease() const
     {
-        const bool all_reported =
-            std::all_of(runs.begin(), runs.end(), [](const auto& r) { return r.second.reported; });
+        const bool all_reported = std::all_of(runs.begin(), runs.end(), [](const auto& r) {
+            return r.second.reported && r.second.sends <= 1;
+        });
         return all_reported || leases.known.end > leases.restarted.end ? leases.known
                                                                        : leases.restarted;
     }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -223,6 +223,10 @@
     if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
         note_unsent_poll(*w, order, sent, verdict);
     }
+    else if (verdict != order_verdict::accepted && order.until_ms) {
+        // It may have been executed until now, by a process that isn't known yet.
+        extend(w->leases.restarted, bound_of(lease_origin::poll, now, bounds_.max_lease));
+    }
     if (verdict != order_verdict::accepted) {
         doubt_process(*w);
     }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -193,9 +193,12 @@
     }
     run_record& run = known->second;
     --run.sends_in_flight;
-    if (verdict == order_verdict::accepted || verdict == order_verdict::unknown) {
-        // It may have been executed until now, by a process that isn't known yet.
-        extend(w->leases.restarted, bound_of(lease_origin::start, now, bounds_.max_lease));
+    if (verdict != order_verdict::not_sent && verdict != order_verdict::no_listener) {
+        // It may have been executed until now, by a process that isn't known yet. A worker takes
+        // the lease of a start also if it refuses it for want of room, or as the run has ended.
+        const lease_bound longest = bound_of(lease_origin::start, now, bounds_.max_lease);
+        extend(w->leases.restarted, longest);
+        extend(w->leases_before_poll.restarted, longest);
     }
     if (verdict == order_verdict::accepted) {
         if (order.attempts > 1) {
--- a/test/pool_lease-test.cc
+++ b/test/pool_lease-test.cc
@@ -104,3 +104,55 @@
                       static_cast<long long>(next));
     }
 }
+
+Test(pool_lease, an_unanswered_send_of_a_run_that_was_reported_may_begin_at_the_next_process)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const start_order late = cell.start_one(first_job, 20010);
+    cell.s.on_start(late, order_verdict::unknown, 0, at_ms(20141));
+    const std::vector<start_order> repeated = cell.s.take_starts();
+    cr_assert_eq(repeated.size(), 1);
+    cell.accept(repeated[0], 20143);
+    cell.poll(20150);
+    const poll_order waiting = *cell.s.next_poll("w1", millis(400), at_ms(20160));
+    cell.restart(20200);
+    cr_assert(cell.process.start(late, 20250) == order_verdict::accepted); // cut off at once
+    cell.s.on_poll(waiting, at_ms(20160), order_verdict::unknown, {}, at_ms(20860));
+    const std::int64_t next = next_start_elsewhere(cell.s, 20870);
+    cr_assert_neq(next, 0);
+    cr_assert_not(cell.process.runs(late.task, next), "two runs of one task at %lld ms",
+                  static_cast<long long>(next));
+}
+
+Test(pool_lease, a_poll_without_an_answer_may_be_executed_until_its_timeout)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const poll_order late = *cell.s.next_poll("w1", millis(400), at_ms(20010));
+    cell.restart(20050);
+    const start_order order = cell.start_one(first_job, 20100);
+    cell.accept(order, 20101);
+    cr_assert(cell.process.poll(late, 20690) == order_verdict::accepted); // cut off at once
+    cell.s.on_poll(late, at_ms(20010), order_verdict::unknown, {}, at_ms(20710));
+    const std::int64_t next = next_start_elsewhere(cell.s, 20720);
+    cr_assert_neq(next, 0);
+    cr_assert_not(cell.process.runs(order.task, next), "two runs of one task at %lld ms",
+                  static_cast<long long>(next));
+}
+
+Test(pool_lease, a_poll_that_was_not_sent_does_not_shorten_the_lease_of_a_start)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const poll_order unsent = *cell.s.next_poll("w1", millis(400), at_ms(20010));
+    cell.restart(20050);
+    const start_order order = cell.start_one(first_job, 20100);
+    cr_assert(cell.process.start(order, 20480) == order_verdict::accepted); // cut off at 20495
+    cell.s.on_start(order, order_verdict::accepted, cell.process.clock_ms(20480), at_ms(20490));
+    cell.s.on_poll(unsent, at_ms(20010), order_verdict::not_sent, {}, at_ms(20500));
+    const std::int64_t next = next_start_elsewhere(cell.s, 20510);
+    cr_assert_neq(next, 0);
+    cr_assert_not(cell.process.runs(order.task, next), "two runs of one task at %lld ms",
+                  static_cast<long long>(next));
+}
