Remember removed workers until the longest lease of their last poll has expired

What clients could see: a task that runs twice, after a change of the lead 8 s after a worker's entry was removed. Cause: members forget a worker 8 s after the removal of its entry. That covered 2.5 s of renewal and a lease of 5 s; a poll that a process which isn't known may have executed grants 6 s, and the renewal begins with the first poll after the removal. Evidence: the test failed before (the bound of the leases was later than the time at which members forget the worker). Change: 10.5 s: 2.5 s, two polls of 0.7 s, the longest lease with 2%, and 0.4 s for members that read the removal earlier.

--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -76,10 +76,10 @@
 };
 
 /// Members remember a worker for this long after its directory entry was removed, so that a new
-/// leader asks it for its runs.
-constexpr millis removed_worker_retention{8000};
+/// leader asks it for its runs. Longer than `unlisted_renewal`, two polls and the longest lease.
+constexpr millis removed_worker_retention{10500};
 /// The lease of a worker without an entry is renewed for this long after the removal. It ends
-/// before members forget the worker.
+/// before members forget the worker, also if a process that isn't known has executed the last poll.
 constexpr millis unlisted_renewal{2500};
 
 /// One incarnation of a worker. Invariant: `allocated` is the sum of `allocated` over `runs`.
--- a/test/pool_lease-test.cc
+++ b/test/pool_lease-test.cc
@@ -156,3 +156,30 @@
     cr_assert_not(cell.process.runs(order.task, next), "two runs of one task at %lld ms",
                   static_cast<long long>(next));
 }
+
+Test(pool_lease, members_remember_a_worker_until_the_longest_lease_of_its_last_poll_has_expired)
+{
+    // Guards against tasks that start twice: a member that leads after it has forgotten a worker
+    // doesn't ask it for its runs.
+    constexpr std::int64_t removed_at = 21000;
+    constexpr std::int64_t cut_off_at = 23000;
+    constexpr std::int64_t lost_at = 32000;
+    constexpr millis wait{400};
+    constexpr std::int64_t timeout = 700;
+    restarting_cell cell;
+    cell.poll(20000);
+    cell.accept(cell.start_one(first_job, 20010), 20012);
+    cell.s.next_poll("w1", wait, at_ms(removed_at - 1));
+    cell.s.unlist_worker("w1");
+    for (std::int64_t ms = removed_at + timeout; ms < cut_off_at; ms += 200) {
+        cell.poll(ms);
+    }
+    for (std::int64_t ms = cut_off_at; ms < lost_at; ms += timeout + 100) {
+        const poll_order order = *cell.s.next_poll("w1", wait, at_ms(ms));
+        cell.s.on_poll(order, at_ms(ms), order_verdict::unknown, {}, at_ms(ms + timeout));
+    }
+    const worker_leases& leases = cell.s.workers().at("w1").leases;
+    const time_point forgotten = at_ms(removed_at) + removed_worker_retention;
+    cr_assert_leq(to_millis(leases.known.end - forgotten), 0);
+    cr_assert_leq(to_millis(leases.restarted.end - forgotten), 0);
+}
