Don't take the first poll of a worker that returns for a barrier

What clients could see: a task that runs twice. A late start of the worker's former record has the same fence as that poll if no record was stored in between, so a process that has answered the poll still executes it. Cause: a worker that was removed and is listed again got the newest fence as an unused one. By reading, it takes a worker that is removed and returns between two stored records. Change: the fence of a worker that had been listed before counts as used.

--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -82,6 +82,9 @@
         if (w.number == next) {
             workers_by_number_.push_back(nullptr);
         }
+        else {
+            w.fence_used = true; // perhaps, when it was listed before
+        }
         worker& added = workers_.emplace(entry.id, std::move(w)).first->second;
         workers_by_number_[added.number] = &added;
         if (unverified_workers_.count(undiscovered_workers) > 0) {
--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -142,6 +142,21 @@
     cr_assert_geq(cell.s.next_poll("w1", millis(0), at_ms(20020))->fence, fence);
 }
 
+Test(pool_restart, the_first_poll_of_a_worker_that_returns_is_no_barrier_if_its_fence_was_used)
+{
+    restarting_cell cell;
+    cell.poll_without_answer(20);
+    const start_order late = cell.start_one(first_job, 330);
+    const poll_order order = *cell.s.next_poll("w1", millis(0), at_ms(340));
+    cell.s.on_poll(order, at_ms(340), order_verdict::replaced, {}, at_ms(341));
+    cell.s.unlist_worker("w1");
+    cell.s.tick(at_ms(350));
+    cr_assert_eq(cell.s.workers().count("w1"), 0);
+    cell.s.list_worker(worker_of("w1"), at_ms(360));
+    const poll_order next = *cell.s.next_poll("w1", millis(0), at_ms(370));
+    cr_assert(!next.first_of_fence || next.fence > std::max(late.fence, order.fence));
+}
+
 Test(pool_restart, a_worker_in_doubt_gets_no_start_until_its_fence_can_rise)
 {
     restarting_cell cell;
