Withdraw repeated starts while the lead isn't confirmed

What clients could see: a task that runs twice after a change of the lead. Change: such repeats are dropped; a later poll tells whether an earlier send has begun the run.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -181,6 +181,9 @@
     void place(time_point now, std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
     std::vector<start_order> take_starts();
+    /// Drops the starts that weren't taken, as the lead isn't confirmed. Polls tell later whether
+    /// an earlier send has begun their runs.
+    void withdraw_starts();
     std::vector<stop_order> take_stops();
     /// Returns whether a step waits for an advice call.
     bool needs_advice(time_point now) { return next_step_to_advise(millis::max(), now) != nullptr; }
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -197,8 +197,11 @@
             place_after_ = placed + placing_pause_factor * (placed - now);
         }
         ask_advice();
+        send_starts();
+    }
+    else {
+        scheduler_.withdraw_starts(); // a successor doesn't count the leases of later orders
     }
-    send_starts();
     send_stops();
     log_decisions();
     write_records();
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -482,6 +482,21 @@
     return out;
 }
 
+void scheduler::withdraw_starts()
+{
+    for (const start_order& order : starts_) {
+        worker* w = find_worker(order.worker);
+        if (w == nullptr) {
+            continue;
+        }
+        const auto run = w->runs.find({order.task, order.run});
+        if (run != w->runs.end()) {
+            --run->second.sends_in_flight;
+        }
+    }
+    starts_.clear();
+}
+
 std::vector<stop_order> scheduler::take_stops()
 {
     std::vector<stop_order> out;
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -744,3 +744,64 @@
     const std::vector<lookup> expected{lookup::found, lookup::unavailable};
     cr_assert(answers == expected);
 }
+
+namespace {
+
+/// Workers that answer polls. They refuse the first starts for want of room, and don't answer
+/// later ones.
+class silent_starts : public answering_workers {
+public:
+    explicit silent_starts(event_loop& loop) : answering_workers(loop), loop_(loop) {}
+
+    void start(const start_order&, millis timeout, order_done done) override
+    {
+        constexpr int refused = 3;
+        constexpr millis refused_after{60};
+        sent.push_back(boot_clock::now());
+        const bool refuses = sent.size() <= refused;
+        loop_.after(refuses ? refused_after : timeout, [refuses, done = std::move(done)] {
+            done(refuses ? order_verdict::no_room : order_verdict::unknown, 0, {});
+        });
+    }
+
+    std::vector<time_point> sent;
+
+private:
+    event_loop& loop_;
+};
+
+} // namespace
+
+Test(pool_member, a_leader_that_may_have_been_replaced_does_not_send_a_start_again)
+{
+    // Guards against tasks that start twice: a successor counts no lease of an order that was sent
+    // later than `unconfirmed_order_limit` after the last stored record.
+    constexpr millis submitted{1500};
+    const endpoint nowhere{"127.0.0.1", 9};
+    simulated_loop loop;
+    fake_log log(loop);
+    log.records = {{"leader", encode(leader_record{"m9", "run1", nowhere, 0, 6}), 0}};
+    silent_starts workers(loop);
+    no_advisor advice;
+    member m(loop, settings_of("m1", 28771), log, workers, advice);
+    error why;
+    cr_assert(m.start(why), "%s", why.reason.c_str());
+    m.configure(config_of());
+    m.list_worker(worker_of("w1"));
+    loop.every(millis(100), [&m] { m.on_directory_loaded(boot_clock::now()); });
+    loop.after(submitted, [&] {
+        cr_assert(m.is_leader());
+        m.submit(job_of("00000000000000aa", {step_of(1, 1)}), millis(1500),
+                 [](const submit_answer&) {});
+    });
+    time_point store_failed;
+    loop.after(submitted + millis(50), [&] {
+        store_failed = boot_clock::now();
+        log.faults = std::deque<fake_log::fault>(1000, fake_log::fault::refused);
+    });
+    loop.after(submitted + unconfirmed_order_limit + millis(700), [&] { loop.stop(); });
+    loop.run();
+    const time_point limit = store_failed + unconfirmed_order_limit;
+    cr_assert_gt(to_millis(workers.sent.back() - limit), -300, "a repeat is due at the limit");
+    cr_assert_leq(to_millis(workers.sent.back() - limit), 0);
+}
