--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -181,6 +181,9 @@
     void place(time_point now, std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
     std::vector<start_order> take_starts();
+    /// Drops the starts that weren't taken, as the lead isn't confirmed. Polls tell later whether
+    /// an earlier send has begun their runs.
+    void withdraw_starts();
     std::vector<stop_order> take_stops();
     /// Returns whether a step waits for an advice call.
     bool needs_advice(time_point now) { return next_step_to_advise(millis::max(), now) != nullptr; }
@@ -308,7 +311,7 @@
     void release_missing_runs(worker& w, const worker_report& report, const run_evidence& evidence,
                               time_point now);
     void settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now);
-    std::string other_runs_of(const run_record& run) const;
+    std::string other_runs_of(const run_record& run);
     void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict);
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -76,10 +76,10 @@
 };
 
 /// Members remember a worker for this long after its directory entry was removed, so that a new
-/// leader asks it for its runs.
-constexpr millis removed_worker_retention{8000};
+/// leader asks it for its runs. Longer than `unlisted_renewal`, two polls and the longest lease.
+constexpr millis removed_worker_retention{10500};
 /// The lease of a worker without an entry is renewed for this long after the removal. It ends
-/// before members forget the worker.
+/// before members forget the worker, also if a process that isn't known has executed the last poll.
 constexpr millis unlisted_renewal{2500};
 
 /// One incarnation of a worker. Invariant: `allocated` is the sum of `allocated` over `runs`.
@@ -138,11 +138,13 @@
         return process_known && acknowledged_end > dropped_end ? acknowledged_end : 0;
     }
     /// Returns the bound of all its runs: they have ended by then, unless the lease is renewed. A
-    /// run that the known process hasn't reported may be at work at a process that isn't known.
+    /// run that the known process hasn't reported may be at work at a process that isn't known, and
+    /// so may one with another send, which has no answer.
     const lease_bound& last_lease() const
     {
-        const bool all_reported =
-            std::all_of(runs.begin(), runs.end(), [](const auto& r) { return r.second.reported; });
+        const bool all_reported = std::all_of(runs.begin(), runs.end(), [](const auto& r) {
+            return r.second.reported && r.second.sends <= 1;
+        });
         return all_reported || leases.known.end > leases.restarted.end ? leases.known
                                                                        : leases.restarted;
     }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -82,6 +82,9 @@
         if (w.number == next) {
             workers_by_number_.push_back(nullptr);
         }
+        else {
+            w.fence_used = true; // perhaps, when it was listed before
+        }
         worker& added = workers_.emplace(entry.id, std::move(w)).first->second;
         workers_by_number_[added.number] = &added;
         if (unverified_workers_.count(undiscovered_workers) > 0) {
@@ -229,6 +232,10 @@
     if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
         note_unsent_poll(*w, order, sent, verdict);
     }
+    else if (verdict != order_verdict::accepted && order.until_ms) {
+        // It may have been executed until now, by a process that isn't known yet.
+        extend(w->leases.restarted, bound_of(lease_origin::poll, now, bounds_.max_lease));
+    }
     if (verdict != order_verdict::accepted) {
         doubt_process(*w);
     }
--- a/test/pool_lease-test.cc
+++ b/test/pool_lease-test.cc
@@ -118,3 +118,82 @@
                   at_ms(20400) + platform_bounds().max_lease,
               "the next process may have executed the start until then");
 }
+
+Test(pool_lease, an_unanswered_send_of_a_run_that_was_reported_may_begin_at_the_next_process)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const start_order late = cell.start_one(first_job, 20010);
+    cell.s.on_start(late, order_verdict::unknown, 0, at_ms(20141));
+    const std::vector<start_order> repeated = cell.s.take_starts();
+    cr_assert_eq(repeated.size(), 1);
+    cell.accept(repeated[0], 20143);
+    cell.poll(20150);
+    const poll_order waiting = *cell.s.next_poll("w1", millis(400), at_ms(20160));
+    cell.restart(20200);
+    cr_assert(cell.process.start(late, 20250) == order_verdict::accepted); // cut off at once
+    cell.s.on_poll(waiting, at_ms(20160), order_verdict::unknown, {}, at_ms(20860));
+    const std::int64_t next = next_start_elsewhere(cell.s, 20870);
+    cr_assert_neq(next, 0);
+    cr_assert_not(cell.process.runs(late.task, next), "two runs of one task at %lld ms",
+                  static_cast<long long>(next));
+}
+
+Test(pool_lease, a_poll_without_an_answer_may_be_executed_until_its_timeout)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const poll_order late = *cell.s.next_poll("w1", millis(400), at_ms(20010));
+    cell.restart(20050);
+    const start_order order = cell.start_one(first_job, 20100);
+    cell.accept(order, 20101);
+    cr_assert(cell.process.poll(late, 20690) == order_verdict::accepted); // cut off at once
+    cell.s.on_poll(late, at_ms(20010), order_verdict::unknown, {}, at_ms(20710));
+    const std::int64_t next = next_start_elsewhere(cell.s, 20720);
+    cr_assert_neq(next, 0);
+    cr_assert_not(cell.process.runs(order.task, next), "two runs of one task at %lld ms",
+                  static_cast<long long>(next));
+}
+
+Test(pool_lease, a_poll_that_was_not_sent_does_not_shorten_the_lease_of_a_start)
+{
+    restarting_cell cell;
+    cell.poll(20000);
+    const poll_order unsent = *cell.s.next_poll("w1", millis(400), at_ms(20010));
+    cell.restart(20050);
+    const start_order order = cell.start_one(first_job, 20100);
+    cr_assert(cell.process.start(order, 20480) == order_verdict::accepted); // cut off at 20495
+    cell.s.on_start(order, order_verdict::accepted, cell.process.clock_ms(20480), at_ms(20490));
+    cell.s.on_poll(unsent, at_ms(20010), order_verdict::not_sent, {}, at_ms(20500));
+    const std::int64_t next = next_start_elsewhere(cell.s, 20510);
+    cr_assert_neq(next, 0);
+    cr_assert_not(cell.process.runs(order.task, next), "two runs of one task at %lld ms",
+                  static_cast<long long>(next));
+}
+
+Test(pool_lease, members_remember_a_worker_until_the_longest_lease_of_its_last_poll_has_expired)
+{
+    // Guards against tasks that start twice: a member that leads after it has forgotten a
+    // worker doesn't ask it for its runs.
+    constexpr std::int64_t removed_at = 21000;
+    constexpr std::int64_t cut_off_at = 23000;
+    constexpr std::int64_t lost_at = 32000;
+    constexpr millis wait{400};
+    constexpr std::int64_t timeout = 700;
+    restarting_cell cell;
+    cell.poll(20000);
+    cell.accept(cell.start_one(first_job, 20010), 20012);
+    cell.s.next_poll("w1", wait, at_ms(removed_at - 1));
+    cell.s.unlist_worker("w1");
+    for (std::int64_t ms = removed_at + timeout; ms < cut_off_at; ms += 200) {
+        cell.poll(ms);
+    }
+    for (std::int64_t ms = cut_off_at; ms < lost_at; ms += timeout + 100) {
+        const poll_order order = *cell.s.next_poll("w1", wait, at_ms(ms));
+        cell.s.on_poll(order, at_ms(ms), order_verdict::unknown, {}, at_ms(ms + timeout));
+    }
+    const worker_leases& leases = cell.s.workers().at("w1").leases;
+    const time_point forgotten = at_ms(removed_at) + removed_worker_retention;
+    cr_assert_leq(to_millis(leases.known.end - forgotten), 0);
+    cr_assert_leq(to_millis(leases.restarted.end - forgotten), 0);
+}
