--- a/test/platform_standin/workers.cc
+++ b/test/platform_standin/workers.cc
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr millis tick_period{10};
-constexpr millis late_order_delay{2500};
+constexpr millis min_late_order_delay{2000};
+constexpr millis max_late_order_delay{4000};
 constexpr double slowest_clock = 0.98;
 
 constexpr name_table<pool::end_reason, 6> end_names{{{pool::end_reason::done, "done"},
@@ -70,7 +71,11 @@
     if (!server_.listen(place_.listen, why)) {
         return false;
     }
-    heartbeat();
+    fleet_.loop_.after(place_.report_delay, [this, alive = alive_] {
+        if (*alive) {
+            heartbeat();
+        }
+    });
     return true;
 }
 
@@ -140,6 +145,12 @@
     has_lease_ = has_lease_ || lease_ms_ > clock_ms();
 }
 
+bool fleet_worker::draw_late() const
+{
+    return faults_.late_orders > 0 &&
+           std::uniform_real_distribution<>(0, 1)(fleet_.random_) < faults_.late_orders;
+}
+
 void fleet_worker::serve_order(const http_request& request, const http_respond& respond,
                                http_reply (fleet_worker::*order)(const Json::Value&, bool late))
 {
@@ -153,12 +164,9 @@
         respond(reply(400));
         return;
     }
-    if (std::uniform_real_distribution<>(0, 1)(fleet_.random_) < faults_.late_orders) {
-        fleet_.loop_.after(late_order_delay, [this, alive = alive_, body = *body, order] {
-            if (*alive) {
-                (this->*order)(body, true);
-            }
-        });
+    if (draw_late()) {
+        fleet_.execute_late(id_,
+                            [body = *body, order](fleet_worker& w) { (w.*order)(body, true); });
         return;
     }
     respond(faults_.refuses ? reply(503) : (this->*order)(*body, false));
@@ -270,17 +278,13 @@
         respond(reply(400));
         return;
     }
-    if (!passes_fence(*body)) {
-        respond(reply(409, "fence"));
+    if (draw_late()) {
+        fleet_.execute_late(id_, [body = *body](fleet_worker& w) { w.apply_poll(body); });
         return;
     }
-    const std::uint64_t acknowledged = (*body)["LastSeen"].asUInt64();
-    while (!ends_.empty() && ends_.front().number <= acknowledged) {
-        ends_.pop_front();
-    }
-    fleet_.observer_.on_ends_acknowledged(id_, std::min(acknowledged, last_end_));
-    if ((*body)["UntilMs"].isIntegral()) {
-        extend_lease((*body)["UntilMs"].asInt64());
+    if (!apply_poll(*body)) {
+        respond(reply(409, "fence"));
+        return;
     }
     const millis wait((*body)["WaitMs"].asInt64());
     if (!ends_.empty() || wait == millis(0)) {
@@ -290,6 +294,23 @@
     polls_.push_back({boot_clock::now() + wait, respond});
 }
 
+/// Drops the acknowledged ends and extends the lease. Returns false if the fence is too low.
+bool fleet_worker::apply_poll(const Json::Value& body)
+{
+    if (!passes_fence(body)) {
+        return false;
+    }
+    const std::uint64_t acknowledged = body["LastSeen"].asUInt64();
+    while (!ends_.empty() && ends_.front().number <= acknowledged) {
+        ends_.pop_front();
+    }
+    fleet_.observer_.on_ends_acknowledged(id_, std::min(acknowledged, last_end_));
+    if (body["UntilMs"].isIntegral()) {
+        extend_lease(body["UntilMs"].asInt64());
+    }
+    return true;
+}
+
 void fleet_worker::answer_polls()
 {
     const time_point now = boot_clock::now();
@@ -483,6 +504,18 @@
     }
 }
 
+void fleet::execute_late(const std::string& id, std::function<void(fleet_worker&)> order)
+{
+    std::uniform_int_distribution<std::int64_t> delay(min_late_order_delay.count(),
+                                                      max_late_order_delay.count());
+    loop_.after(millis(delay(random_)), [this, id, order = std::move(order)] {
+        fleet_worker* w = find(id);
+        if (w != nullptr) {
+            order(*w);
+        }
+    });
+}
+
 void fleet::expire_entries()
 {
     for (const std::string& id : ids()) {
--- a/test/platform_standin/workers.h
+++ b/test/platform_standin/workers.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -34,7 +35,7 @@
 };
 
 struct worker_faults {
-    double late_orders = 0; ///< share of orders that get no reply and are executed later
+    double late_orders = 0; ///< share of orders and polls that get no reply and are executed later
     double slowness = 1;    ///< factor on the duration of the work
     bool fails_all = false;
     bool stalled = false;
@@ -47,7 +48,8 @@
     std::string rack;
     resources capacity;
     endpoint listen;
-    endpoint advertised; ///< endpoint at which the control plane reaches the worker
+    endpoint advertised;    ///< endpoint at which the control plane reaches the worker
+    millis report_delay{0}; ///< from its start until its first entry
 };
 
 class fleet;
@@ -98,6 +100,8 @@
     http_reply start_run(const Json::Value& body, bool late);
     http_reply stop_run(const Json::Value& body, bool late);
     void poll(const http_request& request, const http_respond& respond);
+    bool apply_poll(const Json::Value& body);
+    bool draw_late() const;
     http_reply report() const;
     http_reply reply(int status, const std::string& reason = "") const;
     bool passes_fence(const Json::Value& body);
@@ -157,6 +161,8 @@
     friend class fleet_worker;
 
     void tick();
+    /// Executes an order without a reply seconds later, at the process that has this id then.
+    void execute_late(const std::string& id, std::function<void(fleet_worker&)> order);
     bool gang_is_present(const fleet_worker::run& r) const;
     void end_gang(const pool::task_id& member, std::int64_t run, pool::end_reason how);
     void advise(const http_request& request, const http_respond& respond);
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <random>
 
 #include <json/json.h>
 
@@ -22,12 +23,18 @@
 constexpr millis paused_process_grace{1500}; ///< added because the process may have been paused
 constexpr millis collect_period{20};
 constexpr millis drain_notice{2500};
+constexpr millis recut_length{8000}; ///< of `workers_recut`: longer than a lease
 constexpr int max_version_step = 3;
 
 enum member_links { peer_link, store_link, advice_link, links_per_member };
 
 enum member_ports { clients, readiness, peers, metrics, peer_proxy, store_proxy, advice_proxy };
 
+int place_of(const fleet_worker& w)
+{
+    return std::stoi(w.place().machine.substr(std::string("machine-").size()));
+}
+
 } // namespace
 
 cell::cell(event_loop& loop, const cell_settings& settings, promises& checks)
@@ -240,7 +247,7 @@
     return ids.empty() ? nullptr : fleet_.find(ids[fault.target % ids.size()]);
 }
 
-bool cell::add_worker(int place, const std::string& id, error& why)
+bool cell::add_worker(int place, const std::string& id, error& why, millis report_delay)
 {
     worker_place new_place;
     new_place.machine = "machine-" + std::to_string(place);
@@ -248,6 +255,7 @@
     new_place.capacity = {worker_cores * 1000, 64000, 0};
     new_place.listen = worker_port(place, 0);
     new_place.advertised = worker_port(place, 1);
+    new_place.report_delay = report_delay;
     const std::optional<std::string> added = fleet_.add(new_place, id, why);
     if (added) {
         checks_.on_worker(*added, new_place.capacity);
@@ -255,12 +263,13 @@
     return added.has_value();
 }
 
-void cell::add_worker_later(int place, const std::string& id, millis delay)
+void cell::add_worker_later(int place, const std::string& id, millis delay, millis report_delay)
 {
-    loop_.after(delay, [this, place, id] {
+    loop_.after(delay, [this, place, id, report_delay] {
         error why;
-        if (!add_worker(place, id, why)) {
-            add_worker_later(place, id, restart_delay); // the previous worker still uses the port
+        if (!add_worker(place, id, why, report_delay)) {
+            add_worker_later(place, id, restart_delay,
+                             report_delay); // the previous worker still uses the port
         }
     });
 }
@@ -414,7 +423,7 @@
     }
     const bool keeps_name = fault.kind == fault_kind::worker_restarts;
     const std::string id = w->id();
-    const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+    const int place = place_of(*w);
     fleet_.crash(id);
     add_worker_later(place, keeps_name ? id : "", fault.length);
 }
@@ -424,7 +433,7 @@
     fleet_worker* w = target_worker(fault);
     if (w != nullptr && !w->draining()) {
         w->drain(drain_notice, fault.length);
-        const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+        const int place = place_of(*w);
         add_worker_later(place, "", drain_notice + 2 * fault.length);
     }
 }
@@ -517,7 +526,7 @@
     if (w == nullptr) {
         return;
     }
-    const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+    const int place = place_of(*w);
     cut({links_[static_cast<std::size_t>(place)].get()}, cut_length);
     worker_faults faults;
     faults.cut_from_store = true;
@@ -592,7 +601,7 @@
     if (w == nullptr || w->draining()) {
         return;
     }
-    const int place = std::stoi(w->place().machine.substr(std::string("machine-").size()));
+    const int place = place_of(*w);
     proxy& link = *links_[static_cast<std::size_t>(place)];
     disturb_all();
     hangs ? link.silence() : link.reset();
@@ -600,6 +609,66 @@
     add_worker_later(place, id, down);
 }
 
+void cell::set_faults(const std::map<int, std::string>& workers, const worker_faults& faults)
+{
+    for (const std::pair<const int, std::string>& w : workers) {
+        if (fleet_.find(w.second) != nullptr) {
+            fleet_.find(w.second)->set_faults(faults);
+        }
+    }
+}
+
+/// Restarts all workers of a rack under their ids and cuts them off soon after. In each second case
+/// some orders before the restart and between it and the cut are late, so that the next process
+/// executes orders that were meant for the previous one.
+void cell::workers_recut(const planned_fault& fault)
+{
+    constexpr millis late_lead{600};
+    constexpr double late_order_share = 0.3;
+    std::mt19937 random(fault.target);
+    const millis down(std::uniform_int_distribution<>(200, 600)(random));
+    const millis up(std::uniform_int_distribution<>(500, 1800)(random));
+    const millis report_delay(std::uniform_int_distribution<>(0, 500)(random));
+    const bool hangs = std::bernoulli_distribution()(random);
+    const bool has_late_orders = std::bernoulli_distribution()(random);
+    const int racks = std::max(1, settings_.workers / workers_per_rack);
+    const std::string rack =
+        "r1-" + std::to_string(std::uniform_int_distribution<>(0, racks - 1)(random));
+    std::map<int, std::string> workers; // by place
+    for (const std::string& id : fleet_.ids()) {
+        const fleet_worker* w = fleet_.find(id);
+        if (w->place().rack == rack && !w->draining()) {
+            workers[place_of(*w)] = id;
+        }
+    }
+    worker_faults late;
+    late.late_orders = has_late_orders ? late_order_share : 0;
+    set_faults(workers, late);
+    const millis restart = has_late_orders ? late_lead : millis(0);
+    after(restart, [this, workers, hangs, down, report_delay, late] {
+        disturb_all();
+        for (const std::pair<const int, std::string>& w : workers) {
+            proxy& link = *links_[static_cast<std::size_t>(w.first)];
+            hangs ? link.silence() : link.reset();
+            fleet_.crash(w.second);
+            add_worker_later(w.first, w.second, down, report_delay);
+        }
+        after(down + collect_period, [this, workers, late] { set_faults(workers, late); });
+    });
+    after(restart + down + up, [this, workers] {
+        std::vector<proxy*> links;
+        links.reserve(workers.size());
+        for (const std::pair<const int, std::string>& w : workers) {
+            links.push_back(links_[static_cast<std::size_t>(w.first)].get());
+        }
+        cut(links, recut_length);
+        worker_faults faults;
+        faults.cut_from_store = true;
+        set_faults(workers, faults);
+        after(recut_length, [this, workers] { set_faults(workers, {}); });
+    });
+}
+
 const std::map<fault_kind, cell::method>& cell::methods()
 {
     static const std::map<fault_kind, method> table{
@@ -638,7 +707,8 @@
         {fault_kind::worker_cut, &cell::worker_cut},
         {fault_kind::entries_expire, &cell::entries_expire},
         {fault_kind::odd_entries, &cell::odd_entries},
-        {fault_kind::worker_bounces, &cell::worker_bounces}};
+        {fault_kind::worker_bounces, &cell::worker_bounces},
+        {fault_kind::workers_recut, &cell::workers_recut}};
     return table;
 }
 
--- a/test/soak/cell.h
+++ b/test/soak/cell.h
@@ -76,8 +76,9 @@
     int leader() const;
     int target_member(const planned_fault& fault) const;
     fleet_worker* target_worker(const planned_fault& fault);
-    bool add_worker(int place, const std::string& id, error& why);
-    void add_worker_later(int place, const std::string& id, millis delay);
+    bool add_worker(int place, const std::string& id, error& why, millis report_delay = millis(0));
+    void add_worker_later(int place, const std::string& id, millis delay,
+                          millis report_delay = millis(0));
     void after(millis delay, std::function<void()> action);
     /// Notes a fault of one member.
     void disturb(int member) { disturbed_[member] = boot_clock::now(); }
@@ -112,6 +113,8 @@
     void entries_expire(const planned_fault& fault);
     void odd_entries(const planned_fault& fault);
     void worker_bounces(const planned_fault& fault);
+    void workers_recut(const planned_fault& fault);
+    void set_faults(const std::map<int, std::string>& workers, const worker_faults& faults);
     void bounce(const std::string& id, bool hangs, millis down);
     void stop(int member);
     /// Blocks the links in both directions for the time.
--- a/test/soak/clients.cc
+++ b/test/soak/clients.cc
@@ -19,6 +19,7 @@
 constexpr millis due_check_period{50};
 constexpr millis repeat_delay{2000};
 constexpr millis shortest_work{50}; ///< may end before a leader learns of its worker's restart
+constexpr millis long_work{8000}; ///< longer than a lease: at work while a cut worker's run lapses
 constexpr double cancelled_share = 0.08;
 constexpr double repeated_share = 0.05;       ///< jobs submitted a second time after `repeat_delay`
 constexpr double always_failing_share = 0.02; ///< steps whose first task fails in every run
@@ -66,13 +67,14 @@
     loop_.every(due_check_period, [this] { poll_due_jobs(); });
 }
 
-void clients::start(millis gap)
+void clients::start(millis gap, int long_percent)
 {
+    long_percent_ = long_percent;
     submit_next(gap);
 }
 
-/// Draws a short job of one step, a chain of two steps, a gang, or a job of long tasks that save
-/// their progress.
+/// Draws a short job of one step, a chain of two steps, a gang, a job of tasks that save their
+/// progress, or one of long tasks that don't.
 pool::job_spec clients::draw(std::vector<millis>& work, std::vector<int>& runs_fail)
 {
     std::uniform_int_distribution<int> percent(0, 99);
@@ -84,7 +86,11 @@
     spec.queue = percent(random_) < 50 ? "plain" : "placed";
     spec.payload = "payload of " + spec.id;
     const int kind = percent(random_);
-    if (kind < 60) {
+    if (long_percent_ > 0 && percent(random_) < long_percent_) {
+        spec.steps = {step_of(2, 1000, long_work)};
+        work = {long_work};
+    }
+    else if (kind < 60) {
         spec.steps = {step_of(2, 1000, millis(300))};
         work = {shortest_work + millis(number % 200)};
     }
--- a/test/soak/clients.h
+++ b/test/soak/clients.h
@@ -25,8 +25,9 @@
 public:
     clients(event_loop& loop, std::vector<endpoint> entries, promises& checks, std::uint64_t seed);
 
-    /// Submits jobs until `stop` is called, `gap` apart on average.
-    void start(millis gap);
+    /// Submits jobs until `stop` is called, `gap` apart on average. The tasks of `long_percent` of
+    /// them outlast a lease.
+    void start(millis gap, int long_percent);
     void stop() { stopped_ = true; }
     const client_counts& counts() const { return counts_; }
 
@@ -60,6 +61,7 @@
     std::mt19937_64 random_;
     std::map<std::string, job> jobs_;
     client_counts counts_;
+    int long_percent_ = 0;
     bool stopped_ = false;
 };
 
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -47,7 +47,8 @@
      {fault_kind::odd_entries, "odd_entries"},
      {fault_kind::worker_bounces, "worker_bounces"},
      {fault_kind::connections_silenced, "connections_silenced"},
-     {fault_kind::store_cut, "store_cut"}}};
+     {fault_kind::store_cut, "store_cut"},
+     {fault_kind::workers_recut, "workers_recut"}}};
 
 constexpr fault_kind leader_faults[] = {fault_kind::leader_killed, fault_kind::leader_paused,
                                         fault_kind::leader_cut, fault_kind::leader_stopped,
@@ -145,8 +146,9 @@
                                                        max_fault_length.count());
     std::vector<fault_kind> kinds;
     for (std::size_t kind = 0; kind < fault_kinds; ++kind) {
-        if (static_cast<fault_kind>(kind) != fault_kind::configuration_changes) {
-            kinds.push_back(static_cast<fault_kind>(kind));
+        const fault_kind drawn = static_cast<fault_kind>(kind);
+        if (drawn != fault_kind::configuration_changes && drawn != fault_kind::workers_recut) {
+            kinds.push_back(drawn);
         }
     }
     std::shuffle(kinds.begin(), kinds.end(), random);
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -52,10 +52,11 @@
     // Only in series:
     worker_bounces,       ///< restarts under its id again and again, within tens of milliseconds
     connections_silenced, ///< all open connections carry no more bytes until they are closed
-    store_cut             ///< each second member is cut from the store, not from the others
+    store_cut,            ///< each second member is cut from the store, not from the others
+    workers_recut         ///< a rack's workers restart under their ids and are cut off soon after
 };
 
-constexpr std::size_t fault_kinds = 36;
+constexpr std::size_t fault_kinds = 37;
 constexpr std::size_t single_fault_kinds = 28; ///< drawn by `draw_faults`
 
 std::string_view name_of(fault_kind kind);
@@ -75,9 +76,9 @@
 /// the store or of workers, or right after one.
 std::vector<planned_fault> draw_pairs(std::uint64_t seed, millis duration, millis period);
 
-/// Draws faults of all kinds in turn, in an order drawn from `seed`, one each `period`, with
-/// changes of the configuration before, in, at the end of and after each. Some overlap with a
-/// silence of all connections.
+/// Draws faults of all kinds but `workers_recut`, which outlasts the period, in turn, in an order
+/// drawn from `seed`, one each `period`, with changes of the configuration before, in, at the end
+/// of and after each. Some overlap with a silence of all connections.
 std::vector<planned_fault> draw_changes(std::uint64_t seed, millis duration, millis period);
 
 /// Repeats the series of `kinds` for `duration`, one series each `period`, with `gap` between two
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -21,6 +21,7 @@
 DEFINE_int32(workers, 12, "number of worker stand-ins");
 DEFINE_int32(fault_gap_ms, 600, "mean time between faults");
 DEFINE_int32(job_gap_ms, 80, "mean time between jobs");
+DEFINE_int32(long_percent, 0, "share of jobs whose tasks outlast a lease, in percent");
 DEFINE_int32(first_port, 24000, "first of about 300 ports in use");
 DEFINE_string(only, "", "apply only faults of this kind");
 DEFINE_string(
@@ -79,7 +80,7 @@
         }
         started_at_ = boot_clock::now();
         loop_.after(warm_up_period, [this] {
-            clients_.start(millis(FLAGS_job_gap_ms));
+            clients_.start(millis(FLAGS_job_gap_ms), FLAGS_long_percent);
             probe_.start();
             plan();
         });
