--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -313,6 +313,8 @@
     void settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now);
     std::string other_runs_of(const run_record& run);
     void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
+    void note_failed_poll(worker& w, const poll_order& order, time_point sent,
+                          order_verdict verdict, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict);
     void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -164,6 +164,20 @@
     raise_fence(w);
 }
 
+/// Handles a poll without a report. The worker may have taken the lease that it carried.
+void scheduler::note_failed_poll(worker& w, const poll_order& order, time_point sent,
+                                 order_verdict verdict, time_point now)
+{
+    if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
+        note_unsent_poll(w, order, sent, verdict);
+    }
+    else if (order.until_ms) {
+        // It may have been executed until now, by a process that isn't known yet.
+        extend(w.leases.restarted, bound_of(lease_origin::poll, now, bounds_.max_lease));
+    }
+    doubt_process(w);
+}
+
 /// Handles a poll that the worker has not seen, nor the lease that it carried.
 void scheduler::note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                                  order_verdict verdict)
@@ -223,15 +237,8 @@
         fenced_ = true;
         return;
     }
-    if (verdict == order_verdict::not_sent || verdict == order_verdict::no_listener) {
-        note_unsent_poll(*w, order, sent, verdict);
-    }
-    else if (verdict != order_verdict::accepted && order.until_ms) {
-        // It may have been executed until now, by a process that isn't known yet.
-        extend(w->leases.restarted, bound_of(lease_origin::poll, now, bounds_.max_lease));
-    }
     if (verdict != order_verdict::accepted) {
-        doubt_process(*w);
+        note_failed_poll(*w, order, sent, verdict, now);
     }
     if (verdict == order_verdict::replaced) {
         run_evidence evidence{evidence_source::other_incarnation, sent};
