Soak: leave late orders without a reply

The server replies with status 500 for a responder that is dropped, so a late order was answered at once and the member took its start for refused. The responders are kept until the fleet ends.

--- a/test/platform_standin/workers.cc
+++ b/test/platform_standin/workers.cc
@@ -165,6 +165,7 @@
         return;
     }
     if (draw_late()) {
+        fleet_.unanswered_.push_back(respond);
         fleet_.execute_late(id_,
                             [body = *body, order](fleet_worker& w) { (w.*order)(body, true); });
         return;
@@ -279,6 +280,7 @@
         return;
     }
     if (draw_late()) {
+        fleet_.unanswered_.push_back(respond);
         fleet_.execute_late(id_, [body = *body](fleet_worker& w) { w.apply_poll(body); });
         return;
     }
--- a/test/platform_standin/workers.h
+++ b/test/platform_standin/workers.h
@@ -174,6 +174,8 @@
     run_observer& observer_;
     worker_bounds bounds_;
     std::mt19937_64 random_;
+    /// Of late orders. Outlives the workers, as a server replies for a responder that is dropped.
+    std::vector<http_respond> unanswered_;
     std::map<std::string, std::unique_ptr<fleet_worker>> workers_;
     std::map<std::string, time_point> stale_entries_; ///< by worker id: when the worker crashed
     millis advice_base_{5};
