--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -253,7 +253,7 @@
     for (std::pair<const std::string, worker>& w : workers_) {
         if (w.second.fence_outdated) {
             raise_fence(w.second);
-            placing_needed_ = true;
+            placing_needed_ = placing_needed_ || !w.second.fence_outdated;
         }
         if (!w.second.visible_to_successor && w.second.listed_at < sent) {
             w.second.visible_to_successor = true;
