--- a/test/pool_log-test.cc
+++ b/test/pool_log-test.cc
@@ -306,7 +306,7 @@
 
 Test(pool_log, a_standby_that_reloads_sees_changes_and_removals_but_not_each_report)
 {
-    event_loop loop;
+    testing::simulated_loop loop;
     fake_log log(loop);
     for (int i = 0; i < 5; ++i) {
         log.store({{"w" + std::to_string(i), "first", 0}}, log.records.size());
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -36,14 +36,15 @@
 }
 
 /// A member on `port` without other members, and what it reaches.
-struct lone_member {
-    event_loop loop;
+template<typename Loop>
+struct lone_member_on {
+    Loop loop;
     fake_log log{loop};
     no_workers workers;
     no_advisor advice;
     member m;
 
-    explicit lone_member(std::uint16_t port, std::vector<keyed_record> records = {})
+    explicit lone_member_on(std::uint16_t port, std::vector<keyed_record> records = {})
         : m(loop, settings_of("m1", port), log, workers, advice)
     {
         log.records = std::move(records);
@@ -52,6 +53,7 @@
         m.configure(config_of());
     }
 };
+using lone_member = lone_member_on<event_loop>;
 
 } // namespace
 
@@ -270,12 +272,13 @@
 Test(pool_member, a_malformed_record_does_not_end_the_new_leader)
 {
     constexpr std::uint16_t port = 28521;
-    lone_member f(port, {{"progress/00000000000000aa", R"({"state":"complete","ended_ms":"x"})", 0},
-                         {"progress/00000000000000bb", R"({"state":7})", 1},
-                         {"job/00000000000000cc", R"({"spec":{"steps":[[]]}})", 2},
-                         {"job/00000000000000dd", "x", 3},
-                         {"leader", R"({"name":[]})", 4},
-                         {"", "", 5}});
+    lone_member_on<simulated_loop> f(
+        port, {{"progress/00000000000000aa", R"({"state":"complete","ended_ms":"x"})", 0},
+               {"progress/00000000000000bb", R"({"state":7})", 1},
+               {"job/00000000000000cc", R"({"spec":{"steps":[[]]}})", 2},
+               {"job/00000000000000dd", "x", 3},
+               {"leader", R"({"name":[]})", 4},
+               {"", "", 5}});
     f.loop.after(millis(900), [&] { f.loop.stop(); });
     f.loop.run();
     cr_assert(f.m.is_leader());
