List what still breaks TWICE by late orders, with a failing test

The new test of pool_restart fails: a poll that waits beside a start has its fence, so it acts late at the process that began the start.

--- a/test/pool_restart-test.cc
+++ b/test/pool_restart-test.cc
@@ -118,6 +118,19 @@
     cr_assert_not(cell.s.fenced(), "no other leader has sent an order");
 }
 
+Test(pool_restart, a_poll_that_waited_beside_a_start_does_not_act_at_the_process_that_began_it)
+{
+    restarting_cell cell;
+    cell.finish_first_job();
+    const poll_order waiting = *cell.s.next_poll("w1", millis(1000), at_ms(30));
+    cr_assert_eq(waiting.acknowledged_end, 1);
+    cell.restart(100);
+    const start_order order = cell.start_one(second_job, 700);
+    cell.accept(order, 702);
+    cr_assert(cell.process.poll(waiting, 2500) == order_verdict::fenced,
+              "it would drop an end that nobody has read, and renew the lease");
+}
+
 Test(pool_restart, a_refusal_of_an_order_that_a_later_one_overtook_does_not_end_the_lead)
 {
     restarting_cell cell;
