--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -76,9 +76,9 @@
 /// the store or of workers, or right after one.
 std::vector<planned_fault> draw_pairs(std::uint64_t seed, millis duration, millis period);
 
-/// Draws faults of all kinds but `workers_recut`, which outlasts the period, in turn, in an order
-/// drawn from `seed`, one each `period`, with changes of the configuration before, in, at the end
-/// of and after each. Some overlap with a silence of all connections.
+/// Draws faults of all kinds in turn, in an order drawn from `seed`, one each `period`, with
+/// changes of the configuration before, in, at the end of and after each. Some overlap with a
+/// silence of all connections.
 std::vector<planned_fault> draw_changes(std::uint64_t seed, millis duration, millis period);
 
 /// Repeats the series of `kinds` for `duration`, one series each `period`, with `gap` between two
