Name a worker in the log before its first task

Cause: a successor asked only the workers of its own copy of the directory, and its first read after the claim counted as proof that no other worker runs anything. An entry that comes and expires between two of its reads is in neither.

Ruled out: the number of members as the cause.

Change: worker_roster. A leader gives a worker no task before the record that names it is stored. A claim is appended only to a log that was read to its end, so its claimer knows all workers in use. The rule that it replaces (any record stored since the entry was read) rested on the entry staying.

--- a/bench/pool.cc
+++ b/bench/pool.cc
@@ -75,7 +75,9 @@
     for (int i = 0; i < workers * 2 + waiting; ++i) {
         s.add(job_number(i, i % 4 == 0), wall_ms, now);
     }
-    s.on_record_stored(now + micros(1), s.fence());
+    s.on_record_stored(s.fence());
+    s.take_worker_records();
+    s.on_worker_records(true);
     s.place(now);
     s.take_starts();
     s.take_decisions();
@@ -104,7 +106,9 @@
         }
         poll_all();
         s.on_directory_loaded(now);
-        s.on_record_stored(now + micros(1), s.fence());
+        s.on_record_stored(s.fence());
+        s.take_worker_records();
+        s.on_worker_records(true);
     }
 
     void poll(const std::string& name, worker_report report)
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -26,6 +26,7 @@
 #include "sesamesill/pool_order.h"
 #include "sesamesill/pool_ports.h"
 #include "sesamesill/pool_progress.h"
+#include "sesamesill/pool_roster.h"
 #include "sesamesill/pool_worker.h"
 
 namespace sesamesill::pool {
@@ -131,7 +132,11 @@
     /// Restores a job from the records of a predecessor; `job` is null for a finished job.
     void restore(const std::string& id, const std::string* job, const progress_parts& progress,
                  std::int64_t wall_ms, time_point now);
-    /// Ends the restore phase. Each worker listed so far stays unverified until it answers or
+    /// Restores a worker that the log names. Without a readable record, `named` is empty: the
+    /// worker can't be asked for its runs. Its directory entry is listed later, if there is one.
+    void restore_worker(const std::string& id, const std::optional<named_worker>& named,
+                        time_point now);
+    /// Ends the restore phase. Each worker known so far stays unverified until it answers or
     /// `verify_until` passes, the end of the leases of earlier leaders.
     void finish_restore(time_point now, time_point verify_until);
 
@@ -139,8 +144,8 @@
     void unlist_worker(const std::string& id);
 
     /// Handles a complete read of the worker directory that was begun at `begun`, by this leader or
-    /// before its claim. Until a read that began after the restore is complete, an undiscovered
-    /// worker may run inherited tasks.
+    /// before its claim. Until a read that began after the restore is complete, a worker that an
+    /// earlier version of this program used, which named no workers, may run inherited tasks.
     void on_directory_loaded(time_point begun);
     /// Handles failing reads of the worker directory, until the next complete one. While the
     /// directory is down, no worker can announce that it drains.
@@ -148,11 +153,9 @@
     /// Notes that the directory may lack workers until `time`, as entries also expire while it is
     /// down. A new leader then doesn't know of their runs.
     void expect_entries_until(time_point time) { entries_back_at_ = time; }
-    /// Handles the storing of a record that was sent at `sent`. A later leader learns of all
-    /// workers that were listed before that time and polls them, so only those workers get tasks.
-    /// `log_end` is the next offset of the log: above the fences of all orders so far, and below
-    /// that of each later claim.
-    void on_record_stored(time_point sent, std::uint64_t log_end);
+    /// Handles the storing of a record. `log_end` is the next offset of the log: above the fences
+    /// of all orders so far, and below that of each later claim.
+    void on_record_stored(std::uint64_t log_end);
 
     /// Returns whether the pool can run the job, and in time. Does not add the job.
     admission_answer admit(const job_spec& spec, time_point now) const;
@@ -208,6 +211,11 @@
     void on_batch_stored(const record_batch& batch);
     /// Handles a failed store: the jobs of the batch are recorded again with the next one.
     void on_batch_failed(const record_batch& batch);
+    /// Returns the next records that name workers, or remove the names of those that have left.
+    /// A worker gets no task before the record that names it is stored.
+    std::vector<keyed_record> take_worker_records() { return roster_.take_records(); }
+    /// Handles the outcome of the worker records that were taken last.
+    void on_worker_records(bool stored);
     std::vector<decision> take_decisions();
 
     /// Returns whether a worker has reported a higher fence, which means that another leader
@@ -239,6 +247,7 @@
     int max_attempts_of(const std::string& queue, const step_spec& step) const;
     void fail_exhausted_jobs(time_point now);
     worker* find_worker(const std::string& id);
+    worker& add_worker(const worker_entry& entry, time_point now);
     void add_decision(decision_kind kind, const std::string& job, const std::string& worker,
                       std::string detail, std::int64_t age_ms = 0);
     void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
@@ -333,6 +342,7 @@
     platform_bounds bounds_;
     configuration config_;
     std::unordered_map<std::string, const queue_policy*> queues_; ///< of `config_`, by name
+    worker_roster roster_;
     std::map<std::string, worker> workers_;
     std::unordered_map<std::string, worker_number> worker_numbers_; ///< of all workers ever listed
     std::vector<worker*> workers_by_number_;  ///< null for workers that were removed
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -98,10 +98,8 @@
     /// executes no earlier order any more.
     bool fence_confirmed = false;
     bool lost = false; ///< whether its lease has certainly expired or its process is gone
-    /// Whether a record was stored that was sent after `listed_at`, or the entry was read before
-    /// the claim: a new leader then reads the entry too.
-    bool visible_to_successor = false;
-    time_point listed_at; ///< when the leader read the worker's entry
+    /// Whether a stored record names it, so that a successor asks it for its runs.
+    bool named = false;
     std::map<std::pair<std::string, std::int64_t>, run_record> runs; ///< by task and run number
     resources allocated;
     std::int64_t reported_start_ms = 0; ///< Unix time of the process's start, from its reports
@@ -155,8 +153,8 @@
     /// Returns whether new runs may start on the worker.
     bool is_schedulable(time_point now) const
     {
-        return listed && heard && !fence_outdated && visible_to_successor && !lost &&
-               !entry.draining && is_responsive(now) && now >= health.avoid_until;
+        return listed && heard && !fence_outdated && named && !lost && !entry.draining &&
+               is_responsive(now) && now >= health.avoid_until;
     }
 
     /// Time without an answer after which the lease isn't renewed. If it were renewed, the runs of
--- a/include/sesamesill/pool_writer.h
+++ b/include/sesamesill/pool_writer.h
@@ -54,9 +54,6 @@
     std::uint64_t end() const { return end_; }
     /// Returns when an append last succeeded.
     time_point last_stored() const { return last_stored_; }
-    /// Returns when the last stored batch was first sent: no other leader had claimed the lead by
-    /// then.
-    time_point lead_confirmed_at() const { return lead_confirmed_at_; }
     /// Returns how long appends have been failing; 0 while they succeed.
     millis failing_for(time_point now) const;
     /// Returns for how long the store has answered no read either, after an append without an
@@ -102,11 +99,9 @@
     bool closed_ = false; ///< another leader took over, or the writer is being destroyed
     time_point paused_until_;
     time_point append_started_;
-    time_point batch_first_sent_; ///< the stored append may be this one or any later attempt
     double timeout_per_byte_ms_;  ///< of a batch
     std::size_t max_batch_bytes_; ///< in the store's format
     time_point last_stored_;
-    time_point lead_confirmed_at_;
     time_point failing_since_;
     bool failing_ = false;
     time_point rejected_since_;                ///< of the first of a row of rejected appends
--- a/src/pool_keys.h
+++ b/src/pool_keys.h
@@ -14,12 +14,18 @@
 constexpr const char* idle_record_key = "pulse"; ///< shows that its writer leads
 constexpr const char* job_prefix = "job/";
 constexpr const char* progress_prefix = "progress/";
+constexpr const char* worker_prefix = "worker/";
 
 inline std::string job_key(const std::string& id)
 {
     return job_prefix + id;
 }
 
+inline std::string worker_key(const std::string& id)
+{
+    return worker_prefix + id;
+}
+
 /// Returns the key of one part of a job's progress, "progress/ID" or "progress/ID/PART".
 inline std::string progress_key(const std::string& id, int part = 0)
 {
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -87,6 +87,11 @@
     scheduler_.configure(config, boot_clock::now());
     std::map<std::string, std::pair<const std::string*, progress_parts>> jobs;
     for (const std::pair<const std::string, keyed_record>& r : records) {
+        const std::optional<std::string> worker = strip_prefix(r.first, worker_prefix);
+        if (worker) {
+            restore_worker(*worker, r.second, now);
+            continue;
+        }
         const std::optional<std::string> job = strip_prefix(r.first, job_prefix);
         if (job) {
             jobs[*job].first = &r.second.value;
@@ -131,6 +136,20 @@
     schedule_update();
 }
 
+/// Restores a worker that an earlier leader may have given tasks to.
+void leader::restore_worker(const std::string& id, const keyed_record& record, time_point now)
+{
+    const std::optional<named_worker> named = named_worker_from(record.value);
+    if (!named) {
+        log_event(log_level::warning, "record_unreadable",
+                  {{"key", record.key}, {"offset", static_cast<std::int64_t>(record.offset)}});
+    }
+    scheduler_.restore_worker(id, named, now);
+    if (named) {
+        add_polls_of(id);
+    }
+}
+
 void leader::configure(const configuration& config)
 {
     scheduler_.configure(config, boot_clock::now());
@@ -204,6 +223,7 @@
     }
     send_stops();
     log_decisions();
+    write_worker_records();
     write_records();
     if (*alive) {
         send_polls();
@@ -220,7 +240,7 @@
     const time_point now = boot_clock::now();
     loop_lag_.add(std::max(millis(0), millis(to_millis(now - next_tick_))), now);
     next_tick_ = now + tick_period;
-    scheduler_.on_record_stored(writer_.lead_confirmed_at(), writer_.end());
+    scheduler_.on_record_stored(writer_.end());
     scheduler_.tick(now);
     process_metrics().gauge(
         "sesamesill_pool_directory_age_seconds",
@@ -247,6 +267,20 @@
     schedule_update();
 }
 
+void leader::write_worker_records()
+{
+    const std::vector<keyed_record> records = scheduler_.take_worker_records();
+    if (records.empty()) {
+        return;
+    }
+    writer_.add(records, millis(0), [this, alive = alive_](write_outcome outcome) {
+        if (*alive) {
+            scheduler_.on_worker_records(outcome == write_outcome::stored);
+            schedule_update();
+        }
+    });
+}
+
 void leader::write_records()
 {
     if (writing_) {
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -38,8 +38,8 @@
     leader(leader&&) = delete;
     leader& operator=(leader&&) = delete;
 
-    /// Restores the scheduler's state from the log's records. `known_workers` includes workers that
-    /// recently left the directory, as their runs may go on.
+    /// Restores the scheduler's state from the log's records. `known_workers` are those of the
+    /// directory, and those that recently left it.
     void restore(const std::map<std::string, keyed_record>& records,
                  const std::vector<worker_entry>& known_workers,
                  const directory_knowledge& directory, const configuration& config);
@@ -86,6 +86,7 @@
         bool busy = false;
     };
 
+    void restore_worker(const std::string& id, const keyed_record& record, time_point now);
     /// Runs update() after a short delay, which gathers several events into one update.
     void schedule_update();
     void update();
@@ -103,6 +104,7 @@
                    const worker_report& report);
     void ask_advice();
     bool ask_advice_from(const std::pair<const std::string, peer>* by, millis longest);
+    void write_worker_records();
     void write_records();
     void log_decisions();
     void check_store();
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -60,6 +60,30 @@
                        });
 }
 
+/// Adds a worker that isn't known yet.
+worker& scheduler::add_worker(const worker_entry& entry, time_point now)
+{
+    worker w;
+    w.entry = entry;
+    w.last_answer = now;
+    w.leases.known = predecessor_lease(now, bounds_);
+    w.fence = highest_fence_; // it may have been listed before, and seen higher ones than `fence_`
+    const worker_number next = static_cast<worker_number>(workers_by_number_.size());
+    w.number = worker_numbers_.emplace(entry.id, next).first->second;
+    if (w.number == next) {
+        workers_by_number_.push_back(nullptr);
+    }
+    else {
+        w.fence_used = true; // perhaps, when it was listed before
+    }
+    worker& added = workers_.emplace(entry.id, std::move(w)).first->second;
+    workers_by_number_[added.number] = &added;
+    if (unverified_workers_.count(undiscovered_workers) > 0) {
+        unverified_workers_.insert(entry.id); // the previous leader may have started runs on it
+    }
+    return added;
+}
+
 void scheduler::list_worker(const worker_entry& entry, time_point now)
 {
     const auto known = workers_.find(entry.id);
@@ -70,26 +94,7 @@
         mark_older_incarnations_lost(entry, now);
     }
     if (known == workers_.end()) {
-        worker w;
-        w.entry = entry;
-        w.listed_at = now;
-        w.last_answer = now;
-        w.leases.known = predecessor_lease(now, bounds_);
-        w.fence =
-            highest_fence_; // it may have been listed before, and seen higher ones than `fence_`
-        const worker_number next = static_cast<worker_number>(workers_by_number_.size());
-        w.number = worker_numbers_.emplace(entry.id, next).first->second;
-        if (w.number == next) {
-            workers_by_number_.push_back(nullptr);
-        }
-        else {
-            w.fence_used = true; // perhaps, when it was listed before
-        }
-        worker& added = workers_.emplace(entry.id, std::move(w)).first->second;
-        workers_by_number_[added.number] = &added;
-        if (unverified_workers_.count(undiscovered_workers) > 0) {
-            unverified_workers_.insert(entry.id); // the previous leader may have started runs on it
-        }
+        worker& added = add_worker(entry, now);
         std::string labels;
         for (const std::string& l : entry.labels) {
             labels.append(" ").append(l);
@@ -119,6 +124,9 @@
             doubt_process(w);
         }
     }
+    worker& listed = workers_.at(entry.id);
+    roster_.add(entry.id, named_worker_of(listed.entry));
+    listed.named = roster_.names(entry.id, named_worker_of(listed.entry));
     placing_needed_ = true;
 }
 
@@ -561,6 +569,7 @@
         if (removable) {
             mark_verified(w->first, {evidence_source::lease_expired, now});
             workers_with_ends_.erase(w->first);
+            roster_.remove(w->first);
             workers_by_number_[w->second.number] = nullptr;
         }
         w = removable ? workers_.erase(w) : std::next(w);
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -223,6 +223,23 @@
     add_due_occurrences(added->second, now);
 }
 
+void scheduler::restore_worker(const std::string& id, const std::optional<named_worker>& named,
+                               time_point now)
+{
+    if (!named) {
+        unverified_workers_.insert(id);
+        return;
+    }
+    roster_.restore(id, *named);
+    worker_entry entry;
+    entry.id = id;
+    entry.machine = named->machine;
+    entry.address = named->address;
+    entry.start_time_ms = named->start_time_ms;
+    add_worker(entry, now).listed = false;
+    add_decision(decision_kind::worker_joined, "", id, "named by the log");
+}
+
 void scheduler::finish_restore(time_point now, time_point verify_until)
 {
     inherited_leases_ = predecessor_lease(now, bounds_);
@@ -230,7 +247,6 @@
     restored_at_ = now;
     for (std::pair<const std::string, worker>& w : workers_) {
         unverified_workers_.insert(w.first);
-        w.second.visible_to_successor = true; // its entry was read before the claim
     }
     unverified_workers_.insert(undiscovered_workers);
     placing_needed_ = true;
@@ -247,7 +263,7 @@
     }
 }
 
-void scheduler::on_record_stored(time_point sent, std::uint64_t log_end)
+void scheduler::on_record_stored(std::uint64_t log_end)
 {
     highest_fence_ = std::max(highest_fence_, log_end);
     for (std::pair<const std::string, worker>& w : workers_) {
@@ -255,10 +271,16 @@
             raise_fence(w.second);
             placing_needed_ = placing_needed_ || !w.second.fence_outdated;
         }
-        if (!w.second.visible_to_successor && w.second.listed_at < sent) {
-            w.second.visible_to_successor = true;
-            placing_needed_ = true;
-        }
+    }
+}
+
+void scheduler::on_worker_records(bool stored)
+{
+    roster_.on_written(stored);
+    for (std::pair<const std::string, worker>& w : workers_) {
+        const bool named = roster_.names(w.first, named_worker_of(w.second.entry));
+        placing_needed_ = placing_needed_ || named != w.second.named;
+        w.second.named = named;
     }
 }
 
--- a/src/pool_writer.cc
+++ b/src/pool_writer.cc
@@ -206,7 +206,6 @@
     waiting_.erase(waiting_.begin(), batch_end);
     maybe_stored_ = false;
     timeout_factor_ = 1;
-    batch_first_sent_ = boot_clock::now();
     send();
 }
 
@@ -381,7 +380,6 @@
     rejected_ = false;
     backoff_ = millis(0);
     last_stored_ = now;
-    lead_confirmed_at_ = batch_first_sent_;
     std::vector<entry> done;
     done.swap(sent_);
     std::vector<keyed_record> batch;
--- a/test/pool_admission-test.cc
+++ b/test/pool_admission-test.cc
@@ -81,7 +81,8 @@
             }
         }
         s.on_directory_loaded(at_ms(now));
-        s.on_record_stored(at_ms(now), s.fence());
+        s.on_record_stored(s.fence());
+        store_worker_records(s);
         s.on_batch_stored(s.take_records(wall_start_ms + now));
         s.tick(at_ms(now));
         s.place(at_ms(now));
--- a/test/pool_fixture.h
+++ b/test/pool_fixture.h
@@ -127,10 +127,18 @@
     s.add(spec, wall_start_ms + ms, at_ms(ms));
 }
 
+/// Stores the records that name workers, so that these may get tasks.
+inline void store_worker_records(scheduler& s)
+{
+    s.take_worker_records();
+    s.on_worker_records(true);
+}
+
 /// Places without another read of the worker directory.
 inline std::vector<start_order> place_by_last_read(scheduler& s, std::int64_t ms)
 {
-    s.on_record_stored(at_ms(ms), s.fence() + static_cast<std::uint64_t>(ms));
+    s.on_record_stored(s.fence() + static_cast<std::uint64_t>(ms));
+    store_worker_records(s);
     s.tick(at_ms(ms));
     s.place(at_ms(ms));
     return s.take_starts();
--- a/test/pool_pace-test.cc
+++ b/test/pool_pace-test.cc
@@ -57,7 +57,8 @@
         for (int i = 0; i < times; ++i) {
             now += period;
             s.on_directory_loaded(at_ms(now));
-            s.on_record_stored(at_ms(now), s.fence());
+            s.on_record_stored(s.fence());
+            store_worker_records(s);
             s.tick(at_ms(now));
             s.place(at_ms(now));
             for (const start_order& o : s.take_starts()) {
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -519,7 +519,7 @@
     cr_assert_eq(place_by_last_read(s, 140).size(), 0, "the task runs on w2");
 }
 
-Test(pool_scheduler, a_worker_is_used_only_after_a_record_stored_since_it_joined)
+Test(pool_scheduler, a_worker_is_used_only_after_a_record_that_names_it_is_stored)
 {
     scheduler s = scheduler_with({});
     std::map<std::string, std::string> store;
@@ -529,10 +529,19 @@
     s.on_directory_loaded(at_ms(20));
     s.place(at_ms(21));
     cr_assert_eq(s.take_starts().size(), 0, "a successor might not know of w1");
-    s.on_record_stored(at_ms(9), s.fence());
+    s.on_record_stored(s.fence() + 1);
     s.place(at_ms(22));
-    cr_assert_eq(s.take_starts().size(), 0, "the record was sent before w1 joined");
-    s.on_record_stored(at_ms(15), s.fence());
+    cr_assert_eq(s.take_starts().size(), 0, "the record doesn't name w1");
+    const std::vector<keyed_record> lost = s.take_worker_records();
+    cr_assert_eq(lost.size(), 1);
+    s.on_worker_records(false);
+    s.place(at_ms(23));
+    cr_assert_eq(s.take_starts().size(), 0, "the record may not be stored");
+    const std::vector<keyed_record> named = s.take_worker_records();
+    cr_assert_eq(named.size(), 1);
+    s.place(at_ms(24));
+    cr_assert_eq(s.take_starts().size(), 0, "the record is on its way");
+    s.on_worker_records(true);
     s.place(at_ms(30));
     cr_assert_eq(s.take_starts().size(), 1);
 }
@@ -645,6 +654,7 @@
     s.on_directory_loaded(at_ms(5000));
     s.finish_restore(at_ms(9000), at_ms(18000));
     poll_worker(s, "w1", {}, 9001);
+    store_worker_records(s);
     std::map<std::string, std::string> store;
     add_job(s, store, job_of(job, {step_of(1, 1)}), 9002);
     s.place(at_ms(9003));
