Keep the terms under which a job was accepted

What callers saw: a version drops a route and the next one, 4 s later, brings it back.

Cause: max_attempts_of read the limit from the newest configuration and made one up, tasks + 1, where the queue was missing. Too low for steps with few tasks (LOST), too high for others (BUDGET). On the same path the job's other policy was read there too: no later step started while the route was gone.

Change: the job's record has the queue's policy at its acceptance. The limit of attempts is always that one; placing falls back to it where the configuration lacks the queue. Jobs of earlier versions have none: their failures are counted until a configuration gives the limit.

ROUTE allows it: a start is wrong on a service to which no manifest sends the queue, and one did.

--- a/bench/pool.cc
+++ b/bench/pool.cc
@@ -73,7 +73,7 @@
         s.on_poll(*poll, now, order_verdict::accepted, report, now);
     }
     for (int i = 0; i < workers * 2 + waiting; ++i) {
-        s.add(job_number(i, i % 4 == 0), wall_ms, now);
+        s.add(s.accepted(job_number(i, i % 4 == 0), wall_ms), now);
     }
     s.on_record_stored(s.fence());
     s.take_worker_records();
@@ -132,7 +132,7 @@
     {
         job_spec job = job_number(static_cast<int>(++jobs), false);
         job.steps[0].need.cpu_millis = cpu_millis;
-        s.add(job, wall_ms, now);
+        s.add(s.accepted(job, wall_ms), now);
     }
 
     /// Places, and ends all tasks that were started.
--- a/include/sesamesill/pool_job.h
+++ b/include/sesamesill/pool_job.h
@@ -10,6 +10,7 @@
 
 #include "sesamesill/clock.h"
 #include "sesamesill/error.h"
+#include "sesamesill/pool_ports.h"
 #include "sesamesill/resources.h"
 
 namespace sesamesill::pool {
@@ -75,9 +76,12 @@
 struct job_record {
     job_spec spec;
     std::int64_t accepted_ms = 0; ///< Unix time
+    /// The policy of its queue when the job was accepted, without the queue's name and route.
+    /// Missing in records of earlier versions.
+    std::optional<queue_policy> terms;
 };
 
-std::string encode_job_record(const job_spec& spec, std::int64_t accepted_ms);
+std::string encode(const job_record& job);
 std::optional<job_record> decode_job_record(const std::string& text, error& why);
 
 /// Identifies one task of a job. The text form is "JOB.OCCURRENCE.STEP.INDEX".
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -161,10 +161,12 @@
     admission_answer admit(const job_spec& spec, time_point now) const;
     /// Returns the time within which the job should end; 0 if its queue isn't known.
     double objective_ms(const job_spec& spec) const;
+    /// Returns the job as it's accepted now, with the present policy of its queue.
+    job_record accepted(const job_spec& spec, std::int64_t wall_ms) const;
     /// Returns the record that must be stored before the job is added.
-    static keyed_record record_of(const job_spec& spec, std::int64_t wall_ms);
+    static keyed_record record_of(const job_record& job);
     /// Adds a job whose record is stored.
-    void add(const job_spec& spec, std::int64_t wall_ms, time_point now);
+    void add(const job_record& job, time_point now);
     cancel_answer cancel(const std::string& id, time_point now);
     /// Returns the state that clients may see. A final state is visible once it is stored.
     std::optional<job_state> visible_state(const std::string& id) const;
@@ -236,6 +238,8 @@
 
     struct job_entry {
         job_progress progress;
+        /// The queue's policy when the job was accepted; missing for jobs of earlier versions.
+        std::optional<queue_policy> terms;
         bool inherited = false;
         bool final_stored = false;
         std::int64_t final_ms = 0;       ///< Unix time of the final state's record
@@ -244,8 +248,9 @@
     };
 
     const queue_policy* queue_of(const std::string& name) const;
-    int max_attempts_of(const std::string& queue, const step_spec& step) const;
-    void fail_exhausted_jobs(time_point now);
+    const queue_policy* policy_of(const job_entry& entry) const;
+    std::optional<int> max_attempts_of(const job_entry& entry) const;
+    void fail_if_exhausted(job_entry& entry, time_point now);
     worker* find_worker(const std::string& id);
     worker& add_worker(const worker_entry& entry, time_point now);
     void add_decision(decision_kind kind, const std::string& job, const std::string& worker,
--- a/src/pool_job.cc
+++ b/src/pool_job.cc
@@ -265,15 +265,71 @@
     }
 }
 
-std::string encode_job_record(const job_spec& spec, std::int64_t accepted_ms)
+namespace {
+
+void write_terms(json_writer& out, const queue_policy& terms)
+{
+    out.StartObject();
+    out.Key("service");
+    write_string(out, terms.service);
+    out.Key("max_attempts");
+    out.Int(terms.max_attempts);
+    out.Key("priority");
+    out.Int(terms.priority);
+    out.Key("stretch");
+    out.Double(terms.stretch);
+    out.Key("latency_target_ms");
+    out.Int64(terms.latency_target.count());
+    if (terms.advice) {
+        out.Key("advice");
+        out.StartObject();
+        out.Key("base_ms");
+        out.Double(terms.advice->base_ms);
+        out.Key("per_worker_ms");
+        out.Double(terms.advice->per_worker_ms);
+        out.Key("valid_ms");
+        out.Int64(terms.advice->valid.count());
+        out.EndObject();
+    }
+    out.EndObject();
+}
+
+/// Reads the policy under which a job was accepted; nothing if the record has none.
+std::optional<queue_policy> terms_from(const json_value& value)
+{
+    if (!value.IsObject()) {
+        return std::nullopt;
+    }
+    queue_policy terms;
+    terms.service = sesamesill::to_string(field(value, "service"));
+    terms.max_attempts = to_int(field(value, "max_attempts"));
+    terms.priority = to_int(field(value, "priority"));
+    terms.stretch = to_number(field(value, "stretch"));
+    terms.latency_target = millis(to_integer(field(value, "latency_target_ms")));
+    const json_value& advice = field(value, "advice");
+    if (advice.IsObject()) {
+        terms.advice = advice_terms{to_number(field(advice, "base_ms")),
+                                    to_number(field(advice, "per_worker_ms")),
+                                    millis(to_integer(field(advice, "valid_ms")))};
+    }
+    return terms;
+}
+
+} // namespace
+
+std::string encode(const job_record& job)
 {
     rapidjson::StringBuffer buffer;
     json_writer writer(buffer);
     writer.StartObject();
     writer.Key("accepted_ms");
-    writer.Int64(accepted_ms);
+    writer.Int64(job.accepted_ms);
+    if (job.terms) {
+        writer.Key("terms");
+        write_terms(writer, *job.terms);
+    }
     writer.Key("spec");
-    write(writer, spec);
+    write(writer, job.spec);
     writer.EndObject();
     return {buffer.GetString(), buffer.GetSize()};
 }
@@ -283,7 +339,8 @@
     try {
         json_document value;
         parse_object(value, text);
-        return job_record{spec_from(field(value, "spec")), to_integer(field(value, "accepted_ms"))};
+        return job_record{spec_from(field(value, "spec")), to_integer(field(value, "accepted_ms")),
+                          terms_from(field(value, "terms"))};
     }
     catch (const json_error& e) {
         why = {error_code::corrupt, step::recovery, "", std::string("job record: ") + e.what()};
--- a/src/pool_leader_requests.cc
+++ b/src/pool_leader_requests.cc
@@ -65,8 +65,8 @@
         done({submit_verdict::refused, admitted.reason, admitted.retry_after});
         return;
     }
-    const std::int64_t wall_ms = wall_clock_ms();
-    keyed_record record = scheduler::record_of(spec, wall_ms);
+    const job_record job = scheduler_.accepted(spec, wall_clock_ms());
+    keyed_record record = scheduler::record_of(job);
     if (1 + record.key.size() + record.value.size() > settings_.bounds.max_record_bytes) {
         note_refused(request, now);
         done({submit_verdict::refused, "the job is larger than a record of the store may be",
@@ -74,27 +74,26 @@
         return;
     }
     submits_[spec.id].waiting.push_back(std::move(done));
-    writer_.add(
-        {std::move(record)}, submit_timeout,
-        [this, alive = alive_, spec, request, wall_ms, outage_retry](write_outcome outcome) {
-            if (!*alive) {
-                return;
-            }
-            submit_answer answer;
-            if (outcome == write_outcome::stored) {
-                scheduler_.add(spec, wall_ms, boot_clock::now());
-                answer.verdict = submit_verdict::accepted;
-            }
-            else if (outcome == write_outcome::not_stored) {
-                note_refused(request, boot_clock::now());
-                answer = {submit_verdict::refused, "the job's record could not be stored",
-                          outage_retry};
-            }
-            else if (outcome == write_outcome::deposed) {
-                answer.verdict = submit_verdict::leader_changed;
-            }
-            answer_submit(spec.id, answer);
-        });
+    writer_.add({std::move(record)}, submit_timeout,
+                [this, alive = alive_, job, request, outage_retry](write_outcome outcome) {
+                    if (!*alive) {
+                        return;
+                    }
+                    submit_answer answer;
+                    if (outcome == write_outcome::stored) {
+                        scheduler_.add(job, boot_clock::now());
+                        answer.verdict = submit_verdict::accepted;
+                    }
+                    else if (outcome == write_outcome::not_stored) {
+                        note_refused(request, boot_clock::now());
+                        answer = {submit_verdict::refused, "the job's record could not be stored",
+                                  outage_retry};
+                    }
+                    else if (outcome == write_outcome::deposed) {
+                        answer.verdict = submit_verdict::leader_changed;
+                    }
+                    answer_submit(job.spec.id, answer);
+                });
 }
 
 void leader::answer_submit(const std::string& id, const submit_answer& answer)
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -4,6 +4,7 @@
 #include "sesamesill/pool_scheduler.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "sesamesill/names.h"
 
@@ -380,7 +381,8 @@
     if (end.how == end_reason::failed) {
         dirty_.insert(id.job);
         task.failed_on.insert(w.entry.id);
-        if (job.fail(id, end.run, max_attempts_of(job.spec().queue, spec))) {
+        const std::optional<int> limit = max_attempts_of(entry);
+        if (job.fail(id, end.run, limit.value_or(std::numeric_limits<int>::max()))) {
             finish_job(entry, now);
             return;
         }
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -3,7 +3,6 @@
 #include "sesamesill/pool_scheduler.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "pool_keys.h"
 #include "sesamesill/names.h"
@@ -75,45 +74,49 @@
 
 void scheduler::configure(const configuration& config, time_point now)
 {
-    const bool is_first = config_.queues.empty();
     config_ = config;
     queues_.clear();
     for (const queue_policy& q : config_.queues) {
         queues_.emplace(q.name, &q);
     }
     for (std::pair<const std::string, waiting_step>& ws : waiting_steps_) {
-        ws.second.queue = queue_of(ws.second.job->spec().queue);
+        ws.second.queue = policy_of(jobs_.at(ws.second.first.job));
     }
     placing_needed_ = true;
-    if (is_first) {
-        fail_exhausted_jobs(now);
+    for (std::pair<const std::string, job_entry>& job : jobs_) {
+        if (!job.second.terms) { // its limit may not have been known before
+            fail_if_exhausted(job.second, now);
+        }
     }
 }
 
-/// Returns how many failed runs of a task, or of a gang, make its job fail.
-int scheduler::max_attempts_of(const std::string& name, const step_spec& step) const
+/// Returns the policy by which the job's tasks are placed, or null if it isn't known. A job of a
+/// queue that the configuration no longer has goes on as it was accepted.
+const queue_policy* scheduler::policy_of(const job_entry& entry) const
 {
-    const queue_policy* queue = queue_of(name);
-    if (queue != nullptr) {
-        return queue->max_attempts;
-    }
-    // Without a configuration, failures are counted only; `fail_exhausted_jobs` applies the limit.
-    return config_.queues.empty() ? std::numeric_limits<int>::max() : step.tasks + 1;
+    const queue_policy* queue = queue_of(entry.progress.spec().queue);
+    return queue == nullptr && entry.terms ? &*entry.terms : queue;
 }
 
-/// Ends jobs whose tasks failed too often while the configuration was unknown.
-void scheduler::fail_exhausted_jobs(time_point now)
+/// Returns how many failed runs of a task, or of a gang, make the job fail. Nothing if that isn't
+/// known yet: then failures are counted only, and `fail_if_exhausted` applies the limit later.
+std::optional<int> scheduler::max_attempts_of(const job_entry& entry) const
 {
-    for (std::pair<const std::string, job_entry>& known : jobs_) {
-        job_progress& job = known.second.progress;
-        bool failed = is_final(job.state());
-        for (int n = 0; !failed && n < static_cast<int>(job.spec().steps.size()); ++n) {
-            const step_spec& step = job.spec().steps[static_cast<std::size_t>(n)];
-            failed = job.fail_if_exhausted(n, max_attempts_of(job.spec().queue, step));
-            if (failed) {
-                finish_job(known.second, now);
-                update_waiting_count(known.second);
-            }
+    const queue_policy* terms = entry.terms ? &*entry.terms : queue_of(entry.progress.spec().queue);
+    return terms != nullptr ? std::optional<int>(terms->max_attempts) : std::nullopt;
+}
+
+/// Ends the job if its tasks failed too often, by ends that were counted earlier.
+void scheduler::fail_if_exhausted(job_entry& entry, time_point now)
+{
+    job_progress& job = entry.progress;
+    const std::optional<int> limit = max_attempts_of(entry);
+    bool failed = !limit || is_final(job.state());
+    for (int n = 0; !failed && n < static_cast<int>(job.spec().steps.size()); ++n) {
+        failed = job.fail_if_exhausted(n, *limit);
+        if (failed) {
+            finish_job(entry, now);
+            update_waiting_count(entry);
         }
     }
 }
@@ -199,7 +202,7 @@
             step.need = {need[0].asInt64(), need[1].asInt64(), need[2].asInt64()};
             spec.steps.push_back(step);
         }
-        job_entry entry{job_progress(spec, 0, now)};
+        job_entry entry{job_progress(spec, 0, now), std::nullopt};
         entry.progress.restore(progress);
         entry.final_ms = saved["ended_ms"].asInt64();
         retain(id, jobs_.emplace(id, std::move(entry)).first->second);
@@ -212,7 +215,8 @@
         return;
     }
     const millis age(std::max<std::int64_t>(0, wall_ms - record->accepted_ms));
-    job_entry entry{job_progress(std::move(record->spec), record->accepted_ms, now - age)};
+    job_entry entry{job_progress(std::move(record->spec), record->accepted_ms, now - age),
+                    std::move(record->terms)};
     entry.progress.restore(progress);
     entry.inherited = true;
     // The predecessor may have stored the final state, but not yet the short record of a finished
@@ -250,7 +254,9 @@
     }
     unverified_workers_.insert(undiscovered_workers);
     placing_needed_ = true;
-    fail_exhausted_jobs(now); // the predecessor may not have known the configuration
+    for (std::pair<const std::string, job_entry>& job : jobs_) {
+        fail_if_exhausted(job.second, now); // the predecessor may not have known the limit
+    }
 }
 
 void scheduler::on_directory_loaded(time_point begun)
@@ -351,17 +357,30 @@
     return {admission::accept, "", millis(0)};
 }
 
-keyed_record scheduler::record_of(const job_spec& spec, std::int64_t wall_ms)
+job_record scheduler::accepted(const job_spec& spec, std::int64_t wall_ms) const
+{
+    job_record job{spec, wall_ms, std::nullopt};
+    const queue_policy* queue = queue_of(spec.queue);
+    if (queue != nullptr) {
+        job.terms = *queue;
+    }
+    return job;
+}
+
+keyed_record scheduler::record_of(const job_record& job)
 {
-    return {job_key(spec.id), encode_job_record(spec, wall_ms), 0};
+    return {job_key(job.spec.id), encode(job), 0};
 }
 
-void scheduler::add(const job_spec& spec, std::int64_t wall_ms, time_point now)
+void scheduler::add(const job_record& job, time_point now)
 {
+    const job_spec& spec = job.spec;
     if (jobs_.count(spec.id) > 0) {
         return;
     }
-    const auto added = jobs_.emplace(spec.id, job_entry{job_progress(spec, wall_ms, now)}).first;
+    const auto added =
+        jobs_.emplace(spec.id, job_entry{job_progress(spec, job.accepted_ms, now), job.terms})
+            .first;
     queue_estimate& observed = estimates_[spec.queue];
     update_mean(observed.mean_work, observed.jobs, size_of(spec, estimates_of(spec)).core_seconds);
     update_waiting_count(added->second);
@@ -402,7 +421,7 @@
         waiting_step ws;
         ws.first = first;
         ws.job = &job;
-        ws.queue = queue_of(job.spec().queue);
+        ws.queue = policy_of(entry);
         ws.inherited = entry.inherited;
         waiting_steps_.emplace(std::move(name), std::move(ws));
         placing_needed_ = true;
--- a/test/json-test.cc
+++ b/test/json-test.cc
@@ -74,12 +74,33 @@
     spec.occurrences = 2;
     spec.first_due_ms = 1;
     spec.interval_ms = 10;
+    pool::queue_policy terms;
+    terms.service = "places";
+    terms.priority = 2;
+    terms.max_attempts = 4;
+    terms.stretch = 1.5;
+    terms.latency_target = millis(1000);
+    terms.advice = pool::advice_terms{20, 0.5, millis(3000)};
     error why;
     const std::optional<pool::job_record> read =
-        pool::decode_job_record(pool::encode_job_record(spec, 77), why);
+        pool::decode_job_record(pool::encode(pool::job_record{spec, 77, terms}), why);
     cr_assert(read.has_value(), "%s", why.reason.c_str());
     cr_assert_eq(read->accepted_ms, 77);
     cr_assert(pool::encode(read->spec) == pool::encode(spec));
     cr_assert(read->spec.payload == spec.payload);
     cr_assert_eq(read->spec.steps[1].after.size(), 1);
+    cr_assert(read->terms.has_value());
+    cr_assert_eq(read->terms->service, terms.service);
+    cr_assert_eq(read->terms->priority, terms.priority);
+    cr_assert_eq(read->terms->max_attempts, terms.max_attempts);
+    cr_assert_eq(read->terms->stretch, terms.stretch);
+    cr_assert(read->terms->latency_target == terms.latency_target);
+    cr_assert(read->terms->advice.has_value());
+    cr_assert_eq(read->terms->advice->base_ms, terms.advice->base_ms);
+    cr_assert_eq(read->terms->advice->per_worker_ms, terms.advice->per_worker_ms);
+    cr_assert(read->terms->advice->valid == terms.advice->valid);
+    const std::optional<pool::job_record> without_terms =
+        pool::decode_job_record(pool::encode(pool::job_record{spec, 77, std::nullopt}), why);
+    cr_assert(without_terms.has_value(), "%s", why.reason.c_str());
+    cr_assert_not(without_terms->terms.has_value(), "as earlier versions wrote it");
 }
--- a/test/pool_admission-test.cc
+++ b/test/pool_admission-test.cc
@@ -51,7 +51,7 @@
         const job_spec spec = job_of(id, {step_of(1, 4)});
         const admission_answer answer = s.admit(spec, at_ms(now));
         if (answer.verdict == admission::accept) {
-            s.add(spec, wall_start_ms + now, at_ms(now));
+            s.add(s.accepted(spec, wall_start_ms + now), at_ms(now));
             accepted[id] = now;
             return;
         }
--- a/test/pool_fixture.h
+++ b/test/pool_fixture.h
@@ -122,9 +122,10 @@
 inline void add_job(scheduler& s, std::map<std::string, std::string>& store, const job_spec& spec,
                     std::int64_t ms)
 {
-    const keyed_record record = scheduler::record_of(spec, wall_start_ms + ms);
+    const job_record accepted = s.accepted(spec, wall_start_ms + ms);
+    const keyed_record record = scheduler::record_of(accepted);
     store[record.key] = record.value;
-    s.add(spec, wall_start_ms + ms, at_ms(ms));
+    s.add(accepted, at_ms(ms));
 }
 
 /// Stores the records that name workers, so that these may get tasks.
--- a/test/pool_member-test.cc
+++ b/test/pool_member-test.cc
@@ -660,7 +660,7 @@
     constexpr millis first_read{2600}; ///< later than the entries' return counted from the start
     lone_scheduler f(28721);
     const keyed_record record =
-        scheduler::record_of(job_of("00000000000000aa", {step_of(1, 1)}), wall_start_ms);
+        scheduler::record_of({job_of("00000000000000aa", {step_of(1, 1)}), wall_start_ms, {}});
     f.log.records = {record};
     f.start();
     const auto read_directory = [&f] {
@@ -712,7 +712,7 @@
         cr_assert(f.m.is_leader());
         const endpoint nowhere{"127.0.0.1", 9};
         f.log.store({{"leader", encode(leader_record{"m2", "run2", nowhere, 0}), 0},
-                     scheduler::record_of(job_of(id, {step_of(1, 1)}), wall_start_ms)},
+                     scheduler::record_of({job_of(id, {step_of(1, 1)}), wall_start_ms, {}})},
                     f.log.records.size());
         const auto answered = [&](const state_answer& a) { answers.push_back(a.found); };
         f.m.cancel(id, millis(300), answered);
--- a/test/pool_pace-test.cc
+++ b/test/pool_pace-test.cc
@@ -47,7 +47,7 @@
         for (int i = 0; i < count; ++i) {
             step_spec step = step_of(1, 2);
             step.saves_progress = saves;
-            s.add(job_of(job_name(++jobs), {step}), wall_start_ms + now, at_ms(now));
+            s.add(s.accepted(job_of(job_name(++jobs), {step}), wall_start_ms + now), at_ms(now));
         }
     }
 
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -947,7 +947,10 @@
     // read the configuration.
     scheduler s = scheduler_with({"w1"});
     std::map<std::string, std::string> store;
-    add_job(s, store, job_of(job, {step_of(4, 1)}), 0);
+    const job_spec spec = job_of(job, {step_of(4, 1)});
+    add_job(s, store, spec, 0);
+    // As an earlier version stored it, without the terms of its queue.
+    store["job/" + std::string(job)] = encode(job_record{spec, wall_start_ms, {}});
     scheduler next = successor_of(store, 50, {"w1"}, 100, {});
     const int attempts = config_of().queues[0].max_attempts;
     worker_report report;
@@ -1114,7 +1117,7 @@
     job_spec spec = job_of(job, {step_of(1, 1)});
     spec.occurrences = 3 * tasks_per_part;
     spec.first_due_ms = wall_start_ms;
-    store["job/" + std::string(job)] = encode_job_record(spec, wall_start_ms);
+    store["job/" + std::string(job)] = encode(job_record{spec, wall_start_ms, {}});
     std::string whole = R"({"state":"running","begun":true,"steps":[)";
     for (int k = 0; k + 1 < spec.occurrences; ++k) {
         whole += R"({"occurrence":)" + std::to_string(k) + R"(,"step":0,"done":[0]},)";
