--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sesamesill/clock.h"
@@ -152,6 +153,8 @@
     unknown      ///< no answer came: the worker may have carried it out, or may do so later
 };
 
+std::string_view name_of(order_verdict verdict);
+
 struct start_order {
     std::string worker;
     endpoint address;
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -55,6 +55,9 @@
     worker_verified, ///< its predecessors' runs are known to have ended, without a report
     worker_restarted,
     worker_avoided,
+    /// The outcome of a poll whose report lists ends that are all known, or of any poll of a worker
+    /// that is leaving.
+    worker_polled,
     run_released, ///< without a report of its end
     run_adopted,
     end_ignored
@@ -329,6 +332,8 @@
     void release_run(worker& w, const run_record& run, evidence_source evidence, time_point now);
     void note_failed_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict, time_point now);
+    void log_poll(const worker& w, const poll_order& order, time_point sent, order_verdict verdict,
+                  const worker_report& report, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict);
     void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -241,6 +241,30 @@
     w.process_known = start_time_ms >= w.entry.start_time_ms; // else a newer one is listed
 }
 
+/// Logs a poll from which the fate of a run may have to be told later: what was acknowledged, and
+/// what the answer listed.
+void scheduler::log_poll(const worker& w, const poll_order& order, time_point sent,
+                         order_verdict verdict, const worker_report& report, time_point now)
+{
+    const bool leaves = w.entry.draining || !w.listed;
+    const bool only_known_ends =
+        !report.ended.empty() && report.ended.back().number <= w.highest_end_seen;
+    if (!leaves && !only_known_ends) {
+        return;
+    }
+    std::string detail(name_of(verdict));
+    detail += ", acknowledged " + std::to_string(order.acknowledged_end) + " with fence " +
+              std::to_string(order.fence) + "; " + std::to_string(report.running.size()) +
+              " running, " + std::to_string(report.ended.size()) + " ended";
+    if (!report.ended.empty()) {
+        detail += " from " + std::to_string(report.ended.front().number) + " to " +
+                  std::to_string(report.ended.back().number);
+    }
+    detail += "; known to " + std::to_string(w.highest_end_seen);
+    add_decision(decision_kind::worker_polled, "", w.entry.id, std::move(detail),
+                 to_millis(now - sent));
+}
+
 void scheduler::on_poll(const poll_order& order, time_point sent, order_verdict verdict,
                         const worker_report& report, time_point now)
 {
@@ -248,6 +272,7 @@
     if (w == nullptr) {
         return;
     }
+    log_poll(*w, order, sent, verdict, report, now);
     if (verdict == order_verdict::fenced && order.fence == w->fence) {
         fenced_ = true;
         return;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -29,6 +29,11 @@
 
 } // namespace
 
+std::string_view name_of(order_verdict verdict)
+{
+    return name_in(verdict_names, verdict);
+}
+
 void scheduler::send_stop(worker& w, run_record& run, time_point now)
 {
     run.phase = run_phase::stopping;
@@ -230,7 +235,7 @@
         return;
     }
     add_decision(decision_kind::start_failed, run.task.job, order.worker,
-                 order.task + ": " + std::string(name_in(verdict_names, verdict)) + ", attempt " +
+                 order.task + ": " + std::string(name_of(verdict)) + ", attempt " +
                      std::to_string(order.attempts),
                  to_millis(now - run.ordered_at));
     if (run.phase != run_phase::starting) {
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -11,7 +11,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 26> decision_names{
+constexpr name_table<decision_kind, 27> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
@@ -35,6 +35,7 @@
      {decision_kind::worker_verified, "worker_verified"},
      {decision_kind::worker_restarted, "worker_reborn"},
      {decision_kind::worker_avoided, "worker_avoided"},
+     {decision_kind::worker_polled, "worker_polled"},
      {decision_kind::run_released, "run_released"},
      {decision_kind::run_adopted, "run_adopted"},
      {decision_kind::end_ignored, "end_not_taken"}}};
