Stop the runs of a worker while it can still report them

Cause: the run ends some milliseconds before the worker leaves, and the answer that lists the end is lost with the worker's connections. The leader waits for the lease and starts the task again. No other source tells of that end, and silence after an announced leave doesn't say what became of runs.

Ruled out: polling more often (one of the two polls was waiting at the worker); not starting such tasks again (LOST).

Change: a worker that drains says the least time that is left. Its runs are stopped as long before that as a stop may take and 0.25 s, so that each end is listed while it still answers. The bound counts from the last complete read of the directory that lacked the entry; without one they are stopped at once.

Tests: pool_leaving/*, two; both failed before.

--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -96,7 +96,12 @@
     std::vector<std::string> labels; ///< name the worker's kind and its rack
     resources capacity;
     bool draining = false;
-    millis remaining{0}; ///< while draining: the least time until it stops; 0 if it isn't known
+    /// While draining: the least time until it stops, from when the entry was written; 0 if it
+    /// isn't known.
+    millis remaining{0};
+    /// When the last complete read of the directory that lacked this entry began: the entry was
+    /// written later. Set by the reader; nothing if there was no such read.
+    std::optional<time_point> written_after;
     std::int64_t start_time_ms = 0; ///< Unix time at which the worker started
     std::uint64_t revision = 0; ///< rises with each report of one incarnation; 0 if it isn't known
 };
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -49,7 +49,8 @@
     finished,
     worker_joined,
     worker_drains,
-    entry_ignored, ///< a directory entry older than the known one
+    worker_cleared, ///< its runs are stopped, as it may leave soon
+    entry_ignored,  ///< a directory entry older than the known one
     worker_left,
     worker_lost,
     worker_verified, ///< its predecessors' runs are known to have ended, without a report
@@ -311,6 +312,7 @@
     void send_stop(worker& w, run_record& run, time_point now);
     void stop_run(worker& w, run_record& run, time_point now);
     void stop_task(const task_id& id, time_point now);
+    void clear_leaving_worker(worker& w, time_point now);
     void finish_job(job_entry& entry, time_point now);
     void handle_start_refusal(worker& w, run_record& run, const start_order& order,
                               order_verdict verdict, time_point now);
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -97,6 +97,9 @@
     /// Whether the first poll with `fence` was answered. Invariant: the process that answered
     /// executes no earlier order any more.
     bool fence_confirmed = false;
+    /// While it drains: it doesn't leave before this, by its own word. Long past if that isn't
+    /// known.
+    time_point leaves_after;
     bool lost = false; ///< whether its lease has certainly expired or its process is gone
     /// Whether a stored record names it, so that a successor asks it for its runs.
     bool named = false;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -281,10 +281,12 @@
                    {"known", static_cast<std::int64_t>(known->second.revision)}});
         return;
     }
-    parts_->known_workers[entry.id] = entry;
+    worker_entry& listed = parts_->known_workers[entry.id];
+    listed = entry;
+    listed.written_after = parts_->directory.read_begun();
     parts_->removed_workers.erase(entry.id);
     if (parts_->leads()) {
-        parts_->lead->list_worker(entry);
+        parts_->lead->list_worker(listed);
     }
 }
 
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -126,6 +126,13 @@
         }
     }
     worker& listed = workers_.at(entry.id);
+    if (!listed.entry.draining) {
+        listed.leaves_after = {};
+    }
+    else if (listed.entry.written_after) {
+        listed.leaves_after =
+            std::max(listed.leaves_after, *listed.entry.written_after + listed.entry.remaining);
+    }
     roster_.add(entry.id, named_worker_of(listed.entry));
     listed.named = roster_.names(entry.id, named_worker_of(listed.entry));
     placing_needed_ = true;
@@ -580,6 +587,7 @@
                 send_stop(w, r.second, now);
             }
         }
+        clear_leaving_worker(w, now);
         if (!w.lost && !w.is_responsive(now) && now > w.last_lease().end) {
             mark_worker_lost(w, {evidence_source::lease_expired, now}, now);
         }
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -77,6 +77,31 @@
     add_decision(decision_kind::stopped, run.task.job, w.entry.id, to_string(run.task));
 }
 
+/// Stops the runs of a worker that may leave soon. The answer with the last ends of a worker is
+/// lost if it leaves right after it, and its silence doesn't tell which runs were done. So none may
+/// be at work by then, and each end is reported while the worker still answers.
+void scheduler::clear_leaving_worker(worker& w, time_point now)
+{
+    // Covers the stop order, the pause between two ticks, and the poll that reports the end.
+    constexpr millis report_time{250};
+    if (!w.entry.draining || !w.heard || w.lost ||
+        now < w.leaves_after - bounds_.stop_timeout - report_time) {
+        return;
+    }
+    int stopped = 0;
+    for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
+        if (r.second.phase == run_phase::starting || r.second.phase == run_phase::running) {
+            stop_run(w, r.second, now);
+            ++stopped;
+        }
+    }
+    if (stopped > 0) {
+        add_decision(decision_kind::worker_cleared, "", w.entry.id,
+                     std::to_string(stopped) + " runs are stopped before it may leave",
+                     w.leaves_after > time_point() ? to_millis(now - w.leaves_after) : 0);
+    }
+}
+
 /// Releases or stops a run that the evidence doesn't name as running or ended.
 void scheduler::settle_run(worker& w, run_record& run, const run_evidence& evidence, time_point now)
 {
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -11,7 +11,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 27> decision_names{
+constexpr name_table<decision_kind, 28> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
@@ -29,6 +29,7 @@
      {decision_kind::finished, "job_finished"},
      {decision_kind::worker_joined, "worker_joined"},
      {decision_kind::worker_drains, "worker_drains"},
+     {decision_kind::worker_cleared, "worker_cleared"},
      {decision_kind::entry_ignored, "worker_entry_outdated"},
      {decision_kind::worker_left, "worker_left"},
      {decision_kind::worker_lost, "worker_lost"},
