Take only entries of workers for the successor of a worker on its machine

Cause: any readable entry with the machine's name and a later start released all runs there, by newer_incarnation, without a look at who wrote it.

Change: scheduler::replaces. The newer entry counts if its service is declared, or is that of the older worker, as a version may drop a service whose workers run.

Tests: pool_entries/*; the two with another writer's entry failed before, the third holds the case that must go on working.

--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -343,6 +343,7 @@
     void note_first_answer(worker& w, time_point now);
     void raise_fence(worker& w);
     void doubt_process(worker& w);
+    bool replaces(const worker_entry& newer, const worker_entry& older) const;
     void mark_older_incarnations_lost(const worker_entry& entry, time_point now);
     bool has_newer_incarnation(const worker_entry& entry) const;
     void mark_worker_lost(worker& w, const run_evidence& evidence, time_point now);
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -35,6 +35,19 @@
     }
 }
 
+/// Returns whether the entry `newer` shows that the worker with the entry `older` has ended. An
+/// entry of a service that isn't declared may be another writer's: it shows nothing, unless the
+/// older worker belongs to the same service.
+bool scheduler::replaces(const worker_entry& newer, const worker_entry& older) const
+{
+    const bool is_declared =
+        std::any_of(config_.services.begin(), config_.services.end(),
+                    [&newer](const service_policy& s) { return s.name == newer.service; });
+    return newer.machine == older.machine && newer.id != older.id &&
+           newer.start_time_ms > older.start_time_ms &&
+           (is_declared || newer.service == older.service);
+}
+
 /// Gives up the workers that ran on the entry's machine before it.
 void scheduler::mark_older_incarnations_lost(const worker_entry& entry, time_point now)
 {
@@ -42,9 +55,7 @@
         return;
     }
     for (std::pair<const std::string, worker>& other : workers_) {
-        const worker_entry& older = other.second.entry;
-        if (older.machine == entry.machine && other.first != entry.id &&
-            older.start_time_ms < entry.start_time_ms && !other.second.lost) {
+        if (replaces(entry, other.second.entry) && !other.second.lost) {
             mark_worker_lost(other.second, {evidence_source::newer_incarnation, now}, now);
         }
     }
@@ -55,9 +66,8 @@
 {
     return !entry.machine.empty() &&
            std::any_of(workers_.begin(), workers_.end(),
-                       [&entry](const std::pair<const std::string, worker>& other) {
-                           return other.second.entry.machine == entry.machine &&
-                                  other.second.entry.start_time_ms > entry.start_time_ms;
+                       [this, &entry](const std::pair<const std::string, worker>& other) {
+                           return replaces(other.second.entry, entry);
                        });
 }
 
