Name no more workers in a call for new tickets than the advisor takes

Cause: only workers_to_ask kept to the limit; workers with expired tickets went into the call as they were, for gangs and for other steps.

Change: next_advice, which makes all calls, takes as many as one call may name; the rest come next.

Test: pool_gangs/a_large_gang_gets_new_tickets_in_calls_that_the_advisor_takes; it failed before.

--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -51,7 +51,7 @@
     time_point next_call_after;  ///< earliest time of the next advice call
     time_point next_start_after; ///< earliest time of the next start, after a refused one
     time_point last_call;        ///< start time of the last advice call
-    /// Workers to name in the next advice call; if empty, the scheduler selects them.
+    /// Workers to name in the next advice calls; if empty, the scheduler selects them.
     std::vector<worker_number> next_call_workers;
     double score = 0;
     rank_inputs rank;  ///< computed at `ranked`, except for `waited_ms`
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -286,6 +286,7 @@
     bool wants_advice(const waiting_step& ws, time_point now) const;
     void sort_advice_requests(time_point now);
     const std::vector<worker_number>& workers_by_room(time_point now);
+    static std::vector<worker_number> take_named_workers(waiting_step& ws);
     std::vector<worker_number> workers_to_ask(const waiting_step& ws, const step_spec& step,
                                               time_point now);
     std::vector<std::string> ids_of(const std::vector<worker_number>& numbers) const;
--- a/src/pool_advice.cc
+++ b/src/pool_advice.cc
@@ -111,12 +111,22 @@
     return nullptr;
 }
 
+/// Takes as many of the workers that the step's next call should name as one call may name.
+std::vector<worker_number> scheduler::take_named_workers(waiting_step& ws)
+{
+    std::vector<worker_number>& waiting = ws.next_call_workers;
+    const auto end = waiting.begin() +
+                     static_cast<std::ptrdiff_t>(std::min(waiting.size(), max_workers_per_call));
+    std::vector<worker_number> taken(waiting.begin(), end);
+    waiting.erase(waiting.begin(), end);
+    return taken;
+}
+
 std::optional<advice_call> scheduler::next_advice(millis longest, time_point now)
 {
     while (waiting_step* ws = next_step_to_advise(longest, now)) {
         ws->last_call = now;
-        std::vector<std::string> names = ids_of(ws->next_call_workers);
-        ws->next_call_workers.clear();
+        std::vector<std::string> names = ids_of(take_named_workers(*ws));
         if (names.empty()) {
             const step_spec& step = ws->job->spec().steps[static_cast<std::size_t>(ws->first.step)];
             names = ids_of(workers_to_ask(*ws, step, now));
