Count the limit a worker when a gang leaves out workers that it failed on

Cause: exclude_failed_workers asked whether the other workers have the capacity for all tasks, but not whether they may run them.

Change: they count with the limit.

Test: pool_gangs/a_gang_with_a_limit_a_worker_returns_to_workers_that_it_failed_on; it failed before.

--- a/src/pool_gangs.cc
+++ b/src/pool_gangs.cc
@@ -16,12 +16,13 @@
     if (failed_on.empty()) {
         return;
     }
+    const int limit = step.max_per_worker > 0 ? step.max_per_worker : step.tasks;
     std::vector<candidate> others;
     int held = 0;
     for (const candidate& c : candidates) {
         if (failed_on.count(c.target->entry.id) == 0) {
             others.push_back(c);
-            held += count_fitting(capacity_used_by(step), c.target->entry.capacity, step.tasks);
+            held += count_fitting(capacity_used_by(step), c.target->entry.capacity, limit);
         }
     }
     if (held >= step.tasks) {
--- a/test/pool_gangs-test.cc
+++ b/test/pool_gangs-test.cc
@@ -72,3 +72,23 @@
     }
     cr_assert_eq(started, tasks);
 }
+
+Test(pool_gangs, a_gang_with_a_limit_a_worker_returns_to_workers_that_it_failed_on)
+{
+    // Guards against LOST of review case 10: the only other worker has capacity for both tasks, but
+    // may run one.
+    scheduler s = scheduler_with({"w1", "w2"});
+    std::map<std::string, std::string> store;
+    step_spec step = step_of(2, 1, true);
+    step.max_per_worker = 1;
+    add_job(s, store, job_of(job, {step}), 0);
+    accept_starts(s, place(s, 1), 2);
+    s.list_worker(worker_of("w3"), at_ms(3));
+    poll_worker(s, "w3", {}, 3);
+    worker_report report;
+    report.ended = {end_of(1, task(0), 1, end_reason::failed)};
+    poll_worker(s, "w1", report, 10);
+    report.ended = {end_of(1, task(1), 1, end_reason::failed)};
+    poll_worker(s, "w2", report, 11);
+    cr_assert_eq(place(s, 12).size(), 2);
+}
