--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -317,6 +317,7 @@
     void finish_job(job_entry& entry, time_point now);
     void handle_start_refusal(worker& w, run_record& run, const start_order& order,
                               order_verdict verdict, time_point now);
+    void handle_rows(worker& w, const worker_report& report, time_point now);
     void handle_end(worker& w, const ended_task& end, time_point now);
     void handle_task_end(worker& w, job_entry& entry, const task_id& id, const ended_task& end,
                          bool current, time_point now);
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -282,6 +282,21 @@
                  to_millis(now - sent));
 }
 
+/// Handles the ends of a report that aren't known yet, then the runs at work.
+void scheduler::handle_rows(worker& w, const worker_report& report, time_point now)
+{
+    for (const ended_task& end : report.ended) {
+        if (end.number > w.highest_end_seen) {
+            w.highest_end_seen = end.number;
+            workers_with_ends_.insert(w.entry.id);
+            handle_end(w, end, now);
+        }
+    }
+    for (const running_task& row : report.running) {
+        handle_running(w, row, now);
+    }
+}
+
 void scheduler::on_poll(const poll_order& order, time_point sent, order_verdict verdict,
                         const worker_report& report, time_point now)
 {
@@ -329,16 +344,7 @@
         doubt_process(*w);
     }
     note_process(*w, report.start_time_ms, order.acknowledged_end, now);
-    for (const ended_task& end : report.ended) {
-        if (end.number > w->highest_end_seen) {
-            w->highest_end_seen = end.number;
-            workers_with_ends_.insert(order.worker);
-            handle_end(*w, end, now);
-        }
-    }
-    for (const running_task& row : report.running) {
-        handle_running(*w, row, now);
-    }
+    handle_rows(*w, report, now);
     run_evidence evidence{evidence_source::report, sent, report.start_time_ms, report.clock_ms};
     evidence.fence = refuses_earlier ? order.fence : 0;
     evidence.complete = report.ended.size() < max_reported_ends; // else the next report has more
--- a/test/pool_gangs-test.cc
+++ b/test/pool_gangs-test.cc
@@ -28,8 +28,10 @@
     // gang, and the advisor rejected it.
     constexpr int tasks = 105;
     constexpr std::size_t max_names = 100; ///< the advisor's limit
+    constexpr std::size_t workers = 125;
     std::vector<std::string> names;
-    for (int i = 0; i < tasks + 20; ++i) {
+    names.reserve(workers);
+    for (std::size_t i = 0; i < workers; ++i) {
         names.push_back("w" + std::to_string(1000 + i));
     }
     scheduler s = scheduler_with(names, config_of(advice_terms{5, 0.1, millis(2500)}));
