Learn by the next worker's entry that a worker named by the log has ended

The roster made a successor know both workers of a machine before it reads their entries. The entry of the newer one was then no news, and nothing gave up the older one before its lease: inherited tasks would wait up to 8.6 s after a change of the lead that follows a crash of a worker.

Change: the first entry of a worker that isn't listed counts as that of a new process. A worker known from the log alone has no service, so an empty service never counts as the same one.

Test: pool_entries/a_successor_learns_by_the_next_workers_entry_that_one_of_the_log_has_ended.

--- a/include/sesamesill/pool_job.h
+++ b/include/sesamesill/pool_job.h
@@ -76,8 +76,8 @@
 struct job_record {
     job_spec spec;
     std::int64_t accepted_ms = 0; ///< Unix time
-    /// The policy of its queue when the job was accepted, without the queue's name and route.
-    /// Missing in records of earlier versions.
+    /// The policy of its queue when the job was accepted; its name and route aren't stored. Missing
+    /// in records of earlier versions.
     std::optional<queue_policy> terms;
 };
 
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -257,6 +257,7 @@
     void fail_if_exhausted(job_entry& entry, time_point now);
     worker* find_worker(const std::string& id);
     worker& add_worker(const worker_entry& entry, time_point now);
+    bool update_entry(worker& w, const worker_entry& entry);
     void add_decision(decision_kind kind, const std::string& job, const std::string& worker,
                       std::string detail, std::int64_t age_ms = 0);
     void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -45,7 +45,7 @@
                     [&newer](const service_policy& s) { return s.name == newer.service; });
     return newer.machine == older.machine && newer.id != older.id &&
            newer.start_time_ms > older.start_time_ms &&
-           (is_declared || newer.service == older.service);
+           (is_declared || (!newer.service.empty() && newer.service == older.service));
 }
 
 /// Gives up the workers that ran on the entry's machine before it.
@@ -95,56 +95,61 @@
     return added;
 }
 
+/// Replaces the entry of a known worker by a newer one; returns false if it isn't newer.
+bool scheduler::update_entry(worker& w, const worker_entry& entry)
+{
+    if (is_outdated(entry, w.entry)) {
+        add_decision(decision_kind::entry_ignored, "", entry.id,
+                     "revision " + std::to_string(entry.revision) + " after " +
+                         std::to_string(w.entry.revision));
+        return false;
+    }
+    if (entry.draining && !w.entry.draining) {
+        add_decision(decision_kind::worker_drains, "", entry.id,
+                     "its directory entry says that it drains; it stops in " +
+                         std::to_string(entry.remaining.count()) + " ms or later");
+    }
+    w.entry = entry;
+    w.listed = true;
+    w.unlisted_since.reset();
+    if (w.process_known && entry.start_time_ms > w.reported_start_ms) {
+        doubt_process(w);
+    }
+    return true;
+}
+
 void scheduler::list_worker(const worker_entry& entry, time_point now)
 {
     const auto known = workers_.find(entry.id);
-    const bool is_new_process = known == workers_.end() ||
+    const bool is_new_process = known == workers_.end() || !known->second.listed ||
                                 known->second.entry.start_time_ms < entry.start_time_ms ||
                                 known->second.entry.machine != entry.machine;
     if (is_new_process) { // not at each report: there are hundreds a second
         mark_older_incarnations_lost(entry, now);
     }
     if (known == workers_.end()) {
-        worker& added = add_worker(entry, now);
+        add_worker(entry, now);
         std::string labels;
         for (const std::string& l : entry.labels) {
             labels.append(" ").append(l);
         }
         add_decision(decision_kind::worker_joined, "", entry.id, entry.data_center + labels);
-        if (has_newer_incarnation(entry)) {
-            mark_worker_lost(added, {evidence_source::newer_incarnation, now}, now);
-        }
     }
-    else {
-        worker& w = known->second;
-        if (is_outdated(entry, w.entry)) {
-            add_decision(decision_kind::entry_ignored, "", entry.id,
-                         "revision " + std::to_string(entry.revision) + " after " +
-                             std::to_string(w.entry.revision));
-            return;
-        }
-        if (entry.draining && !w.entry.draining) {
-            add_decision(decision_kind::worker_drains, "", entry.id,
-                         "its directory entry says that it drains; it stops in " +
-                             std::to_string(entry.remaining.count()) + " ms or later");
-        }
-        w.entry = entry;
-        w.listed = true;
-        w.unlisted_since.reset();
-        if (w.process_known && entry.start_time_ms > w.reported_start_ms) {
-            doubt_process(w);
-        }
+    else if (!update_entry(known->second, entry)) {
+        return;
+    }
+    worker& w = workers_.at(entry.id);
+    if (is_new_process && has_newer_incarnation(entry)) {
+        mark_worker_lost(w, {evidence_source::newer_incarnation, now}, now);
     }
-    worker& listed = workers_.at(entry.id);
-    if (!listed.entry.draining) {
-        listed.leaves_after = {};
+    if (!entry.draining) {
+        w.leaves_after = {};
     }
-    else if (listed.entry.written_after) {
-        listed.leaves_after =
-            std::max(listed.leaves_after, *listed.entry.written_after + listed.entry.remaining);
+    else if (entry.written_after) {
+        w.leaves_after = std::max(w.leaves_after, *entry.written_after + entry.remaining);
     }
-    roster_.add(entry.id, named_worker_of(listed.entry));
-    listed.named = roster_.names(entry.id, named_worker_of(listed.entry));
+    roster_.add(entry.id, named_worker_of(entry));
+    w.named = roster_.names(entry.id, named_worker_of(entry));
     placing_needed_ = true;
 }
 
--- a/test/pool_entries-test.cc
+++ b/test/pool_entries-test.cc
@@ -57,6 +57,26 @@
     cr_assert_eq(place(s, 10).size(), 1);
 }
 
+Test(pool_entries, a_successor_learns_by_the_next_workers_entry_that_one_of_the_log_has_ended)
+{
+    // Guards against inherited tasks that wait for the leases of a worker that is known to be gone,
+    // and against a name in the log that counts as an entry of the same service.
+    for (const bool declared : {true, false}) {
+        scheduler s(5, {}, at_ms(0));
+        s.configure(config_of(), at_ms(0));
+        worker_entry newer = worker_of("w2");
+        newer.machine = worker_of("w1").machine;
+        newer.start_time_ms += 5000;
+        s.restore_worker("w1", named_worker_of(worker_of("w1")), at_ms(0));
+        s.restore_worker("w2", named_worker_of(newer), at_ms(0));
+        s.finish_restore(at_ms(0), at_ms(9000));
+        cr_assert_not(is_lost(s, "w1"));
+        newer.service = declared ? "places" : "";
+        s.list_worker(newer, at_ms(1));
+        cr_assert_eq(is_lost(s, "w1"), declared);
+    }
+}
+
 Test(pool_entries, a_newer_worker_of_a_service_takes_the_machine_of_the_older_one)
 {
     // The counterpart: the older worker's runs are over, whether its service is still declared or
