Soak a dropped queue and entries of another writer for the workers' machines

queue_dropped declares a version without a queue that has jobs and one that has it again; a client may get 404 for it meanwhile. odd_entries also writes an entry of an undeclared service for the machine of each worker.

--- a/support/check.sh
+++ b/support/check.sh
@@ -23,5 +23,7 @@
 support/soak.sh 1 2 --seconds 27 --fault_gap_ms 9000 --changes
 support/soak.sh 22 22 --seconds 8 --fault_gap_ms 9000 --long_percent 12 \
     --series workers_recut,leader_cut --series_gap_ms 300
+support/soak.sh 6102 6102 --seconds 18 --fault_gap_ms 9000 \
+    --series queue_dropped,odd_entries,leader_killed --series_gap_ms 900
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
 support/tests.sh build/release
--- a/test/soak/cell.cc
+++ b/test/soak/cell.cc
@@ -23,7 +23,8 @@
 constexpr millis paused_process_grace{1500}; ///< added because the process may have been paused
 constexpr millis collect_period{20};
 constexpr millis drain_notice{2500};
-constexpr millis recut_length{8000}; ///< of `workers_recut`: longer than a lease
+constexpr millis configuration_limit{2000}; ///< a version applies at all members this late
+constexpr millis recut_length{8000};        ///< of `workers_recut`: longer than a lease
 constexpr int max_version_step = 3;
 
 enum member_links { peer_link, store_link, advice_link, links_per_member };
@@ -123,7 +124,7 @@
     return all;
 }
 
-void cell::publish_configuration()
+void cell::publish_configuration(bool with_plain_route)
 {
     published_.version += 1 + published_.version % max_version_step;
     published_.at = boot_clock::now();
@@ -141,7 +142,9 @@
         row["TimeoutMs"] = 3000;
         return row;
     };
-    config["Routes"].append(route("plain", plain_prefix));
+    if (with_plain_route) {
+        config["Routes"].append(route("plain", plain_prefix));
+    }
     Json::Value advised = route("placed", advised_prefix);
     advised["Advice"]["DecideMs"] = 5;
     advised["Advice"]["PerWorkerMs"] = 1;
@@ -465,6 +468,17 @@
     publish_configuration();
 }
 
+/// Drops the plain route for the fault's length. What was accepted goes on.
+void cell::queue_dropped(const planned_fault& fault)
+{
+    publish_configuration(false);
+    plain_route_back_at_ = time_point::max();
+    loop_.after(fault.length, [this] { // also after `heal`
+        publish_configuration();
+        plain_route_back_at_ = boot_clock::now() + configuration_limit;
+    });
+}
+
 void cell::cut(const std::vector<proxy*>& links, millis length)
 {
     for (proxy* link : links) {
@@ -574,6 +588,19 @@
         store_.put("keyed.servers", key, values[i]);
         after(fault.length, [this, key] { store_.put("keyed.servers", key, ""); });
     }
+    // An agent of another system on each worker's machine, started after it.
+    for (const std::string& id : fleet_.ids()) {
+        const std::string key = "agent-" + id;
+        Json::Value agent;
+        agent["Service"] = "node-agent";
+        agent["State"] = "ready";
+        agent["Addr"] = "127.0.0.1:9";
+        agent["Machine"] = fleet_.find(id)->place().machine;
+        agent["Capacity"]["Cpu"] = 8000;
+        agent["born"] = static_cast<Json::Int64>(9000000000000);
+        store_.put("keyed.servers", key, to_text(agent));
+        after(fault.length, [this, key] { store_.put("keyed.servers", key, ""); });
+    }
 }
 
 void cell::worker_bounces(const planned_fault& fault)
@@ -708,7 +735,8 @@
         {fault_kind::entries_expire, &cell::entries_expire},
         {fault_kind::odd_entries, &cell::odd_entries},
         {fault_kind::worker_bounces, &cell::worker_bounces},
-        {fault_kind::workers_recut, &cell::workers_recut}};
+        {fault_kind::workers_recut, &cell::workers_recut},
+        {fault_kind::queue_dropped, &cell::queue_dropped}};
     return table;
 }
 
--- a/test/soak/cell.h
+++ b/test/soak/cell.h
@@ -47,6 +47,8 @@
     const published_version& published() const { return published_; }
     /// Returns how often the member's process was started.
     int starts_of(int member) const;
+    /// Returns whether the version that applies at a member may lack the plain route.
+    bool may_lack_plain_route() const { return boot_clock::now() < plain_route_back_at_; }
     /// Returns whether neither the member nor the store nor a link had a fault lately.
     bool is_sound(int member) const;
     /// Returns the path prefix of the route that only this version has.
@@ -70,7 +72,7 @@
     void start_member(int member);
     void start_later(int member);
     void collect_exited();
-    void publish_configuration();
+    void publish_configuration(bool with_plain_route = true);
     /// Returns the member's link to the store or, by `which`, to its peers or the advisor.
     proxy& link_of(int member, int which) const;
     int leader() const;
@@ -114,6 +116,7 @@
     void odd_entries(const planned_fault& fault);
     void worker_bounces(const planned_fault& fault);
     void workers_recut(const planned_fault& fault);
+    void queue_dropped(const planned_fault& fault);
     void set_faults(const std::map<int, std::string>& workers, const worker_faults& faults);
     void bounce(const std::string& id, bool hangs, millis down);
     void stop(int member);
@@ -133,6 +136,7 @@
     std::map<std::string, int> expected_signals_; ///< by member: the signal that was sent to end it
     std::map<std::string, time_point> stop_deadlines_; ///< of members that got SIGTERM
     published_version published_;
+    time_point plain_route_back_at_;      ///< at all members, after it was dropped
     std::map<int, int> starts_;           ///< of a member's process, by member
     std::map<int, time_point> disturbed_; ///< by member: its last fault, or its last start
     time_point all_disturbed_ = boot_clock::now();
--- a/test/soak/clients.cc
+++ b/test/soak/clients.cc
@@ -60,9 +60,9 @@
 } // namespace
 
 clients::clients(event_loop& loop, std::vector<endpoint> entries, promises& checks,
-                 std::uint64_t seed)
+                 std::uint64_t seed, std::function<bool()> may_lack_plain_route)
     : loop_(loop), client_(loop, "soak"), entries_(std::move(entries)), checks_(checks),
-      random_(seed)
+      may_lack_plain_route_(std::move(may_lack_plain_route)), random_(seed)
 {
     loop_.every(due_check_period, [this] { poll_due_jobs(); });
 }
@@ -174,8 +174,10 @@
         on_accepted(j);
         return;
     }
+    const bool undeclared =
+        reply && reply->status == 404 && j.spec.queue == "plain" && may_lack_plain_route_();
     const bool refused =
-        reply ? reply->status == 503 || reply->status == 429 : never_sent(why.code);
+        reply ? reply->status == 503 || reply->status == 429 || undeclared : never_sent(why.code);
     if (reply && !refused && reply->status != 504 && reply->status != 502) {
         ++counts_.invalid;
         checks_.report("answers",
--- a/test/soak/clients.h
+++ b/test/soak/clients.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -23,7 +24,9 @@
 
 class clients {
 public:
-    clients(event_loop& loop, std::vector<endpoint> entries, promises& checks, std::uint64_t seed);
+    /// `may_lack_plain_route` tells whether a member may answer 404 for the plain route.
+    clients(event_loop& loop, std::vector<endpoint> entries, promises& checks, std::uint64_t seed,
+            std::function<bool()> may_lack_plain_route);
 
     /// Submits jobs until `stop` is called, `gap` apart on average. The tasks of `long_percent` of
     /// them outlast a lease.
@@ -58,6 +61,7 @@
     http_client client_;
     std::vector<endpoint> entries_;
     promises& checks_;
+    std::function<bool()> may_lack_plain_route_;
     std::mt19937_64 random_;
     std::map<std::string, job> jobs_;
     client_counts counts_;
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -48,7 +48,8 @@
      {fault_kind::worker_bounces, "worker_bounces"},
      {fault_kind::connections_silenced, "connections_silenced"},
      {fault_kind::store_cut, "store_cut"},
-     {fault_kind::workers_recut, "workers_recut"}}};
+     {fault_kind::workers_recut, "workers_recut"},
+     {fault_kind::queue_dropped, "queue_dropped"}}};
 
 constexpr fault_kind leader_faults[] = {fault_kind::leader_killed, fault_kind::leader_paused,
                                         fault_kind::leader_cut, fault_kind::leader_stopped,
@@ -147,7 +148,10 @@
     std::vector<fault_kind> kinds;
     for (std::size_t kind = 0; kind < fault_kinds; ++kind) {
         const fault_kind drawn = static_cast<fault_kind>(kind);
-        if (drawn != fault_kind::configuration_changes && drawn != fault_kind::workers_recut) {
+        const bool only_in_series = drawn == fault_kind::configuration_changes ||
+                                    drawn == fault_kind::workers_recut ||
+                                    drawn == fault_kind::queue_dropped;
+        if (!only_in_series) {
             kinds.push_back(drawn);
         }
     }
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -53,10 +53,11 @@
     worker_bounces,       ///< restarts under its id again and again, within tens of milliseconds
     connections_silenced, ///< all open connections carry no more bytes until they are closed
     store_cut,            ///< each second member is cut from the store, not from the others
-    workers_recut         ///< a rack's workers restart under their ids and are cut off soon after
+    workers_recut,        ///< a rack's workers restart under their ids and are cut off soon after
+    queue_dropped         ///< a version lacks a queue that has jobs, a later one has it again
 };
 
-constexpr std::size_t fault_kinds = 37;
+constexpr std::size_t fault_kinds = 38;
 constexpr std::size_t single_fault_kinds = 28; ///< drawn by `draw_faults`
 
 std::string_view name_of(fault_kind kind);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -68,7 +68,8 @@
                 {FLAGS_program, FLAGS_run_dir, static_cast<std::uint16_t>(FLAGS_first_port),
                  FLAGS_members, FLAGS_workers, FLAGS_seed},
                 checks_),
-          clients_(loop, cell_.entries(), checks_, FLAGS_seed),
+          clients_(loop, cell_.entries(), checks_, FLAGS_seed,
+                   [this] { return cell_.may_lack_plain_route(); }),
           probe_(loop, cell_, checks_, FLAGS_seed)
     {
     }
