--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -156,6 +156,7 @@
         }
     }
     std::shuffle(kinds.begin(), kinds.end(), random);
+    kinds.push_back(fault_kind::queue_dropped); // after those that earlier versions drew
     kinds.push_back(fault_kind::workers_recut); // last, as it outlasts the period
     std::vector<planned_fault> faults;
     std::size_t turn = 0;
