--- a/bench/pool.cc
+++ b/bench/pool.cc
@@ -57,6 +57,14 @@
 }
 
 /// Measures passes over a full pool: each pass examines all waiting steps and starts nothing.
+/// Stores what a worker's first task waits for.
+void store_worker_records(scheduler& s)
+{
+    s.on_record_stored(s.fence());
+    s.take_worker_records();
+    s.on_worker_records(true);
+}
+
 void full_pool(benchmark::State& state)
 {
     const int workers = static_cast<int>(state.range(0));
@@ -75,9 +83,7 @@
     for (int i = 0; i < workers * 2 + waiting; ++i) {
         s.add(s.accepted(job_number(i, i % 4 == 0), wall_ms), now);
     }
-    s.on_record_stored(s.fence());
-    s.take_worker_records();
-    s.on_worker_records(true);
+    store_worker_records(s);
     s.place(now);
     s.take_starts();
     s.take_decisions();
@@ -106,9 +112,7 @@
         }
         poll_all();
         s.on_directory_loaded(now);
-        s.on_record_stored(s.fence());
-        s.take_worker_records();
-        s.on_worker_records(true);
+        store_worker_records(s);
     }
 
     void poll(const std::string& name, worker_report report)
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -229,23 +229,6 @@
     add_due_occurrences(added->second, now);
 }
 
-void scheduler::restore_worker(const std::string& id, const std::optional<named_worker>& named,
-                               time_point now)
-{
-    if (!named) {
-        unverified_workers_.insert(id);
-        return;
-    }
-    roster_.restore(id, *named);
-    worker_entry entry;
-    entry.id = id;
-    entry.machine = named->machine;
-    entry.address = named->address;
-    entry.start_time_ms = named->start_time_ms;
-    add_worker(entry, now).listed = false;
-    add_decision(decision_kind::worker_joined, "", id, "named by the log");
-}
-
 void scheduler::finish_restore(time_point now, time_point verify_until)
 {
     inherited_leases_ = predecessor_lease(now, bounds_);
@@ -282,16 +265,6 @@
     }
 }
 
-void scheduler::on_worker_records(bool stored)
-{
-    roster_.on_written(stored);
-    for (std::pair<const std::string, worker>& w : workers_) {
-        const bool named = roster_.names(w.first, named_worker_of(w.second.entry));
-        placing_needed_ = placing_needed_ || named != w.second.named;
-        w.second.named = named;
-    }
-}
-
 /// Returns how many tasks of the step idle workers could run at the same time, at most all of them.
 /// A worker whose entry has expired counts until it is lost, because an outage of the store also
 /// lets entries expire.
