--- a/review/lab3/cases.cc
+++ b/review/lab3/cases.cc
@@ -413,4 +413,56 @@
     return c.finish(unasked ? rule_broken : rule_held);
 }
 
+/// Requesters of two queues choose the same id for their jobs. (With TROUBLE=0: two ids.)
+int same_id(cell& c, bool trouble)
+{
+    c.workers().plan = [](const std::string&) { return work{millis(6000)}; };
+    if (!begin(c, 12)) {
+        return c.finish(could_not_run);
+    }
+    const std::string first = std::string(cell::prefix) + "00000000000000aa";
+    const std::string second =
+        std::string(cell::other_prefix) + (trouble ? "00000000000000aa" : "00000000000000ab");
+    const auto job = [](const char* spec, int tasks) {
+        Json::Value step;
+        step["Count"] = tasks;
+        step["Cpu"] = 2800;
+        step["MemMb"] = 5200;
+        step["EstMs"] = 6000;
+        Json::Value value;
+        value["Spec"] = spec;
+        value["Steps"].append(step);
+        return to_text(value);
+    };
+    bool accepted = false;
+    bool cancelled = false;
+    const auto nothing = [](int, const std::string&) {};
+    c.loop().after(millis(4000), [&] { c.request("POST", first, job("first", 1), nothing); });
+    c.loop().after(millis(5000), [&] {
+        c.request("POST", second, job("second", 3),
+                  [&](int status, const std::string&) { accepted = status == 200; });
+    });
+    c.loop().after(millis(6000), [&] { c.request("GET", second, "", nothing); });
+    c.loop().after(millis(7000), [&] { c.request("DELETE", second, "", nothing); });
+    c.loop().after(millis(8000), [&] {
+        c.request("GET", first, "", [&](int, const std::string& body) {
+            cancelled = body.find("cancelled") != std::string::npos;
+        });
+    });
+    c.loop().after(millis(20000), [&] { c.loop().stop(); });
+    c.loop().run();
+    if (!c.all_run() || !accepted) {
+        return c.finish(could_not_run);
+    }
+    const bool ran = std::any_of(c.workers().runs().begin(), c.workers().runs().end(),
+                                 [](const run_seen& r) { return r.spec == "second"; });
+    if (!ran) {
+        c.log().line("LOST: the second requester's job was accepted and never ran");
+    }
+    if (cancelled) {
+        c.log().line("LOST: the first requester's job is shown as cancelled, which it didn't ask");
+    }
+    return c.finish(!ran || cancelled ? rule_broken : rule_held);
+}
+
 } // namespace lab3
--- a/review/lab3/cell.cc
+++ b/review/lab3/cell.cc
@@ -249,6 +249,9 @@
     route["MaxAttempts"] = 4;
     route["Stretch"] = 2.2;
     config["Routes"].append(route);
+    route["Name"] = "r-73hh2b9";
+    route["PathPrefix"] = other_prefix;
+    config["Routes"].append(route);
     Json::Value service;
     service["Name"] = executors::service;
     service["AdmissionCheck"] = false;
--- a/review/lab3/executors.cc
+++ b/review/lab3/executors.cc
@@ -224,8 +224,8 @@
     a.began = boot_clock::now();
     a.todo = plan(task);
     a.seen = runs_.size();
-    runs_.push_back(
-        {l.at.id, l.at.kind, task, run, log_.now_ms(), -1, "", l.told.count(last_sender_) > 0});
+    runs_.push_back({l.at.id, l.at.kind, task, run, log_.now_ms(), -1, "", body["Spec"].asString(),
+                     l.told.count(last_sender_) > 0});
     l.tasks.emplace(task, a);
     return answer(l, 200);
 }
--- a/review/lab3/lab.h
+++ b/review/lab3/lab.h
@@ -59,6 +59,7 @@
     std::int64_t began_ms = 0;
     std::int64_t ended_ms = -1;
     std::string how;
+    std::string spec; ///< as the order gave it
     /// Whether the member that started it had had an answer of this life, which tells its birth.
     bool told_birth = false;
 };
@@ -171,7 +172,7 @@
     standin::platform_store& store() { return store_; }
     record& log() { return log_; }
 
-    /// Writes a manifest with one queue, "/lohu930/" on host "nony24.example".
+    /// Writes a manifest with two queues, "/lohu930/" and "/pule252/" on host "nony24.example".
     void publish();
     /// Sends a request of a requester to one member after the other until one answers below 500,
     /// or until `tries` have been sent.
@@ -197,6 +198,7 @@
 
     static constexpr const char* host = "nony24.example";
     static constexpr const char* prefix = "/lohu930/";
+    static constexpr const char* other_prefix = "/pule252/";
 
 private:
     struct member {
@@ -229,5 +231,6 @@
 int other_kind(cell& c, bool trouble);
 int daily_jobs(cell& c, bool trouble);
 int overtaken_cancel(cell& c, bool trouble);
+int same_id(cell& c, bool trouble);
 
 } // namespace lab3
--- a/review/lab3/main.cc
+++ b/review/lab3/main.cc
@@ -18,7 +18,8 @@
         {"late-successor", lab3::late_successor},
         {"other-kind", lab3::other_kind},
         {"daily-jobs", lab3::daily_jobs},
-        {"overtaken-cancel", lab3::overtaken_cancel}};
+        {"overtaken-cancel", lab3::overtaken_cancel},
+        {"same-id", lab3::same_id}};
     const auto found = cases.find(argv[1]);
     if (found == cases.end()) {
         std::cerr << "no such case\n";
