--- a/review/lab3/cases.cc
+++ b/review/lab3/cases.cc
@@ -63,6 +63,111 @@
         10);
 }
 
+/// Returns whether a task of the lasting job was without a run for too long. The rule: from 6 s
+/// after its last run, it isn't without a run for 3 s, if they and the 4 s before them are calm.
+bool had_no_run(cell& c, const std::string& id, int tasks, std::int64_t calm_from)
+{
+    bool lost = false;
+    for (int i = 0; i < tasks; ++i) {
+        const std::string task = id + ".0.0." + std::to_string(i);
+        std::int64_t ended = -1;
+        for (const run_seen& r : c.workers().runs()) {
+            if (r.task != task) {
+                continue;
+            }
+            if (ended >= 0) {
+                const std::int64_t from = std::max(ended + 6000, calm_from + 4000);
+                c.log().line(
+                    task + " had no run from " + std::to_string(ended) + " to " +
+                    std::to_string(r.began_ms) + " ms; counted from " + std::to_string(from) +
+                    " ms: " + std::to_string(std::max<std::int64_t>(0, r.began_ms - from)) +
+                    " ms (rule: less than 3000)");
+                lost = lost || r.began_ms - from >= 3000;
+            }
+            ended = r.ended_ms;
+        }
+        if (ended >= 0) {
+            c.log().line(task + " has no run since " + std::to_string(ended) + " ms");
+            lost = true;
+        }
+    }
+    return lost;
+}
+
+Json::Value step_of_two()
+{
+    Json::Value step;
+    step["Count"] = 2;
+    step["Cpu"] = 2800;
+    step["MemMb"] = 5200;
+    step["EstMs"] = 500;
+    return step;
+}
+
+/// Returns the body of a job that begins in 5 s and runs `times` times, each minute.
+std::string job_each_minute(const Json::Value& step, int times)
+{
+    Json::Value job;
+    job["Spec"] = "place-hold";
+    job["Steps"].append(step);
+    job["Times"] = times;
+    job["StartAtMs"] = static_cast<Json::Int64>(unix_ms() + 5000);
+    job["IntervalMs"] = 60000;
+    return to_text(job);
+}
+
+/// Returns on how many machines the process was over its memory three times or more.
+int machines_over_memory(cell& c)
+{
+    int machines = 0;
+    for (const std::pair<const std::string, int>& m : c.over_memory()) {
+        c.log().line("FAULT: the process on " + m.first + " was over its memory " +
+                     std::to_string(m.second) + " times");
+        machines += m.second >= 3 ? 1 : 0;
+    }
+    return machines;
+}
+
+/// Returns whether a job's state couldn't be had; `asked` holds the last answer for each job.
+bool has_unanswered(cell& c, const std::map<std::string, int>& asked)
+{
+    bool lost = false;
+    for (const std::pair<const std::string, int>& a : asked) {
+        if (a.second != 200) {
+            lost = true;
+            c.log().line("LOST: the accepted job " + a.first +
+                         " was asked for 5 times, last answer " +
+                         (a.second == 0 ? "none" : std::to_string(a.second)));
+        }
+    }
+    return lost;
+}
+
+/// Returns whether a task began, or was at work, too late after its job's cancelling was
+/// acknowledged.
+bool has_unasked_run(cell& c, std::int64_t acknowledged_ms, std::int64_t thawed_ms)
+{
+    constexpr std::int64_t cancel_ms = 3000;
+    constexpr std::int64_t stop_timeout_ms = 900;
+    constexpr std::int64_t contact_ms = 3000;
+    bool unasked = false;
+    const std::int64_t gone_by = acknowledged_ms + cancel_ms + stop_timeout_ms;
+    const std::int64_t calm_from = thawed_ms + contact_ms;
+    for (const run_seen& r : c.workers().runs()) {
+        const std::int64_t end = r.ended_ms < 0 ? c.log().now_ms() : r.ended_ms;
+        const bool started_late = r.began_ms > acknowledged_ms + cancel_ms;
+        const bool runs_on = end > std::max(gone_by, calm_from + cancel_ms + stop_timeout_ms);
+        if (started_late || runs_on) {
+            unasked = true;
+            c.log().line("UNASKED: the cancelling was acknowledged at " +
+                         std::to_string(acknowledged_ms) + " ms; " + r.task + " began at " +
+                         std::to_string(r.began_ms) + " ms and was at work until " +
+                         std::to_string(end) + " ms or longer");
+        }
+    }
+    return unasked;
+}
+
 } // namespace
 
 /// A job runs. Another writer puts an entry into the list of executors: it names the machine of an
@@ -171,33 +276,7 @@
     if (!c.all_run() || !accepted || gone.empty()) {
         return c.finish(could_not_run);
     }
-    // The rule: from 6 s after its last run, a task that lasts isn't without a run for 3 s, if they
-    // and the 4 s before them are calm. Calm is counted from the restart of the member on.
-    const std::int64_t calm_from = killed_ms + 700;
-    bool lost = false;
-    for (int i = 0; i < tasks; ++i) {
-        const std::string task = id + ".0.0." + std::to_string(i);
-        std::int64_t ended = -1;
-        for (const run_seen& r : c.workers().runs()) {
-            if (r.task != task) {
-                continue;
-            }
-            if (ended >= 0) {
-                const std::int64_t from = std::max(ended + 6000, calm_from + 4000);
-                c.log().line(
-                    task + " had no run from " + std::to_string(ended) + " to " +
-                    std::to_string(r.began_ms) + " ms; counted from " + std::to_string(from) +
-                    " ms: " + std::to_string(std::max<std::int64_t>(0, r.began_ms - from)) +
-                    " ms (rule: less than 3000)");
-                lost = lost || r.began_ms - from >= 3000;
-            }
-            ended = r.ended_ms;
-        }
-        if (ended >= 0) {
-            c.log().line(task + " has no run since " + std::to_string(ended) + " ms");
-            lost = true;
-        }
-    }
+    const bool lost = had_no_run(c, id, tasks, killed_ms + 700);
     return c.finish(lost ? rule_broken : rule_held);
 }
 
@@ -262,7 +341,6 @@
 {
     constexpr int jobs = 600;
     constexpr int minutes_of_a_day = 1440;
-    constexpr int few = 8;
     c.workers().plan = [](const std::string&) { return work{millis(500)}; };
     if (!begin(c, 12)) {
         return c.finish(could_not_run);
@@ -272,26 +350,17 @@
     const std::string plain = "00000000000000aa";
     int sent = 0;
     int accepted = 0;
-    Json::Value step;
-    step["Count"] = 2;
-    step["Cpu"] = 2800;
-    step["MemMb"] = 5200;
-    step["EstMs"] = 500;
+    const Json::Value step = step_of_two();
     std::function<void()> next = [&] {
-        Json::Value job;
-        job["Spec"] = "place-hold";
-        job["Steps"].append(step);
-        job["Times"] = trouble ? minutes_of_a_day : few;
-        job["StartAtMs"] = static_cast<Json::Int64>(unix_ms() + 5000);
-        job["IntervalMs"] = 60000;
         std::string id = std::to_string(++sent);
         id.insert(0, 16 - id.size(), '0');
-        c.request("POST", cell::prefix + id, to_text(job), [&, id](int status, const std::string&) {
-            accepted += status == 200 ? 1 : 0;
-            if (status == 200 && accepted % 20 == 1) { // each twentieth is asked for
-                asked[id] = 0;
-            }
-        });
+        c.request("POST", cell::prefix + id, job_each_minute(step, trouble ? minutes_of_a_day : 8),
+                  [&, id](int status, const std::string&) {
+                      accepted += status == 200 ? 1 : 0;
+                      if (status == 200 && accepted % 20 == 1) { // each twentieth is asked for
+                          asked[id] = 0;
+                      }
+                  });
         if (sent < jobs) {
             c.loop().after(millis(50), next);
             return;
@@ -316,21 +385,8 @@
     if (!c.all_run() || accepted == 0) {
         return c.finish(could_not_run);
     }
-    int machines = 0;
-    for (const std::pair<const std::string, int>& m : c.over_memory()) {
-        c.log().line("FAULT: the process on " + m.first + " was over its memory " +
-                     std::to_string(m.second) + " times");
-        machines += m.second >= 3 ? 1 : 0;
-    }
-    bool lost = false;
-    for (const std::pair<const std::string, int>& a : asked) {
-        if (a.second != 200) {
-            lost = true;
-            c.log().line("LOST: the accepted job " + a.first +
-                         " was asked for 5 times, last answer " +
-                         (a.second == 0 ? "none" : std::to_string(a.second)));
-        }
-    }
+    const int machines = machines_over_memory(c);
+    const bool lost = has_unanswered(c, asked);
     c.log().line(std::to_string(machines) +
                  " machines whose process was over its memory three times or more");
     if (lost) {
@@ -346,9 +402,6 @@
     constexpr millis freeze{3500};
     constexpr millis patience{900};
     constexpr millis length{20000};
-    constexpr std::int64_t cancel_ms = 3000;
-    constexpr std::int64_t stop_timeout_ms = 900;
-    constexpr std::int64_t contact_ms = 3000;
     c.workers().plan = [length](const std::string&) { return work{length}; };
     if (!begin(c, 12)) {
         return c.finish(could_not_run);
@@ -395,21 +448,7 @@
     if (!c.all_run() || acknowledged_ms < 0) {
         return c.finish(could_not_run);
     }
-    bool unasked = false;
-    const std::int64_t gone_by = acknowledged_ms + cancel_ms + stop_timeout_ms;
-    const std::int64_t calm_from = thawed_ms + contact_ms;
-    for (const run_seen& r : c.workers().runs()) {
-        const std::int64_t end = r.ended_ms < 0 ? c.log().now_ms() : r.ended_ms;
-        const bool started_late = r.began_ms > acknowledged_ms + cancel_ms;
-        const bool runs_on = end > std::max(gone_by, calm_from + cancel_ms + stop_timeout_ms);
-        if (started_late || runs_on) {
-            unasked = true;
-            c.log().line("UNASKED: the cancelling was acknowledged at " +
-                         std::to_string(acknowledged_ms) + " ms; " + r.task + " began at " +
-                         std::to_string(r.began_ms) + " ms and was at work until " +
-                         std::to_string(end) + " ms or longer");
-        }
-    }
+    const bool unasked = has_unasked_run(c, acknowledged_ms, thawed_ms);
     return c.finish(unasked ? rule_broken : rule_held);
 }
 
--- a/review/lab3/cell.cc
+++ b/review/lab3/cell.cc
@@ -309,20 +309,20 @@
                       const std::string& body, millis patience,
                       const std::function<void(int, const std::string&)>& done)
 {
-    for (std::size_t m = 0; m < members_.size(); ++m) {
-        if (members_[m].name != member) {
-            continue;
-        }
-        log_.line("requester sends " + method + " " + path + " to " + member);
-        send(m, method, path, body, patience,
-             [this, member, method, path, done](int status, const std::string& answer) {
-                 log_.line(status == 0 ? "no answer to " + method + " " + path + " from " + member +
-                                             "; the requester leaves"
-                                       : member + " answers " + method + " " + path + ": " +
-                                             std::to_string(status) + " " + answer);
-                 done(status, answer);
-             });
+    const auto to = std::find_if(members_.begin(), members_.end(),
+                                 [&member](const auto& m) { return m.name == member; });
+    if (to == members_.end()) {
+        return;
     }
+    log_.line("requester sends " + method + " " + path + " to " + member);
+    send(static_cast<std::size_t>(to - members_.begin()), method, path, body, patience,
+         [this, member, method, path, done](int status, const std::string& answer) {
+             log_.line(status == 0 ? "no answer to " + method + " " + path + " from " + member +
+                                         "; the requester leaves"
+                                   : member + " answers " + method + " " + path + ": " +
+                                         std::to_string(status) + " " + answer);
+             done(status, answer);
+         });
 }
 
 std::vector<std::string> cell::member_names() const
