--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -21,6 +21,7 @@
 #include "workers.h"
 
 DEFINE_string(settings, "", "settings file, INI; default: the file named in SESAMESILL_SETTINGS");
+DEFINE_double(memory_mb, 0, "memory that this process may use; default: the setting memory_mb");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
@@ -50,7 +51,8 @@
           executors_(client_), advisor_(client_, settings.advisor),
           member_(loop,
                   {settings.name, settings.data_center, settings.peer_listen, settings.peer_address,
-                   settings.processor_share, settings.bounds, settings.link_mbps},
+                   settings.processor_share, settings.bounds, settings.link_mbps,
+                   settings.memory_mb},
                   pool_log_, executors_, advisor_),
           declared_(loop, operator_log_, platform::wire::configuration_key,
                     platform::decode_configuration, settings.bounds.configuration),
@@ -185,11 +187,12 @@
     gflags::SetVersionString(SESAMESILL_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::string path = settings_path();
-    const std::optional<pool::daemon_settings> settings =
+    std::optional<pool::daemon_settings> settings =
         read_settings_file(path, pool::parse_daemon_settings);
-    if (!settings) {
+    if (!settings || FLAGS_memory_mb < 0) {
         return exit_invalid_settings;
     }
+    settings->memory_mb = FLAGS_memory_mb > 0 ? FLAGS_memory_mb : settings->memory_mb;
     if (FLAGS_check) {
         std::cout << path << ": good\n";
         return 0;
@@ -198,7 +201,8 @@
     log_event(log_level::info, "starting",
               {{"version", SESAMESILL_VERSION},
                {"processor_share", settings->processor_share},
-               {"link_mbps", settings->link_mbps}});
+               {"link_mbps", settings->link_mbps},
+               {"memory_mb", settings->memory_mb}});
     event_loop loop;
     member_daemon daemon(loop, *settings);
     error why;
--- a/include/sesamesill/pool_admission.h
+++ b/include/sesamesill/pool_admission.h
@@ -54,6 +54,10 @@
 /// clients from returning at once.
 millis retry_after_outage(double objective_ms, double spread);
 
+/// Returns when a client may retry whose job doesn't fit into the memory for accepted work. Load:
+/// tasks at work end within seconds, and records of ended jobs are dropped all the time.
+millis retry_after_shortage(double spread);
+
 /// Returns a number from 0 to 1 that differs between jobs.
 double spread_of(const std::string& job_id);
 
--- a/include/sesamesill/pool_election.h
+++ b/include/sesamesill/pool_election.h
@@ -24,6 +24,7 @@
     endpoint address;        ///< where other members reach the leader
     std::uint64_t fence = 0; ///< offset of the claim plus one, as workers read 0 as no fence
     int members = 1;         ///< that it knew of when it claimed the lead
+    double memory_mb = 0;    ///< least of any of them, its own included; 0 if it isn't known
 };
 
 std::string encode(const leader_record& leader);
@@ -39,6 +40,7 @@
     std::uint64_t fence = 0; ///< fence of the newest claim that it knows
     bool leaving = false;    ///< it has begun a planned stop
     double processor_share = 1;
+    double memory_mb = 0; ///< that its process may use; 0 if it isn't known
 };
 
 /// How long after its last heartbeat a member counts as alive. It must exceed the heartbeat period,
--- a/include/sesamesill/pool_job.h
+++ b/include/sesamesill/pool_job.h
@@ -18,7 +18,7 @@
 constexpr std::size_t max_payload_bytes = 4000;    ///< the platform's limit for a payload
 constexpr int max_steps = 64;                      ///< bounds the memory that one job can take
 constexpr int max_tasks_per_step = 4096;           ///< bounds the memory that one step can take
-constexpr std::int64_t max_tasks_per_job = 50'000; ///< over all occurrences; these take about 10 MB
+constexpr std::int64_t max_tasks_per_job = 50'000; ///< over all occurrences
 
 /// A set of equal tasks.
 struct step_spec {
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -18,6 +18,7 @@
 #include "sesamesill/pool_election.h"
 #include "sesamesill/pool_follower.h"
 #include "sesamesill/pool_job.h"
+#include "sesamesill/pool_memory.h"
 #include "sesamesill/pool_ports.h"
 #include "sesamesill/pool_scheduler.h"
 #include "sesamesill/pool_writer.h"
@@ -31,7 +32,8 @@
     endpoint peer_address;      ///< where other members reach this one
     double processor_share = 1; ///< in cores
     platform_bounds bounds;
-    double link_mbps = 0; ///< of this member's network link; 0 if it isn't known
+    double link_mbps = 0;                 ///< of this member's network link; 0 if it isn't known
+    double memory_mb = default_memory_mb; ///< that this process may use
 };
 
 enum class submit_verdict : std::uint8_t {
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -1,8 +1,10 @@
 // The progress of one accepted job: the phase and failures of each task, and the part of this state
-// that is stored for a later leader.
+// that is stored for a later leader. Only occurrences that are open have tasks: one that isn't due
+// is known by its number, and one whose tasks are all done by a mark.
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,6 +15,7 @@
 #include <json/json.h>
 
 #include "sesamesill/clock.h"
+#include "sesamesill/json.h"
 #include "sesamesill/pool_job.h"
 #include "sesamesill/pool_ports.h"
 
@@ -62,8 +65,8 @@
     std::vector<step_record> steps;
 };
 
-/// The progress of a job. Invariant: a step's tasks leave `waiting` only when all steps in its
-/// `after` list are done.
+/// The progress of a job. Invariants: a step's tasks leave `waiting` only when all steps in its
+/// `after` list are done; no occurrence is both open and complete.
 class job_progress {
 public:
     job_progress(job_spec spec, std::int64_t accepted_ms, time_point accepted);
@@ -75,20 +78,31 @@
     /// Returns the earliest start of the occurrence; the time of acceptance if the job has no
     /// times.
     time_point due(int occurrence) const;
-    int occurrences() const { return static_cast<int>(occurrences_.size()); }
+    int occurrences() const { return std::max(1, spec_.occurrences); }
+    /// The occurrences that have tasks, by number.
+    const std::map<int, occurrence_record>& open_occurrences() const { return open_; }
+    bool is_open(int occurrence) const { return open_.count(occurrence) > 0; }
+    /// Returns whether all tasks of the occurrence are done.
+    bool is_complete(int occurrence) const;
+    /// Adds the tasks of an occurrence, unless it's open or complete.
+    void open(int occurrence);
+    /// Returns a step of an open occurrence.
     step_record& step_at(int occurrence, int number)
     {
-        return occurrences_[static_cast<std::size_t>(occurrence)]
-            .steps[static_cast<std::size_t>(number)];
+        return open_.at(occurrence).steps[static_cast<std::size_t>(number)];
     }
     const step_record& step_at(int occurrence, int number) const
     {
-        return occurrences_[static_cast<std::size_t>(occurrence)]
-            .steps[static_cast<std::size_t>(number)];
+        return open_.at(occurrence).steps[static_cast<std::size_t>(number)];
     }
-    /// Returns the task, or null if the job has no such task.
+    /// Returns whether all tasks of the step are done.
+    bool is_step_done(int occurrence, int number) const;
+    /// Returns whether the job has such a task, in an open occurrence or not.
+    bool has_task(const task_id& id) const;
+    /// Returns the task, or null if the job has no such task or its occurrence isn't open.
     task_record* find(const task_id& id);
-    /// Returns whether all steps in the step's `after` list are done.
+    const task_record* find(const task_id& id) const;
+    /// Returns whether all steps in the step's `after` list are done, in an open occurrence.
     bool is_ready(int occurrence, int number) const;
     /// Returns whether a start of any task was ever sent, or has begun.
     bool is_ordered() const { return ordered_ || begun_; }
@@ -110,12 +124,18 @@
     /// does.
     bool fail_if_exhausted(int step, int max_attempts);
     void cancel() { state_ = job_state::cancelled; }
-
-    /// Returns the number of parts that the stored progress has at most.
-    int parts() const;
+    /// Sets the checkpoint from which the task resumes.
+    void set_checkpoint(task_record& task, std::string checkpoint);
+    /// Drops the tasks of a job in a final state, and what only its starts needed.
+    void drop_tasks();
+    /// Returns the estimated bytes of checkpoints and failures.
+    std::size_t accumulated_bytes() const { return task_growth_; }
+
+    /// Returns the numbers of the parts that may be stored.
+    const std::set<int>& stored_parts() const { return stored_parts_; }
     /// Marks the part that covers the task, or its whole gang, as changed.
     void mark_unsaved(const task_id& id);
-    void mark_unsaved(int part) { unsaved_parts_.insert(part); }
+    void mark_unsaved(int part);
     /// Returns the parts that have changed since the last call.
     std::set<int> take_unsaved();
     /// Returns the state of a part that a later leader can't get from workers, in stored form.
@@ -128,17 +148,24 @@
     int part_of(const task_id& id) const;
     std::string saved(int part, bool with_checkpoints) const;
     void restore_part(int part, const Json::Value& saved);
+    void write_complete(json_writer& out, int begin, int end) const;
+    void restore_complete(int part, const Json::Value& ranges);
+    void mark_complete(int occurrence);
+    void close_if_complete(int occurrence);
     void set_phase(step_record& step, task_record& task, task_phase phase);
     void update_state();
 
     job_spec spec_;
     std::int64_t accepted_ms_; ///< Unix time
     time_point accepted_;
-    std::vector<occurrence_record> occurrences_;
+    std::map<int, occurrence_record> open_; ///< by number
+    std::vector<bool> complete_;            ///< by occurrence; may end before the last one
+    std::size_t task_growth_ = 0;           ///< estimated bytes of checkpoints and failures
     std::vector<int> first_tasks_; ///< by step: its first task's position within its occurrence
     int tasks_per_occurrence_ = 0;
     std::int64_t unfinished_tasks_; ///< of all occurrences
     std::set<int> unsaved_parts_;
+    std::set<int> stored_parts_;
     job_state state_ = job_state::queued;
     bool ordered_ = false;
     bool begun_ = false;
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -21,8 +21,10 @@
 
 #include "sesamesill/clock.h"
 #include "sesamesill/pool_admission.h"
+#include "sesamesill/pool_ended.h"
 #include "sesamesill/pool_evidence.h"
 #include "sesamesill/pool_job.h"
+#include "sesamesill/pool_memory.h"
 #include "sesamesill/pool_order.h"
 #include "sesamesill/pool_ports.h"
 #include "sesamesill/pool_progress.h"
@@ -40,6 +42,8 @@
     started,
     starts_held, ///< no task starts until the worker directory has been read again
     starts_resumed,
+    occurrences_held, ///< due occurrences wait until accepted work takes less memory
+    occurrences_resumed,
     start_failed,
     start_repeated,
     start_confirmed, ///< logged only for a start that was sent more than once
@@ -131,6 +135,9 @@
     scheduler& operator=(scheduler&&) = default;
 
     std::uint64_t fence() const { return fence_; }
+    /// Sets how many bytes accepted work may take. What is accepted already stays.
+    void limit_memory(std::size_t bytes) { memory_->set_limit(bytes); }
+    const memory_account& memory() const { return *memory_; }
     void configure(const configuration& config, time_point now);
 
     /// Restores a job from the records of a predecessor; `job` is null for a finished job.
@@ -165,6 +172,11 @@
     admission_answer admit(const job_spec& spec, time_point now) const;
     /// Returns the time within which the job should end; 0 if its queue isn't known.
     double objective_ms(const job_spec& spec) const;
+    /// Charges the memory of a job whose record is being stored. Release it after `add`.
+    memory_charge reserve(const job_spec& spec)
+    {
+        return memory_charge(*memory_, bytes_when_accepted(spec));
+    }
     /// Returns the job as it's accepted now, with the present policy of its queue.
     job_record accepted(const job_spec& spec, std::int64_t wall_ms) const;
     /// Returns the record that must be stored before the job is added.
@@ -228,7 +240,7 @@
     /// exists.
     bool fenced() const { return fenced_; }
     std::size_t unverified_workers() const { return unverified_workers_.size(); }
-    std::size_t jobs() const { return jobs_.size(); }
+    std::size_t jobs() const { return jobs_.size() + ended_jobs_.size(); }
     std::size_t queued_steps() const { return waiting_steps_.size(); }
     const std::map<std::string, worker>& workers() const { return workers_; }
 
@@ -245,10 +257,12 @@
         /// The queue's policy when the job was accepted; missing for jobs of earlier versions.
         std::optional<queue_policy> terms;
         bool inherited = false;
-        bool final_stored = false;
         std::int64_t final_ms = 0;       ///< Unix time of the final state's record
         bool counted_as_waiting = false; ///< in `waiting_jobs_`: no task has been started
-        int next_occurrence = 0;         ///< the first one that wasn't due yet
+        /// The first occurrence that wasn't due yet, or that waits for memory.
+        int next_occurrence = 0;
+        job_memory memory{};
+        memory_charge charge{};
     };
 
     const queue_policy* queue_of(const std::string& name) const;
@@ -268,13 +282,18 @@
     bool may_send_starts(time_point now) const;
     void update_hold(time_point now);
     void prepare_send(worker& w, run_record& run, start_order& order, time_point now);
-    void add_due_occurrences(job_entry& entry, time_point now);
+    job_entry entry_of(job_progress progress, std::optional<queue_policy> terms);
+    void update_charge(job_entry& entry);
+    bool may_open_next(const job_entry& entry) const;
+    void open_next_occurrence(job_entry& entry, time_point now);
+    void add_restored_steps(job_entry& entry, time_point now);
+    void schedule_next_occurrence(job_entry& entry);
+    void keep_checkpoint(job_entry& entry, task_record& task, const std::string& checkpoint);
     void add_ready_steps(job_entry& entry, int occurrence, time_point now);
-    void add_due_steps(time_point now);
+    void open_due_occurrences(time_point now);
     std::size_t max_progress_bytes() const;
     void remove_waiting_steps(const std::string& job);
     void update_waiting_count(job_entry& entry);
-    void retain(const std::string& id, job_entry& entry);
     backlog backlog_of(const job_spec& spec, const queue_policy& queue, time_point now) const;
     void update_rank(waiting_step& ws, time_point now);
     int max_concurrent_tasks(const step_spec& step, const queue_policy& queue) const;
@@ -320,6 +339,7 @@
                               order_verdict verdict, time_point now);
     void handle_rows(worker& w, const worker_report& report, time_point now);
     void handle_end(worker& w, const ended_task& end, time_point now);
+    void note_outcome(worker& w, const std::string& job, end_reason how, time_point now);
     void handle_task_end(worker& w, job_entry& entry, const task_id& id, const ended_task& end,
                          bool current, time_point now);
     void handle_running(worker& w, const running_task& row, time_point now);
@@ -328,6 +348,7 @@
     void release_task(job_entry& entry, const task_id& id, time_point now);
     bool drop_run(worker& w, const std::string& task, std::int64_t run);
     const step_spec* step_of(const task_id& id) const;
+    std::optional<resources> capacity_of(const task_id& id) const;
     void update_progress_rate(worker& w, const worker_report& report, time_point now);
     void move_slow_runs(const worker& w, const worker_report& report, time_point now);
     void release_missing_runs(worker& w, const worker_report& report, const run_evidence& evidence,
@@ -354,6 +375,9 @@
     void restart_gang_if_broken(job_entry& entry, const task_id& id, time_point now);
 
     std::uint64_t fence_;
+    /// Declared before all that holds charges.
+    std::unique_ptr<memory_account> memory_ =
+        std::make_unique<memory_account>(accepted_work_limit(default_memory_mb));
     std::uint64_t highest_fence_; ///< that an order may have
     platform_bounds bounds_;
     configuration config_;
@@ -363,12 +387,11 @@
     std::unordered_map<std::string, worker_number> worker_numbers_; ///< of all workers ever listed
     std::vector<worker*> workers_by_number_;  ///< null for workers that were removed
     std::set<std::string> workers_with_ends_; ///< their ends aren't all acknowledged
-    std::map<std::string, job_entry> jobs_;
+    std::map<std::string, job_entry> jobs_;   ///< those whose final state isn't stored yet
     /// Runs that are being stopped while their task has another, current run: worker and run number
     /// by task. Invariant: a waiting task has no run on any worker.
     std::multimap<std::string, std::pair<std::string, std::int64_t>> surplus_runs_;
-    /// Jobs whose final state is stored, by the Unix time of its record in ms.
-    std::set<std::pair<std::int64_t, std::string>> retained_jobs_;
+    ended_jobs ended_jobs_; ///< none of them is in `jobs_`
     /// Number of jobs with `counted_as_waiting`, by queue.
     std::unordered_map<std::string, int> waiting_jobs_;
     std::map<std::string, waiting_step> waiting_steps_; ///< ready steps that aren't done, by name
@@ -376,6 +399,7 @@
     time_point advice_requests_since_;
     std::vector<worker_number> by_room_; ///< may contain workers that were removed since
     time_point by_room_since_;
+    bool occurrences_held_ = false; ///< due occurrences wait for memory
     /// Next occurrence of each job that has times, by due time and job id.
     std::set<std::pair<time_point, std::string>> due_occurrences_;
     std::set<std::string> dirty_;              ///< jobs whose progress must be recorded
--- a/include/sesamesill/pool_settings.h
+++ b/include/sesamesill/pool_settings.h
@@ -24,7 +24,8 @@
     endpoint advisor;
     double processor_share = 1; ///< share of a core that this member may use
     platform_bounds bounds;
-    double link_mbps = 0; ///< of this member's network link; 0 if it isn't known
+    double link_mbps = 0;                 ///< of this member's network link; 0 if it isn't known
+    double memory_mb = default_memory_mb; ///< that this member's process may use
 };
 
 /// Returns the settings, or nothing if there are faults, and appends every fault found to `faults`.
--- a/src/pool_admission.cc
+++ b/src/pool_admission.cc
@@ -66,6 +66,12 @@
     return std::clamp(after, min_retry_after, longest);
 }
 
+millis retry_after_shortage(double spread)
+{
+    constexpr double shortest_ms = 5000;
+    return millis(static_cast<std::int64_t>(shortest_ms * (1 + spread)));
+}
+
 double spread_of(const std::string& job_id)
 {
     constexpr std::size_t steps = 1000;
--- a/src/pool_election.cc
+++ b/src/pool_election.cc
@@ -20,6 +20,7 @@
     value["incarnation"] = leader.incarnation;
     value["address"] = to_string(leader.address);
     value["members"] = leader.members;
+    value["memory_mb"] = leader.memory_mb;
     return to_text(value);
 }
 
@@ -35,10 +36,14 @@
         return std::nullopt;
     }
     const Json::Value& members = (*parsed)["members"]; // missing in older records
+    const Json::Value& memory = (*parsed)["memory_mb"];
     constexpr int max_members = 10000;
-    return leader_record{(*parsed)["name"].asString(), (*parsed)["incarnation"].asString(),
-                         *address, offset + 1,
-                         members.isInt() ? std::clamp(members.asInt(), 1, max_members) : 1};
+    return leader_record{(*parsed)["name"].asString(),
+                         (*parsed)["incarnation"].asString(),
+                         *address,
+                         offset + 1,
+                         members.isInt() ? std::clamp(members.asInt(), 1, max_members) : 1,
+                         memory.isNumeric() ? std::max(0.0, memory.asDouble()) : 0};
 }
 
 const std::pair<const std::string, peer>* successor_among(const std::map<std::string, peer>& peers,
--- a/src/pool_follower.cc
+++ b/src/pool_follower.cc
@@ -185,7 +185,11 @@
             load_end_ = r.end; // records appended during the load are read again from here
         }
         for (const keyed_record& record : r.records) {
-            loading_.insert_or_assign(loading_.end(), record.key, record); // in key order
+            const auto known = values_.find(record.key);
+            const bool is_new = known == values_.end() || known->second.offset < record.offset;
+            // Of a record that is known, only the key is needed: it hasn't been removed.
+            loading_.insert_or_assign(loading_.end(), record.key, // in key order
+                                      is_new ? record : keyed_record{record.key, "", 0});
         }
         if (r.more && !r.records.empty()) {
             load(r.records.back().key);
@@ -226,8 +230,10 @@
     }
     std::map<std::string, keyed_record> loaded;
     loaded.swap(loading_);
-    for (const std::pair<const std::string, keyed_record>& record : loaded) {
-        apply(record.second);
+    while (!loaded.empty()) { // each copy is dropped before the next one is made
+        const keyed_record record = std::move(loaded.begin()->second);
+        loaded.erase(loaded.begin());
+        apply(record);
     }
     applying_load_ = false;
 }
--- a/src/pool_gangs.cc
+++ b/src/pool_gangs.cc
@@ -76,10 +76,11 @@
     int index = 0;
     for (std::size_t i = 0; i < counts.size(); ++i) {
         for (int n = 0; n < counts[i]; ++n) {
-            step.tasks[static_cast<std::size_t>(index)].checkpoint = checkpoint;
+            job.set_checkpoint(step.tasks[static_cast<std::size_t>(index)], checkpoint);
             start_task(ws, index++, *candidates[i].target, run, now);
         }
     }
+    update_charge(jobs_.at(ws.first.job));
 }
 
 /// Returns the expected end of the run, based on its progress if that is known.
@@ -99,12 +100,11 @@
     if (step.long_running) {
         return now + long_running_run;
     }
-    const task_record& task = job.step_at(run.task.occurrence, run.task.step)
-                                  .tasks[static_cast<std::size_t>(run.task.index)];
+    const task_record* task = job.find(run.task);
     double length_ms = estimate_ms(job.spec().queue, step);
-    if (task.percent >= min_percent) {
+    if (task != nullptr && task->percent >= min_percent) {
         length_ms =
-            static_cast<double>(to_millis(task.advanced - run.ordered_at)) * 100 / task.percent;
+            static_cast<double>(to_millis(task->advanced - run.ordered_at)) * 100 / task->percent;
     }
     return std::max(now + overdue_run,
                     run.ordered_at + millis(static_cast<std::int64_t>(length_ms)));
--- a/src/pool_heartbeats.cc
+++ b/src/pool_heartbeats.cc
@@ -55,7 +55,8 @@
     for (const std::string& name : addresses.getMemberNames()) {
         const std::optional<endpoint> address = endpoint_from(addresses[name][0].asString());
         if (address && name != settings.name) {
-            known_peers[name] = {*address, addresses[name][1].asDouble()};
+            known_peers[name] = {*address, addresses[name][1].asDouble(),
+                                 addresses[name][2].asDouble()};
         }
     }
     const bool has_larger_peer =
@@ -206,6 +207,7 @@
     params["leaving"] = leaving;
     params["peers_known"] = static_cast<Json::UInt64>(known_peers.size());
     params["processor_share"] = settings.processor_share;
+    params["memory_mb"] = settings.memory_mb;
     params["fence"] = static_cast<Json::UInt64>(leader_election.leader()->fence);
     add_configuration(params);
     call_rpc(peers, leader_election.leader()->address, "heartbeat", params, heartbeat_timeout,
@@ -265,19 +267,22 @@
         seen.store_read_took = millis(params["read_took_ms"].asInt64());
         seen.leaving = params["leaving"].asBool();
         seen.processor_share = params["processor_share"].asDouble();
+        seen.memory_mb = params["memory_mb"].asDouble();
         seen.fence = params["fence"].asUInt64();
         lead->on_peer(params["name"].asString(), seen);
     }
-    known_peers[params["name"].asString()] = {*address, params["processor_share"].asDouble()};
+    known_peers[params["name"].asString()] = {*address, params["processor_share"].asDouble(),
+                                              params["memory_mb"].asDouble()};
     learn_configuration(params, params["name"].asString(), *address, std::nullopt);
     Json::Value answer;
     const auto add_peer = [&answer](const std::string& name, const known_peer& p) {
         Json::Value row;
         row.append(to_string(p.address));
         row.append(p.processor_share);
+        row.append(p.memory_mb);
         answer["peers"][name] = row;
     };
-    add_peer(settings.name, {settings.peer_address, settings.processor_share});
+    add_peer(settings.name, {settings.peer_address, settings.processor_share, settings.memory_mb});
     if (params["peers_known"].asUInt64() != known_peers.size()) {
         for (const std::pair<const std::string, known_peer>& p : known_peers) {
             add_peer(p.first, p.second);
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -37,6 +37,30 @@
     }
 }
 
+/// The records of a job, which the caller keeps.
+struct stored_job {
+    const std::string* job = nullptr;            ///< null for a finished job
+    std::map<int, const keyed_record*> progress; ///< by number of the part
+};
+
+/// Parses the progress of one job. Parsed records take several times the memory of their text, so
+/// those of one job are parsed at a time.
+progress_parts parsed_progress(const stored_job& job)
+{
+    progress_parts parts;
+    for (const std::pair<const int, const keyed_record*>& part : job.progress) {
+        std::optional<Json::Value> value = json_from(part.second->value);
+        if (!value || !value->isObject()) {
+            log_event(log_level::warning, "record_unreadable",
+                      {{"key", part.second->key},
+                       {"offset", static_cast<std::int64_t>(part.second->offset)}});
+            continue;
+        }
+        parts[part.first] = std::move(*value);
+    }
+    return parts;
+}
+
 } // namespace
 
 std::int64_t wall_clock_ms()
@@ -84,8 +108,9 @@
 {
     const time_point now = boot_clock::now();
     const std::int64_t wall_ms = wall_clock_ms();
+    limit_memory(self_.memory_mb);
     scheduler_.configure(config, boot_clock::now());
-    std::map<std::string, std::pair<const std::string*, progress_parts>> jobs;
+    std::map<std::string, stored_job> jobs;
     for (const std::pair<const std::string, keyed_record>& r : records) {
         const std::optional<std::string> worker = strip_prefix(r.first, worker_prefix);
         if (worker) {
@@ -94,29 +119,25 @@
         }
         const std::optional<std::string> job = strip_prefix(r.first, job_prefix);
         if (job) {
-            jobs[*job].first = &r.second.value;
+            jobs[*job].job = &r.second.value;
             continue;
         }
         const std::optional<progress_name> progress = progress_name_from(r.first);
-        if (!progress) {
-            continue;
-        }
-        std::optional<Json::Value> value = json_from(r.second.value);
-        if (!value || !value->isObject()) {
-            log_event(log_level::warning, "record_unreadable",
-                      {{"key", r.first}, {"offset", static_cast<std::int64_t>(r.second.offset)}});
-            continue;
+        if (progress) {
+            jobs[progress->job].progress[progress->part] = &r.second;
         }
-        jobs[progress->job].second[progress->part] = std::move(*value);
     }
     for (const worker_entry& entry : known_workers) {
         scheduler_.list_worker(entry, now);
         add_polls_of(entry.id);
     }
-    for (const std::pair<const std::string, std::pair<const std::string*, progress_parts>>& j :
-         jobs) {
+    for (const std::pair<const std::string, stored_job>& j : jobs) {
+        const progress_parts progress = parsed_progress(j.second);
+        if (j.second.job == nullptr && progress.empty()) {
+            continue; // none of its records can be read
+        }
         try {
-            scheduler_.restore(j.first, j.second.first, j.second.second, wall_ms, now);
+            scheduler_.restore(j.first, j.second.job, progress, wall_ms, now);
         }
         catch (const Json::Exception& e) {
             log_event(log_level::warning, "record_unreadable",
@@ -131,6 +152,7 @@
               {{"fence", static_cast<std::int64_t>(self_.fence)},
                {"jobs", static_cast<std::int64_t>(jobs.size())},
                {"workers", static_cast<std::int64_t>(known_workers.size())},
+               {"accepted_work_bytes", static_cast<std::int64_t>(scheduler_.memory().used())},
                {"directory_age_ms", scheduler_.directory_age(now).count()}});
     tick();
     schedule_update();
@@ -183,6 +205,22 @@
 void leader::on_peer(const std::string& name, const peer& seen)
 {
     peers_[name] = seen;
+    if (seen.memory_mb > 0) {
+        limit_memory(seen.memory_mb);
+    }
+}
+
+/// Accepts no more work than a successor with this much memory can restore.
+void leader::limit_memory(double memory_mb)
+{
+    if (least_memory_mb_ == 0 || memory_mb < least_memory_mb_) {
+        least_memory_mb_ = memory_mb;
+        scheduler_.limit_memory(accepted_work_limit(memory_mb));
+        log_event(
+            log_level::info, "memory_limit",
+            {{"memory_mb", memory_mb},
+             {"accepted_work_bytes", static_cast<std::int64_t>(scheduler_.memory().limit())}});
+    }
 }
 
 void leader::schedule_update()
@@ -249,6 +287,12 @@
     process_metrics().gauge("sesamesill_pool_loop_lag_seconds",
                             "Longest delay of the leader's timers within the last seconds") =
         static_cast<double>(loop_lag_.worst(now).count()) / ms_per_second;
+    process_metrics().gauge("sesamesill_pool_accepted_work_bytes",
+                            "Estimated memory of accepted work") =
+        static_cast<double>(scheduler_.memory().used());
+    process_metrics().gauge("sesamesill_pool_accepted_work_limit_bytes",
+                            "Limit of the estimated memory of accepted work") =
+        static_cast<double>(scheduler_.memory().limit());
     process_metrics().gauge("sesamesill_pool_start_window",
                             "Starts that may be without an answer at a time") =
         start_window_.size();
@@ -286,7 +330,7 @@
     if (writing_) {
         return;
     }
-    const record_batch batch = scheduler_.take_records(wall_clock_ms());
+    record_batch batch = scheduler_.take_records(wall_clock_ms());
     if (batch.empty()) {
         return;
     }
@@ -295,25 +339,30 @@
         return;
     }
     writing_ = true;
-    writer_.add(batch.records, millis(0), [this, alive = alive_, batch](write_outcome outcome) {
-        if (!*alive) {
-            return;
-        }
-        writing_ = false;
-        if (outcome != write_outcome::stored) {
-            scheduler_.on_batch_failed(batch);
-            answer_cancels(batch.final_jobs, false);
-            return;
-        }
-        scheduler_.on_batch_stored(batch);
-        answer_cancels(batch.final_jobs, true);
-        if (scheduler_.workers().size() <= large_pool_workers) {
-            for (const std::pair<const std::string, covered_end>& end : batch.ends) {
-                poll_at_once(end.first);
-            }
-        }
-        schedule_update();
-    });
+    std::vector<keyed_record> records = batch.records;
+    for (keyed_record& r : batch.records) {
+        std::string().swap(r.value); // the writer has it; the outcome needs the keys
+    }
+    writer_.add(std::move(records), millis(0),
+                [this, alive = alive_, batch](write_outcome outcome) {
+                    if (!*alive) {
+                        return;
+                    }
+                    writing_ = false;
+                    if (outcome != write_outcome::stored) {
+                        scheduler_.on_batch_failed(batch);
+                        answer_cancels(batch.final_jobs, false);
+                        return;
+                    }
+                    scheduler_.on_batch_stored(batch);
+                    answer_cancels(batch.final_jobs, true);
+                    if (scheduler_.workers().size() <= large_pool_workers) {
+                        for (const std::pair<const std::string, covered_end>& end : batch.ends) {
+                            poll_at_once(end.first);
+                        }
+                    }
+                    schedule_update();
+                });
 }
 
 void leader::log_decisions()
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -81,12 +81,14 @@
     };
     struct pending_submit {
         std::vector<std::function<void(submit_answer)>> waiting;
+        memory_charge reserved; ///< until the scheduler has the job
     };
     struct caller {
         bool busy = false;
     };
 
     void restore_worker(const std::string& id, const keyed_record& record, time_point now);
+    void limit_memory(double memory_mb);
     /// Runs update() after a short delay, which gathers several events into one update.
     void schedule_update();
     void update();
@@ -141,6 +143,7 @@
     send_window start_window_;
     byte_budget start_budget_;
     byte_budget poll_budget_;
+    double least_memory_mb_ = 0; ///< of any member that is known; 0 before `restore`
     double mean_start_bytes_ = 0;
     double start_bytes_in_flight_ = 0;
     lag_meter loop_lag_;   ///< of this member's event loop
--- a/src/pool_leader_requests.cc
+++ b/src/pool_leader_requests.cc
@@ -73,7 +73,9 @@
               outage_retry});
         return;
     }
-    submits_[spec.id].waiting.push_back(std::move(done));
+    pending_submit& submit = submits_[spec.id];
+    submit.waiting.push_back(std::move(done));
+    submit.reserved = scheduler_.reserve(spec);
     writer_.add({std::move(record)}, submit_timeout,
                 [this, alive = alive_, job, request, outage_retry](write_outcome outcome) {
                     if (!*alive) {
@@ -81,6 +83,7 @@
                     }
                     submit_answer answer;
                     if (outcome == write_outcome::stored) {
+                        submits_[job.spec.id].reserved = memory_charge();
                         scheduler_.add(job, boot_clock::now());
                         answer.verdict = submit_verdict::accepted;
                     }
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -56,6 +56,7 @@
     value["incarnation"] = leader.incarnation;
     value["address"] = to_string(leader.address);
     value["fence"] = static_cast<Json::UInt64>(leader.fence);
+    value["memory_mb"] = leader.memory_mb;
     return value;
 }
 
@@ -110,6 +111,23 @@
     return leader_election.leader() ? leader_election.leader()->members : 1;
 }
 
+/// Returns the least memory of any member's process: what this one accepts, each later leader must
+/// be able to restore. Before the first answer of a leader, as much as the last leader knew.
+double member::parts::least_memory_mb() const
+{
+    double least = settings.memory_mb;
+    const auto take = [&least](double memory_mb) {
+        least = memory_mb > 0 ? std::min(least, memory_mb) : least;
+    };
+    for (const std::pair<const std::string, known_peer>& p : known_peers) {
+        take(p.second.memory_mb);
+    }
+    if (known_peers.empty() && leader_election.leader()) {
+        take(leader_election.leader()->memory_mb);
+    }
+    return least;
+}
+
 /// Reads who leads, then loads the whole log after a delay that differs between members. Requests
 /// can be forwarded to the leader before the log is loaded.
 void member::parts::load()
@@ -177,8 +195,8 @@
 
 void member::parts::append_claim()
 {
-    const leader_record self{settings.name, incarnation, settings.peer_address, 0,
-                             expected_members()};
+    const leader_record self{settings.name,      incarnation,      settings.peer_address, 0,
+                             expected_members(), least_memory_mb()};
     constexpr millis claim_timeout{1000};
     log.append({{leader_key, encode(self), 0}}, follower.next(), claim_timeout,
                [this](const append_result& r) {
@@ -209,8 +227,8 @@
 
 void member::parts::take_lead(std::uint64_t claim_offset)
 {
-    const leader_record self{settings.name, incarnation, settings.peer_address, claim_offset + 1,
-                             expected_members()};
+    const leader_record self{settings.name,    incarnation,        settings.peer_address,
+                             claim_offset + 1, expected_members(), least_memory_mb()};
     leader_election.on_lead_taken();
     follower.apply_records({{leader_key, encode(self), claim_offset}});
     lead = std::make_unique<leader>(
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -28,6 +28,7 @@
 struct known_peer {
     endpoint address;
     double processor_share = 1;
+    double memory_mb = 0; ///< that its process may use; 0 if it isn't known
 };
 
 /// A worker that has left the directory; its runs may go on until its lease expires.
@@ -110,6 +111,7 @@
     void on_record(const keyed_record& record);
     void heartbeat();
     int expected_members() const;
+    double least_memory_mb() const;
     void start_follower();
     bool has_leader_contact(time_point now) const;
     void load();
--- a/src/pool_progress.cc
+++ b/src/pool_progress.cc
@@ -3,8 +3,10 @@
 #include "sesamesill/pool_progress.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "sesamesill/json.h"
+#include "sesamesill/pool_memory.h"
 
 namespace sesamesill::pool {
 namespace {
@@ -34,6 +36,12 @@
     out.EndArray();
 }
 
+/// Returns whether all tasks of the step are done.
+bool is_done(const step_record& step)
+{
+    return step.done == static_cast<int>(step.tasks.size());
+}
+
 /// Returns whether a later leader needs more of the task than that it isn't done.
 bool has_state_to_keep(const task_record& task)
 {
@@ -111,13 +119,6 @@
 job_progress::job_progress(job_spec spec, std::int64_t accepted_ms, time_point accepted)
     : spec_(std::move(spec)), accepted_ms_(accepted_ms), accepted_(accepted)
 {
-    occurrences_.assign(static_cast<std::size_t>(std::max(1, spec_.occurrences)),
-                        new_occurrence(spec_));
-    for (occurrence_record& o : occurrences_) {
-        for (step_record& s : o.steps) {
-            s.ready_since = accepted;
-        }
-    }
     for (const step_spec& s : spec_.steps) {
         first_tasks_.push_back(tasks_per_occurrence_);
         tasks_per_occurrence_ += s.tasks;
@@ -131,24 +132,75 @@
     return spec_.occurrences > 0 ? accepted_ + millis(ms - accepted_ms_) : accepted_;
 }
 
-task_record* job_progress::find(const task_id& id)
+bool job_progress::is_complete(int occurrence) const
+{
+    const std::size_t index = static_cast<std::size_t>(occurrence);
+    return index < complete_.size() && complete_[index];
+}
+
+void job_progress::open(int occurrence)
 {
-    if (id.occurrence >= occurrences() || id.step >= static_cast<int>(spec_.steps.size())) {
-        return nullptr;
+    if (!is_complete(occurrence) && !is_open(occurrence)) {
+        open_.emplace(occurrence, new_occurrence(spec_));
     }
-    step_record& step = step_at(id.occurrence, id.step);
-    return id.index < static_cast<int>(step.tasks.size())
-               ? &step.tasks[static_cast<std::size_t>(id.index)]
+}
+
+void job_progress::mark_complete(int occurrence)
+{
+    const std::size_t index = static_cast<std::size_t>(occurrence);
+    if (complete_.size() <= index) {
+        complete_.resize(index + 1, false);
+    }
+    complete_[index] = true;
+}
+
+/// Replaces an open occurrence without unfinished tasks by a mark.
+void job_progress::close_if_complete(int occurrence)
+{
+    const std::vector<step_record>& steps = open_.at(occurrence).steps;
+    if (!std::all_of(steps.begin(), steps.end(), is_done)) {
+        return;
+    }
+    for (const step_record& step : steps) {
+        for (const task_record& task : step.tasks) {
+            task_growth_ -=
+                checkpoint_bytes(task.checkpoint.size()) + failure_bytes * task.failed_runs.size();
+        }
+        task_growth_ -= failure_bytes * step.failed_runs.size();
+    }
+    open_.erase(occurrence);
+    mark_complete(occurrence);
+}
+
+bool job_progress::is_step_done(int occurrence, int number) const
+{
+    return is_complete(occurrence) || (is_open(occurrence) && is_done(step_at(occurrence, number)));
+}
+
+bool job_progress::has_task(const task_id& id) const
+{
+    return id.occurrence >= 0 && id.occurrence < occurrences() && id.step >= 0 &&
+           id.step < static_cast<int>(spec_.steps.size()) && id.index >= 0 &&
+           id.index < spec_.steps[static_cast<std::size_t>(id.step)].tasks;
+}
+
+task_record* job_progress::find(const task_id& id)
+{
+    return const_cast<task_record*>(std::as_const(*this).find(id));
+}
+
+const task_record* job_progress::find(const task_id& id) const
+{
+    return has_task(id) && is_open(id.occurrence)
+               ? &step_at(id.occurrence, id.step).tasks[static_cast<std::size_t>(id.index)]
                : nullptr;
 }
 
 bool job_progress::is_ready(int occurrence, int number) const
 {
     const std::vector<int>& after = spec_.steps[static_cast<std::size_t>(number)].after;
-    return std::all_of(after.begin(), after.end(), [&](int earlier) {
-        const step_record& s = step_at(occurrence, earlier);
-        return s.done == static_cast<int>(s.tasks.size());
-    });
+    return std::all_of(after.begin(), after.end(),
+                       [&](int earlier) { return is_done(step_at(occurrence, earlier)); });
 }
 
 void job_progress::set_phase(step_record& step, task_record& task, task_phase phase)
@@ -220,6 +272,7 @@
         set_phase(step, *find(id), task_phase::done);
     }
     mark_unsaved(id);
+    close_if_complete(id.occurrence);
     update_state();
 }
 
@@ -230,9 +283,10 @@
     begun_ = true;
     std::set<std::int64_t>& failures =
         spec.gang ? step.failed_runs : step.tasks[static_cast<std::size_t>(id.index)].failed_runs;
-    failures.insert(run);
+    task_growth_ += failures.insert(run).second ? failure_bytes : 0;
     if (spec.long_running && failures.size() > max_kept_failures) {
         failures.erase(failures.begin()); // they are never counted against a limit
+        task_growth_ -= failure_bytes;
     }
     mark_unsaved(id);
     if (!spec.long_running && static_cast<int>(failures.size()) >= max_attempts) {
@@ -250,8 +304,8 @@
     const auto exhausted = [max_attempts](const std::set<std::int64_t>& failures) {
         return static_cast<int>(failures.size()) >= max_attempts;
     };
-    for (int k = 0; k < occurrences(); ++k) {
-        const step_record& s = step_at(k, step);
+    for (const std::pair<const int, occurrence_record>& o : open_) {
+        const step_record& s = o.second.steps[static_cast<std::size_t>(step)];
         const bool any = exhausted(s.failed_runs) ||
                          std::any_of(s.tasks.begin(), s.tasks.end(), [&](const task_record& t) {
                              return exhausted(t.failed_runs);
@@ -274,10 +328,26 @@
                                     : job_state::queued;
 }
 
-int job_progress::parts() const
+void job_progress::set_checkpoint(task_record& task, std::string checkpoint)
 {
-    const std::int64_t tasks = static_cast<std::int64_t>(tasks_per_occurrence_) * occurrences();
-    return static_cast<int>((tasks + tasks_per_part - 1) / tasks_per_part);
+    task_growth_ -= checkpoint_bytes(task.checkpoint.size());
+    task.checkpoint = std::move(checkpoint);
+    task_growth_ += checkpoint_bytes(task.checkpoint.size());
+}
+
+void job_progress::drop_tasks()
+{
+    open_.clear();
+    std::vector<bool>().swap(complete_);
+    task_growth_ = 0;
+    // An assignment of an empty string would keep the allocated memory.
+    std::string().swap(spec_.payload);
+    for (step_spec& step : spec_.steps) {
+        std::vector<int>().swap(step.after);
+        std::string().swap(step.required_label);
+        std::string().swap(step.preferred_rack);
+        std::string().swap(step.image);
+    }
 }
 
 int job_progress::part_of(const task_id& id) const
@@ -297,10 +367,16 @@
         last.index = step.tasks - 1;
     }
     for (int part = part_of(first); part <= part_of(last); ++part) {
-        unsaved_parts_.insert(part);
+        mark_unsaved(part);
     }
 }
 
+void job_progress::mark_unsaved(int part)
+{
+    unsaved_parts_.insert(part);
+    stored_parts_.insert(part); // it is about to be
+}
+
 std::set<int> job_progress::take_unsaved()
 {
     std::set<int> taken;
@@ -324,17 +400,19 @@
     write_string(out, std::string(name_of(state_)));
     out.Key("begun");
     out.Bool(begun_);
-    out.Key("steps");
-    out.StartArray();
     const int begin = part * tasks_per_part;
     const int end = std::min(begin + tasks_per_part, tasks_per_occurrence_ * occurrences());
-    for (int k = begin / tasks_per_occurrence_; k * tasks_per_occurrence_ < end; ++k) {
+    write_complete(out, begin / tasks_per_occurrence_, (end - 1) / tasks_per_occurrence_ + 1);
+    out.Key("steps");
+    out.StartArray();
+    for (auto o = open_.lower_bound(begin / tasks_per_occurrence_);
+         o != open_.end() && o->first * tasks_per_occurrence_ < end; ++o) {
         for (std::size_t n = 0; n < spec_.steps.size(); ++n) {
-            const int first = k * tasks_per_occurrence_ + first_tasks_[n];
+            const int first = o->first * tasks_per_occurrence_ + first_tasks_[n];
             const task_range range{std::max(0, begin - first),
                                    std::min(spec_.steps[n].tasks, end - first)};
             if (range.first < range.end) {
-                write_step(out, step_at(k, static_cast<int>(n)), k, static_cast<int>(n), range,
+                write_step(out, o->second.steps[n], o->first, static_cast<int>(n), range,
                            with_checkpoints);
             }
         }
@@ -344,8 +422,64 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
+/// Writes the ranges of complete occurrences from `begin` to `end`, each as its first and last one.
+void job_progress::write_complete(json_writer& out, int begin, int end) const
+{
+    bool any = false;
+    for (int k = begin; k < end; ++k) {
+        if (!is_complete(k)) {
+            continue;
+        }
+        if (!any) {
+            out.Key("complete");
+            out.StartArray();
+            any = true;
+        }
+        out.StartArray();
+        out.Int(k);
+        while (k + 1 < end && is_complete(k + 1)) {
+            ++k;
+        }
+        out.Int(k);
+        out.EndArray();
+    }
+    if (any) {
+        out.EndArray();
+    }
+}
+
+/// Restores the marks of complete occurrences from a part.
+void job_progress::restore_complete(int part, const Json::Value& ranges)
+{
+    if (tasks_per_occurrence_ == 0) {
+        return; // nothing is known of the steps of an ended job
+    }
+    const int end = std::min((part + 1) * tasks_per_part / tasks_per_occurrence_ + 1,
+                             occurrences()); // of the occurrences that the part covers
+    for (const Json::Value& range : ranges) {
+        for (int k = std::max(0, range[0].asInt()); k <= range[1].asInt() && k < end; ++k) {
+            if (is_complete(k)) {
+                continue;
+            }
+            open(k);
+            for (step_record& step : open_.at(k).steps) {
+                for (task_record& task : step.tasks) {
+                    set_phase(step, task, task_phase::done);
+                }
+            }
+            close_if_complete(k);
+        }
+    }
+}
+
 void job_progress::restore(const progress_parts& saved)
 {
+    for (const std::pair<const int, Json::Value>& part : saved) {
+        if (part.second.isObject()) {
+            stored_parts_.insert(part.first);
+            restore_complete(part.first, part.second["complete"]);
+        }
+    }
     for (const std::pair<const int, Json::Value>& part : saved) {
         if (part.second.isObject()) {
             restore_part(part.first, part.second);
@@ -359,9 +493,10 @@
     begun_ = begun_ || saved["begun"].asBool();
     for (const Json::Value& row : saved["steps"]) {
         task_id id{spec_.id, row["occurrence"].asInt(), row["step"].asInt(), 0};
-        if (find(id) == nullptr) {
+        if (!has_task(id) || is_complete(id.occurrence)) {
             continue;
         }
+        open(id.occurrence);
         // Earlier versions stored the whole progress as one record, which the next one replaces.
         const auto keep = [&] {
             if (part_of(id) != part) {
@@ -371,7 +506,9 @@
         step_record& step = step_at(id.occurrence, id.step);
         const std::set<std::int64_t> failed_runs = runs_from(row["failed_runs"]);
         if (!failed_runs.empty()) {
+            const std::size_t known = step.failed_runs.size();
             step.failed_runs.insert(failed_runs.begin(), failed_runs.end());
+            task_growth_ += failure_bytes * (step.failed_runs.size() - known);
             keep();
         }
         for (const Json::Value& index : row["done"]) {
@@ -386,11 +523,14 @@
             id.index = left["index"].asInt();
             task_record* task = find(id);
             if (task != nullptr) {
+                task_growth_ -= failure_bytes * task->failed_runs.size();
                 task->failed_runs = runs_from(left["failed_runs"]);
-                task->checkpoint = left["checkpoint"].asString();
+                task_growth_ += failure_bytes * task->failed_runs.size();
+                set_checkpoint(*task, left["checkpoint"].asString());
                 keep();
             }
         }
+        close_if_complete(id.occurrence);
     }
     const std::optional<job_state> state = job_state_from(saved["state"].asString());
     if (state && is_final(*state)) {
--- a/src/pool_records.cc
+++ b/src/pool_records.cc
@@ -27,26 +27,17 @@
             continue;
         }
         job_entry& entry = known->second;
-        Json::Value saved;
         if (is_final(entry.progress.state())) {
-            saved["state"] = std::string(name_of(entry.progress.state()));
-            saved["queue"] = entry.progress.spec().queue;
-            for (const step_spec& step : entry.progress.spec().steps) {
-                // A successor needs the capacity of runs that are still being stopped.
-                const resources used = capacity_used_by(step);
-                Json::Value need;
-                need.append(static_cast<Json::Int64>(used.cpu_millis));
-                need.append(static_cast<Json::Int64>(used.memory_mb));
-                need.append(static_cast<Json::Int64>(used.accelerators));
-                saved["needs"].append(need);
-            }
-            saved["ended_ms"] = static_cast<Json::Int64>(wall_ms);
             entry.final_ms = wall_ms;
             batch.final_jobs.push_back(id);
-            batch.records.push_back({progress_key(id), to_text(saved), 0});
+            batch.records.push_back(
+                {progress_key(id),
+                 encode(ended_job_of(entry.progress.spec(), entry.progress.state(), wall_ms)), 0});
             batch.records.push_back({job_key(id), "", 0});
-            for (int part = 1; part < entry.progress.parts(); ++part) {
-                batch.records.push_back({progress_key(id, part), "", 0});
+            for (const int part : entry.progress.stored_parts()) {
+                if (part > 0) {
+                    batch.records.push_back({progress_key(id, part), "", 0});
+                }
             }
             continue;
         }
@@ -64,11 +55,10 @@
         const worker& w = workers_.at(id);
         batch.ends[id] = {w.highest_end_seen, w.reported_start_ms};
     }
-    const std::int64_t kept_since = wall_ms - 2 * bounds_.status_kept.count();
-    while (!retained_jobs_.empty() && retained_jobs_.begin()->first < kept_since) {
-        batch.records.push_back({progress_key(retained_jobs_.begin()->second), "", 0});
-        jobs_.erase(retained_jobs_.begin()->second);
-        retained_jobs_.erase(retained_jobs_.begin());
+    constexpr millis clock_margin{30000}; ///< between the clocks of two leaders
+    const millis kept = bounds_.status_kept + clock_margin;
+    for (const std::string& id : ended_jobs_.take_before(wall_ms - kept.count())) {
+        batch.records.push_back({progress_key(id), "", 0});
     }
     batch_in_flight_ = !batch.empty();
     return batch;
@@ -79,9 +69,12 @@
     batch_in_flight_ = false;
     for (const std::string& id : batch.final_jobs) {
         const auto known = jobs_.find(id);
-        if (known != jobs_.end()) {
-            retain(id, known->second);
+        if (known == jobs_.end()) {
+            continue;
         }
+        const job_progress& job = known->second.progress;
+        ended_jobs_.add(id, ended_job_of(job.spec(), job.state(), known->second.final_ms));
+        jobs_.erase(known);
     }
     for (const std::pair<const std::string, covered_end>& end : batch.ends) {
         worker* w = find_worker(end.first);
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -238,16 +238,23 @@
     placing_needed_ = true;
     const std::optional<task_id> id = task_id_from(end.task);
     const auto known = id ? jobs_.find(id->job) : jobs_.end();
+    if (id && ended_jobs_.find(id->job) != nullptr) {
+        return;
+    }
     if (known == jobs_.end()) {
         add_decision(decision_kind::end_ignored, id ? id->job : "", w.entry.id,
                      end.task + ": no such job");
         return;
     }
     job_entry& entry = known->second;
-    task_record* task = entry.progress.find(*id);
-    if (task == nullptr || is_final(entry.progress.state())) {
+    if (is_final(entry.progress.state())) {
         return;
     }
+    note_outcome(w, id->job, end.how, now);
+    task_record* task = entry.progress.find(*id);
+    if (task == nullptr) {
+        return; // the job has no such task, or all tasks of its occurrence are done
+    }
     add_decision(decision_kind::ended, id->job, w.entry.id,
                  end.task + " run " + std::to_string(end.run) + ": " +
                      std::string(name_in(end_names, end.how)),
@@ -263,6 +270,19 @@
     update_waiting_count(entry);
 }
 
+/// Updates the worker's health by the end of a run of the job.
+void scheduler::note_outcome(worker& w, const std::string& job, end_reason how, time_point now)
+{
+    if (how != end_reason::done && how != end_reason::failed) {
+        return;
+    }
+    update_health(w.health, job, how == end_reason::failed, now);
+    if (w.health.avoid_until > now && how == end_reason::failed) {
+        add_decision(decision_kind::worker_avoided, "", w.entry.id, "runs fail one after the other",
+                     to_millis(w.health.avoid_until - now));
+    }
+}
+
 void scheduler::handle_task_end(worker& w, job_entry& entry, const task_id& id,
                                 const ended_task& end, bool current, time_point now)
 {
@@ -271,17 +291,10 @@
     const step_spec& spec = job.spec().steps[static_cast<std::size_t>(id.step)];
     task.run = std::max(task.run, end.run);
     if (!end.checkpoint.empty()) {
-        task.checkpoint = end.checkpoint;
+        keep_checkpoint(entry, task, end.checkpoint);
         job.mark_unsaved(id);
         dirty_.insert(id.job);
     }
-    if (end.how == end_reason::done || end.how == end_reason::failed) {
-        update_health(w.health, id.job, end.how == end_reason::failed, now);
-        if (w.health.avoid_until > now && end.how == end_reason::failed) {
-            add_decision(decision_kind::worker_avoided, "", w.entry.id,
-                         "runs fail one after the other", to_millis(w.health.avoid_until - now));
-        }
-    }
     if (end.how == end_reason::done && !spec.long_running) {
         if (!current) {
             stop_task(id, now); // another run of the task is still active
@@ -290,8 +303,9 @@
             job.finish(id);
         }
         dirty_.insert(id.job);
-        waiting_steps_.erase(
-            job.step_at(id.occurrence, id.step).done == spec.tasks ? step_name(id) : std::string());
+        waiting_steps_.erase(job.is_step_done(id.occurrence, id.step) ? step_name(id)
+                                                                      : std::string());
+        update_charge(entry);
         if (is_final(job.state())) {
             finish_job(entry, now);
         }
@@ -311,6 +325,7 @@
             finish_job(entry, now);
             return;
         }
+        update_charge(entry);
     }
     // Once a member of a gang has ended, the other members end as `gang_broken` without being
     // stopped.
@@ -373,26 +388,39 @@
     reported.process_start_ms = w.reported_start_ms;
     reported.adopted = true;
     reported.reported = true;
-    const bool step_known = known != jobs_.end() &&
-                            id->step < static_cast<int>(known->second.progress.spec().steps.size());
     // A run whose step isn't known may use all the capacity that is left on the worker.
-    reported.allocated =
-        step_known ? capacity_used_by(
-                         known->second.progress.spec().steps[static_cast<std::size_t>(id->step)])
-                   : w.room();
+    reported.allocated = capacity_of(reported.task).value_or(w.room());
     add_run(w, reported);
     run_record& run = w.runs.find({row.task, row.run})->second;
-    const bool has_task = known != jobs_.end() && known->second.progress.find(*id) != nullptr;
+    const bool has_task = known != jobs_.end() && known->second.progress.has_task(*id) &&
+                          !known->second.progress.is_complete(id->occurrence);
     if (!has_task || is_final(known->second.progress.state())) {
         add_decision(decision_kind::stopped, id ? id->job : "", w.entry.id,
                      row.task + ": no task needs this run");
         send_stop(w, run, now);
         return;
     }
+    known->second.progress.open(id->occurrence); // a predecessor opened it
+    update_charge(known->second);
     take_over_run(known->second, w, run, now);
     update_waiting_count(known->second);
 }
 
+/// Keeps a newer checkpoint of the task. If there is no memory for it, the earlier one stays: it's
+/// valid as well.
+void scheduler::keep_checkpoint(job_entry& entry, task_record& task, const std::string& checkpoint)
+{
+    const std::size_t known = checkpoint_bytes(task.checkpoint.size());
+    const std::size_t needed = checkpoint_bytes(checkpoint.size());
+    if (needed > known && !memory_->fits(needed - known)) {
+        return;
+    }
+    entry.progress.set_checkpoint(task, checkpoint);
+    if (needed != known) {
+        update_charge(entry);
+    }
+}
+
 void scheduler::handle_running(worker& w, const running_task& row, time_point now)
 {
     const auto run = w.runs.find({row.task, row.run});
@@ -427,7 +455,7 @@
         task->advanced = now;
     }
     if (!row.checkpoint.empty()) {
-        task->checkpoint = row.checkpoint;
+        keep_checkpoint(known->second, *task, row.checkpoint);
     }
 }
 
@@ -472,7 +500,7 @@
 
 void scheduler::tick(time_point now)
 {
-    add_due_steps(now);
+    open_due_occurrences(now);
     for (std::pair<const std::string, worker>& entry : workers_) {
         worker& w = entry.second;
         for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -11,7 +11,7 @@
 namespace sesamesill::pool {
 namespace {
 
-constexpr name_table<decision_kind, 28> decision_names{
+constexpr name_table<decision_kind, 30> decision_names{
     {{decision_kind::accepted, "job_accepted"},
      {decision_kind::refused, "job_refused"},
      {decision_kind::advised, "step_advised"},
@@ -20,6 +20,8 @@
      {decision_kind::started, "task_started"},
      {decision_kind::starts_held, "starts_held"},
      {decision_kind::starts_resumed, "starts_resumed"},
+     {decision_kind::occurrences_held, "occurrences_held"},
+     {decision_kind::occurrences_resumed, "occurrences_resumed"},
      {decision_kind::start_failed, "start_failed"},
      {decision_kind::start_repeated, "start_repeated"},
      {decision_kind::start_confirmed, "start_confirmed"},
@@ -49,7 +51,7 @@
 }
 
 scheduler::scheduler(std::uint64_t fence, platform_bounds bounds, time_point now)
-    : fence_(fence), highest_fence_(fence), bounds_(bounds),
+    : fence_(fence), highest_fence_(fence), bounds_(bounds), ended_jobs_(*memory_),
       inherited_leases_(predecessor_lease(now, bounds))
 {
 }
@@ -58,8 +60,10 @@
                              std::string detail, std::int64_t age_ms)
 {
     const auto known = jobs_.find(job);
-    const std::string queue =
-        known != jobs_.end() ? known->second.progress.spec().queue : std::string();
+    const ended_job* ended = known == jobs_.end() ? ended_jobs_.find(job) : nullptr;
+    const std::string queue = known != jobs_.end() ? known->second.progress.spec().queue
+                              : ended != nullptr   ? ended->queue
+                                                   : std::string();
     decisions_.push_back({kind, job, queue, worker, std::move(detail), age_ms, {}, {}, {}});
 }
 
@@ -157,11 +161,17 @@
     }
 }
 
-/// Keeps a job with a stored final state until clients no longer ask for it.
-void scheduler::retain(const std::string& id, job_entry& entry)
+/// Returns the capacity that the task uses, or nothing if its step isn't known.
+std::optional<resources> scheduler::capacity_of(const task_id& id) const
 {
-    entry.final_stored = true;
-    retained_jobs_.emplace(entry.final_ms, id);
+    const step_spec* step = step_of(id);
+    if (step != nullptr) {
+        return capacity_used_by(*step);
+    }
+    const ended_job* ended = ended_jobs_.find(id.job);
+    const bool exists = ended != nullptr && id.step < static_cast<int>(ended->needs.size());
+    return exists ? std::optional<resources>(ended->needs[static_cast<std::size_t>(id.step)])
+                  : std::nullopt;
 }
 
 const step_spec* scheduler::step_of(const task_id& id) const
@@ -190,24 +200,13 @@
                 obsolete_keys_.push_back(progress_key(id, part.first));
             }
         }
-        const std::optional<job_state> state = job_state_from(saved["state"].asString());
-        if (!state || !is_final(*state)) {
+        std::optional<ended_job> ended = ended_job_from(saved);
+        if (!ended) {
             add_decision(decision_kind::end_ignored, id, "",
                          "progress record without a job record");
             return;
         }
-        job_spec spec;
-        spec.id = id;
-        spec.queue = saved["queue"].asString();
-        for (const Json::Value& need : saved["needs"]) {
-            step_spec step;
-            step.need = {need[0].asInt64(), need[1].asInt64(), need[2].asInt64()};
-            spec.steps.push_back(step);
-        }
-        job_entry entry{job_progress(spec, 0, now), std::nullopt};
-        entry.progress.restore(progress);
-        entry.final_ms = saved["ended_ms"].asInt64();
-        retain(id, jobs_.emplace(id, std::move(entry)).first->second);
+        ended_jobs_.add(id, std::move(*ended));
         return;
     }
     error why;
@@ -217,8 +216,9 @@
         return;
     }
     const millis age(std::max<std::int64_t>(0, wall_ms - record->accepted_ms));
-    job_entry entry{job_progress(std::move(record->spec), record->accepted_ms, now - age),
-                    std::move(record->terms)};
+    job_entry entry =
+        entry_of(job_progress(std::move(record->spec), record->accepted_ms, now - age),
+                 std::move(record->terms));
     entry.progress.restore(progress);
     entry.inherited = true;
     // The predecessor may have stored the final state, but not yet the short record of a finished
@@ -226,7 +226,7 @@
     dirty_.insert(id);
     const auto added = jobs_.emplace(id, std::move(entry)).first;
     update_waiting_count(added->second);
-    add_due_occurrences(added->second, now);
+    add_restored_steps(added->second, now);
 }
 
 void scheduler::finish_restore(time_point now, time_point verify_until)
@@ -242,6 +242,7 @@
     for (std::pair<const std::string, job_entry>& job : jobs_) {
         fail_if_exhausted(job.second, now); // the predecessor may not have known the limit
     }
+    open_due_occurrences(now);
 }
 
 void scheduler::on_directory_loaded(time_point begun)
@@ -302,8 +303,7 @@
 
 admission_answer scheduler::admit(const job_spec& spec, time_point now) const
 {
-    const auto known = jobs_.find(spec.id);
-    if (known != jobs_.end()) {
+    if (jobs_.count(spec.id) > 0 || ended_jobs_.find(spec.id) != nullptr) {
         return {admission::known, "", millis(0)};
     }
     constexpr millis admission_retry{2000}; ///< the pool's workers change within seconds
@@ -322,6 +322,14 @@
                     admission_retry};
         }
     }
+    const std::size_t needed = bytes_when_accepted(spec);
+    if (!memory_->accepts(needed) || memory_of(spec).occurrence > memory_->reserve()) {
+        return {admission::refuse,
+                "accepted work takes " + std::to_string(memory_->used()) + " of " +
+                    std::to_string(memory_->limit()) + " bytes, and the job would take " +
+                    std::to_string(needed),
+                retry_after_shortage(spread_of(spec.id))};
+    }
     const backlog ahead = backlog_of(spec, *queue, now);
     if (starts_too_late(ahead)) {
         return {admission::refuse,
@@ -350,41 +358,124 @@
 void scheduler::add(const job_record& job, time_point now)
 {
     const job_spec& spec = job.spec;
-    if (jobs_.count(spec.id) > 0) {
+    if (jobs_.count(spec.id) > 0 || ended_jobs_.find(spec.id) != nullptr) {
         return;
     }
     const auto added =
-        jobs_.emplace(spec.id, job_entry{job_progress(spec, job.accepted_ms, now), job.terms})
-            .first;
+        jobs_.emplace(spec.id, entry_of(job_progress(spec, job.accepted_ms, now), job.terms)).first;
     queue_estimate& observed = estimates_[spec.queue];
     update_mean(observed.mean_work, observed.jobs, size_of(spec, estimates_of(spec)).core_seconds);
     update_waiting_count(added->second);
-    add_due_occurrences(added->second, now);
+    if (spec.occurrences > 0) {
+        schedule_next_occurrence(added->second);
+        open_due_occurrences(now);
+    }
+    else {
+        open_next_occurrence(added->second, now);
+    }
     add_decision(decision_kind::accepted, spec.id, "", spec.queue);
 }
 
-/// Adds the ready steps of all occurrences that are due; later ones are added when they are.
-void scheduler::add_due_occurrences(job_entry& entry, time_point now)
+scheduler::job_entry scheduler::entry_of(job_progress progress, std::optional<queue_policy> terms)
+{
+    job_entry entry{std::move(progress), std::move(terms)};
+    entry.memory = memory_of(entry.progress.spec());
+    entry.charge = memory_charge(*memory_);
+    update_charge(entry);
+    return entry;
+}
+
+/// Charges the job for what it takes now.
+void scheduler::update_charge(job_entry& entry)
+{
+    entry.charge.resize(entry.memory.job + entry.progress.accumulated_bytes() +
+                        entry.progress.open_occurrences().size() * entry.memory.occurrence);
+}
+
+/// Returns whether the job's next occurrence may be opened, or needn't be. Those of a job without
+/// times were paid for when it was accepted.
+bool scheduler::may_open_next(const job_entry& entry) const
 {
     const job_progress& job = entry.progress;
-    if (is_final(job.state())) {
+    return job.spec().occurrences == 0 || is_final(job.state()) ||
+           job.is_open(entry.next_occurrence) || memory_->fits(entry.memory.occurrence);
+}
+
+/// Opens the next occurrence and adds its ready steps.
+void scheduler::open_next_occurrence(job_entry& entry, time_point now)
+{
+    const int occurrence = entry.next_occurrence++;
+    entry.progress.open(occurrence);
+    update_charge(entry);
+    add_ready_steps(entry, occurrence, now);
+}
+
+/// Adds the ready steps of the occurrences that an earlier leader had opened.
+void scheduler::add_restored_steps(job_entry& entry, time_point now)
+{
+    if (is_final(entry.progress.state())) {
+        entry.progress.drop_tasks();
+        update_charge(entry);
         return;
     }
-    for (int& k = entry.next_occurrence; k < job.occurrences(); ++k) {
-        if (job.spec().occurrences > 0 && job.due(k) > now) {
-            due_occurrences_.emplace(job.due(k), job.spec().id);
-            return;
+    if (entry.progress.spec().occurrences == 0) {
+        open_next_occurrence(entry, now);
+        return;
+    }
+    for (const std::pair<const int, occurrence_record>& o : entry.progress.open_occurrences()) {
+        add_ready_steps(entry, o.first, now);
+    }
+    update_charge(entry);
+    schedule_next_occurrence(entry);
+}
+
+/// Adds the job's next occurrence that isn't complete to those that are opened when they are due.
+void scheduler::schedule_next_occurrence(job_entry& entry)
+{
+    const job_progress& job = entry.progress;
+    int& k = entry.next_occurrence;
+    while (k < job.occurrences() && job.is_complete(k)) {
+        ++k;
+    }
+    if (k < job.occurrences() && !is_final(job.state())) {
+        due_occurrences_.emplace(job.due(k), job.spec().id);
+    }
+}
+
+/// Opens the occurrences that are due, in the order of their times, while there is memory for them.
+void scheduler::open_due_occurrences(time_point now)
+{
+    bool held = false;
+    while (!held && !due_occurrences_.empty() && due_occurrences_.begin()->first <= now) {
+        const auto known = jobs_.find(due_occurrences_.begin()->second);
+        held = known != jobs_.end() && !may_open_next(known->second);
+        if (held) {
+            break;
+        }
+        due_occurrences_.erase(due_occurrences_.begin());
+        if (known != jobs_.end() && !is_final(known->second.progress.state())) {
+            open_next_occurrence(known->second, now);
+            schedule_next_occurrence(known->second);
         }
-        add_ready_steps(entry, k, now);
     }
+    if (held != occurrences_held_) {
+        add_decision(held ? decision_kind::occurrences_held : decision_kind::occurrences_resumed,
+                     "", "",
+                     "accepted work takes " + std::to_string(memory_->used()) + " of " +
+                         std::to_string(memory_->limit()) + " bytes");
+    }
+    occurrences_held_ = held;
 }
 
 void scheduler::add_ready_steps(job_entry& entry, int occurrence, time_point now)
 {
     job_progress& job = entry.progress;
+    if (!job.is_open(occurrence) || is_final(job.state())) {
+        return;
+    }
     for (int n = 0; n < static_cast<int>(job.spec().steps.size()); ++n) {
         step_record& step = job.step_at(occurrence, n);
-        if (step.done == static_cast<int>(step.tasks.size()) || !job.is_ready(occurrence, n)) {
+        if (job.is_step_done(occurrence, n) || !job.is_ready(occurrence, n)) {
             continue;
         }
         const task_id first{job.spec().id, occurrence, n, 0};
@@ -403,17 +494,6 @@
     }
 }
 
-void scheduler::add_due_steps(time_point now)
-{
-    while (!due_occurrences_.empty() && due_occurrences_.begin()->first <= now) {
-        const auto known = jobs_.find(due_occurrences_.begin()->second);
-        due_occurrences_.erase(due_occurrences_.begin());
-        if (known != jobs_.end()) {
-            add_due_occurrences(known->second, now);
-        }
-    }
-}
-
 void scheduler::remove_waiting_steps(const std::string& job)
 {
     auto ws = waiting_steps_.lower_bound(job + ".");
@@ -426,7 +506,8 @@
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end()) {
-        return cancel_answer::not_known;
+        return ended_jobs_.find(id) != nullptr ? cancel_answer::already_final
+                                               : cancel_answer::not_known;
     }
     if (is_final(known->second.progress.state())) {
         return cancel_answer::already_final;
@@ -442,10 +523,11 @@
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end()) {
-        return std::nullopt;
+        const ended_job* ended = ended_jobs_.find(id);
+        return ended != nullptr ? std::optional<job_state>(ended->state) : std::nullopt;
     }
     const job_state state = known->second.progress.state();
-    return is_final(state) && !known->second.final_stored ? job_state::running : state;
+    return is_final(state) ? job_state::running : state;
 }
 
 int scheduler::waiting_in(const std::string& queue) const
@@ -459,13 +541,16 @@
 {
     job_progress& job = entry.progress;
     remove_waiting_steps(job.spec().id);
-    for (int k = 0; k < job.occurrences(); ++k) {
+    for (const std::pair<const int, occurrence_record>& o : job.open_occurrences()) {
         for (int n = 0; n < static_cast<int>(job.spec().steps.size()); ++n) {
             for (int i = 0; i < job.spec().steps[static_cast<std::size_t>(n)].tasks; ++i) {
-                stop_task({job.spec().id, k, n, i}, now);
+                stop_task({job.spec().id, o.first, n, i}, now);
             }
         }
     }
+    job.drop_tasks();
+    update_charge(entry);
+    due_occurrences_.erase({job.due(entry.next_occurrence), job.spec().id});
     dirty_.insert(job.spec().id);
     add_decision(decision_kind::finished, job.spec().id, "", std::string(name_of(job.state())),
                  to_millis(now - job.accepted()));
--- a/src/pool_settings.cc
+++ b/src/pool_settings.cc
@@ -27,6 +27,7 @@
     {"member", "metrics_listen", &daemon_settings::metrics_listen, true},
     {"member", "processor_share", &daemon_settings::processor_share, false},
     {"member", "link_mbps", &daemon_settings::link_mbps, false},
+    {"member", "memory_mb", &daemon_settings::memory_mb, false},
     {"platform", "store", &daemon_settings::store, true},
     {"platform", "advisor", &daemon_settings::advisor, false},
     {"bounds", "max_lease_ms", &platform_bounds::max_lease, true},
