Hold an acknowledged cancel against a submit that arrives later

Cause: a cancel of an unknown id was answered with 410 and left no trace, while the submit was still unread at a member that stood still.

Evidence: leader::cancel stored a record that confirms the lead, and nothing of the id; the leader's log shows the cancel before the acceptance. Ruled out: a cancel that the leader refused.

Change: the cancel is remembered at once, stored as cancelled/ID in place of the confirming record, and answered when that is stored. Cancels of ids that never existed have a bounded share of the memory for accepted work; beyond it they are refused with a time to come back.

--- a/bench/pool_memory.cc
+++ b/bench/pool_memory.cc
@@ -132,7 +132,7 @@
     int jobs = 0;
     for (; jobs < max_jobs; ++jobs) {
         const job_spec spec = *job_of(FLAGS_shape, jobs);
-        if (s->admit(spec, time_point()).verdict != admission::accept) {
+        if (s->admit(spec, wall_ms, time_point()).verdict != admission::accept) {
             break;
         }
         const job_record job = s->accepted(spec, wall_ms);
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -51,8 +51,13 @@
     millis retry_after{0};
 };
 
-/// Result of a query by id or name; `unavailable` if no leader answered in time.
-enum class lookup : std::uint8_t { found, not_known, unavailable };
+/// Result of a query by id or name.
+enum class lookup : std::uint8_t {
+    found,
+    not_known,
+    unavailable, ///< no leader answered in time
+    refused      ///< the leader can't cancel a job that it doesn't know, but may later
+};
 
 struct state_answer {
     lookup found = lookup::unavailable;
--- a/include/sesamesill/pool_memory.h
+++ b/include/sesamesill/pool_memory.h
@@ -90,6 +90,9 @@
 constexpr std::size_t progress_part_bytes = 400;
 /// What an advisor's verdict on a worker adds to a step, without the text of its ticket.
 constexpr std::size_t verdict_bytes = 128;
+/// What a remembered cancellation takes.
+constexpr std::size_t cancellation_bytes = 640;
+
 /// Returns what a checkpoint takes with its stored form and the orders that carry it.
 constexpr std::size_t checkpoint_bytes(std::size_t length)
 {
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -21,6 +21,7 @@
 
 #include "sesamesill/clock.h"
 #include "sesamesill/pool_admission.h"
+#include "sesamesill/pool_cancellations.h"
 #include "sesamesill/pool_ended.h"
 #include "sesamesill/pool_evidence.h"
 #include "sesamesill/pool_job.h"
@@ -147,6 +148,12 @@
     /// worker can't be asked for its runs. Its directory entry is listed later, if there is one.
     void restore_worker(const std::string& id, const std::optional<named_worker>& named,
                         time_point now);
+    /// Restores the cancellation of a job that wasn't known.
+    void restore_cancellation(const std::string& job, const std::string& value,
+                              std::int64_t wall_ms)
+    {
+        cancellations_.restore(job, value, wall_ms);
+    }
     /// Ends the restore phase. Each worker known so far stays unverified until it answers or
     /// `verify_until` passes, the end of the leases of earlier leaders.
     void finish_restore(time_point now, time_point verify_until);
@@ -169,7 +176,7 @@
     void on_record_stored(std::uint64_t log_end);
 
     /// Returns whether the pool can run the job, and in time. Does not add the job.
-    admission_answer admit(const job_spec& spec, time_point now) const;
+    admission_answer admit(const job_spec& spec, std::int64_t wall_ms, time_point now) const;
     /// Returns the time within which the job should end; 0 if its queue isn't known.
     double objective_ms(const job_spec& spec) const;
     /// Charges the memory of a job whose record is being stored. Release it after `add`.
@@ -184,6 +191,13 @@
     /// Adds a job whose record is stored.
     void add(const job_record& job, time_point now);
     cancel_answer cancel(const std::string& id, time_point now);
+    /// Remembers that a job that isn't known is cancelled: it is refused from now on.
+    cancellation_state remember_cancellation(const std::string& id, std::int64_t wall_ms);
+    /// Handles the outcome of a cancellation's record.
+    void on_cancellation_written(const std::string& id, bool stored)
+    {
+        cancellations_.on_written(id, stored);
+    }
     /// Returns the state that clients may see. A final state is visible once it is stored.
     std::optional<job_state> visible_state(const std::string& id) const;
     int waiting_in(const std::string& queue) const;
@@ -378,6 +392,7 @@
     /// Declared before all that holds charges.
     std::unique_ptr<memory_account> memory_ =
         std::make_unique<memory_account>(accepted_work_limit(default_memory_mb));
+    cancellations cancellations_;
     std::uint64_t highest_fence_; ///< that an order may have
     platform_bounds bounds_;
     configuration config_;
--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -67,7 +67,12 @@
     if (!state || found == static_cast<int>(lookup::unavailable)) {
         return {};
     }
-    return {found == static_cast<int>(lookup::found) ? lookup::found : lookup::not_known, *state};
+    for (const lookup known : {lookup::found, lookup::refused}) {
+        if (found == static_cast<int>(known)) {
+            return {known, *state};
+        }
+    }
+    return {lookup::not_known, *state};
 }
 
 constexpr int not_leading = 421;     ///< HTTP: misdirected request
--- a/src/pool_keys.h
+++ b/src/pool_keys.h
@@ -15,12 +15,18 @@
 constexpr const char* job_prefix = "job/";
 constexpr const char* progress_prefix = "progress/";
 constexpr const char* worker_prefix = "worker/";
+constexpr const char* cancellation_prefix = "cancelled/"; ///< of jobs that weren't known
 
 inline std::string job_key(const std::string& id)
 {
     return job_prefix + id;
 }
 
+inline std::string cancellation_key(const std::string& job)
+{
+    return cancellation_prefix + job;
+}
+
 inline std::string worker_key(const std::string& id)
 {
     return worker_prefix + id;
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -94,10 +94,12 @@
                   millis(0)});
         }
     }
-    for (const std::pair<const std::string, std::vector<std::function<void(state_answer)>>>& c :
-         cancels_) {
-        for (const std::function<void(state_answer)>& done : c.second) {
-            done({lookup::unavailable});
+    for (const auto* waiting : {&cancels_, &unknown_cancels_}) {
+        for (const std::pair<const std::string, std::vector<std::function<void(state_answer)>>>& c :
+             *waiting) {
+            for (const std::function<void(state_answer)>& done : c.second) {
+                done({lookup::unavailable});
+            }
         }
     }
 }
@@ -117,6 +119,11 @@
             restore_worker(*worker, r.second, now);
             continue;
         }
+        const std::optional<std::string> cancelled = strip_prefix(r.first, cancellation_prefix);
+        if (cancelled) {
+            scheduler_.restore_cancellation(*cancelled, r.second.value, wall_ms);
+            continue;
+        }
         const std::optional<std::string> job = strip_prefix(r.first, job_prefix);
         if (job) {
             jobs[*job].job = &r.second.value;
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -58,6 +58,7 @@
     /// Answers that a job isn't known only once a record is stored that was sent after the
     /// question: a newer leader may have accepted the job.
     void state_of(const std::string& id, std::function<void(state_answer)> done);
+    /// Answers once each later leader knows of the cancellation.
     void cancel(const std::string& id, std::function<void(state_answer)> done);
     waiting_answer waiting_in(const std::string& queue) const;
     std::uint64_t fence() const { return self_.fence; }
@@ -114,6 +115,7 @@
     const std::pair<const std::string, peer>* best_successor(time_point now) const;
     void find_larger_member(time_point now);
     void nominate_successor();
+    void cancel_unknown(const std::string& id, std::function<void(state_answer)> done);
     void answer_cancels(const std::vector<std::string>& final_jobs, bool stored);
     void answer_submit(const std::string& id, const submit_answer& answer);
     void note_refused(const std::string& request, time_point now);
@@ -136,6 +138,8 @@
     std::size_t first_polls_in_flight_ = 0;
     std::map<std::string, pending_submit> submits_; ///< by job, while its record is being stored
     std::map<std::string, std::vector<std::function<void(state_answer)>>> cancels_; ///< by job
+    /// Cancellations of unknown jobs, by job, while their records are being stored.
+    std::map<std::string, std::vector<std::function<void(state_answer)>>> unknown_cancels_;
     std::set<std::string> refused_requests_;                  ///< of the last `refusal_memory`
     std::deque<std::pair<time_point, std::string>> refusals_; ///< the same, in order of time
     /// Members that call the advisor for this leader, by name.
--- a/src/pool_leader_requests.cc
+++ b/src/pool_leader_requests.cc
@@ -48,7 +48,7 @@
         pending->second.waiting.push_back(std::move(done));
         return;
     }
-    const admission_answer admitted = scheduler_.admit(spec, now);
+    const admission_answer admitted = scheduler_.admit(spec, wall_clock_ms(), now);
     if (admitted.verdict == admission::known) {
         done({submit_verdict::accepted, "known", millis(0)});
         return;
@@ -162,13 +162,7 @@
     }
     const cancel_answer answer = scheduler_.cancel(id, boot_clock::now());
     if (answer == cancel_answer::not_known) {
-        state_of(id, [this, alive = alive_, id, done = std::move(done)](const state_answer& a) {
-            if (*alive && a.found == lookup::found) {
-                cancel(id, done); // it was accepted meanwhile
-                return;
-            }
-            done(a);
-        });
+        cancel_unknown(id, std::move(done));
         return;
     }
     const std::optional<job_state> visible_state = scheduler_.visible_state(id);
@@ -181,6 +175,45 @@
     schedule_update();
 }
 
+/// Answers that there is no such job once it is stored that the job is cancelled, as its submit may
+/// still be on its way. A newer leader that has accepted the job makes the append fail.
+void leader::cancel_unknown(const std::string& id, std::function<void(state_answer)> done)
+{
+    if (doubts_store()) {
+        done({});
+        return;
+    }
+    const std::int64_t wall_ms = wall_clock_ms();
+    switch (scheduler_.remember_cancellation(id, wall_ms)) {
+    case cancellation_state::stored:
+        done({lookup::not_known});
+        return;
+    case cancellation_state::no_room:
+        done({lookup::refused});
+        return;
+    case cancellation_state::storing:
+        unknown_cancels_[id].push_back(std::move(done));
+        return;
+    case cancellation_state::added:
+        break;
+    }
+    unknown_cancels_[id].push_back(std::move(done));
+    writer_.add({cancellation_record(id, wall_ms)}, confirmation_timeout,
+                [this, alive = alive_, id](write_outcome outcome) {
+                    if (!*alive) {
+                        return; // the destructor has answered
+                    }
+                    const bool stored = outcome == write_outcome::stored;
+                    scheduler_.on_cancellation_written(id, stored);
+                    const std::vector<std::function<void(state_answer)>> answers =
+                        std::move(unknown_cancels_[id]);
+                    unknown_cancels_.erase(id);
+                    for (const std::function<void(state_answer)>& answer : answers) {
+                        answer(stored ? state_answer{lookup::not_known} : state_answer{});
+                    }
+                });
+}
+
 void leader::answer_cancels(const std::vector<std::string>& final_jobs, bool stored)
 {
     for (const std::string& id : final_jobs) {
--- a/src/pool_records.cc
+++ b/src/pool_records.cc
@@ -55,6 +55,9 @@
         const worker& w = workers_.at(id);
         batch.ends[id] = {w.highest_end_seen, w.reported_start_ms};
     }
+    for (const std::string& id : cancellations_.take_expired(wall_ms)) {
+        batch.records.push_back({cancellation_key(id), "", 0});
+    }
     constexpr millis clock_margin{30000}; ///< between the clocks of two leaders
     const millis kept = bounds_.status_kept + clock_margin;
     for (const std::string& id : ended_jobs_.take_before(wall_ms - kept.count())) {
@@ -97,6 +100,9 @@
             known->second.progress.mark_unsaved(name->part);
             dirty_.insert(name->job);
         }
+        else if (r.value.empty()) {
+            obsolete_keys_.push_back(r.key);
+        }
     }
 }
 
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -51,8 +51,8 @@
 }
 
 scheduler::scheduler(std::uint64_t fence, platform_bounds bounds, time_point now)
-    : fence_(fence), highest_fence_(fence), bounds_(bounds), ended_jobs_(*memory_),
-      inherited_leases_(predecessor_lease(now, bounds))
+    : fence_(fence), cancellations_(*memory_, bounds.status_kept), highest_fence_(fence),
+      bounds_(bounds), ended_jobs_(*memory_), inherited_leases_(predecessor_lease(now, bounds))
 {
 }
 
@@ -301,11 +301,15 @@
                : 0;
 }
 
-admission_answer scheduler::admit(const job_spec& spec, time_point now) const
+admission_answer scheduler::admit(const job_spec& spec, std::int64_t wall_ms, time_point now) const
 {
     if (jobs_.count(spec.id) > 0 || ended_jobs_.find(spec.id) != nullptr) {
         return {admission::known, "", millis(0)};
     }
+    const std::optional<millis> cancelled = cancellations_.refused_for(spec.id, wall_ms);
+    if (cancelled) {
+        return {admission::refuse, "the job was cancelled before its submit arrived", *cancelled};
+    }
     constexpr millis admission_retry{2000}; ///< the pool's workers change within seconds
     const queue_policy* queue = queue_of(spec.queue);
     if (queue == nullptr) {
@@ -519,6 +523,17 @@
     return cancel_answer::cancelled;
 }
 
+cancellation_state scheduler::remember_cancellation(const std::string& id, std::int64_t wall_ms)
+{
+    constexpr std::size_t share_divisor = 16; ///< of the memory for accepted work
+    const cancellation_state state =
+        cancellations_.add(id, wall_ms, memory_->limit() / share_divisor);
+    if (state == cancellation_state::added) {
+        add_decision(decision_kind::cancelled, id, "", "by the client, before it is known");
+    }
+    return state;
+}
+
 std::optional<job_state> scheduler::visible_state(const std::string& id) const
 {
     const auto known = jobs_.find(id);
--- a/test/pool_admission-test.cc
+++ b/test/pool_admission-test.cc
@@ -49,7 +49,7 @@
         char id[17];
         std::snprintf(id, sizeof id, "%016x", ++next_job);
         const job_spec spec = job_of(id, {step_of(1, 4)});
-        const admission_answer answer = s.admit(spec, at_ms(now));
+        const admission_answer answer = s.admit(spec, wall_start_ms + now, at_ms(now));
         if (answer.verdict == admission::accept) {
             s.add(s.accepted(spec, wall_start_ms + now), at_ms(now));
             accepted[id] = now;
--- a/test/pool_memory-test.cc
+++ b/test/pool_memory-test.cc
@@ -59,7 +59,7 @@
 /// Returns the Retry-After of the job's refusal; nothing if it is accepted.
 std::optional<millis> refusal_of(const scheduler& s, const job_spec& spec, std::int64_t ms)
 {
-    const admission_answer answer = s.admit(spec, at_ms(ms));
+    const admission_answer answer = s.admit(spec, wall_start_ms + ms, at_ms(ms));
     return answer.verdict == admission::refuse ? std::optional<millis>(answer.retry_after)
                                                : std::nullopt;
 }
--- a/test/pool_scheduler-test.cc
+++ b/test/pool_scheduler-test.cc
@@ -55,7 +55,7 @@
 
 admission_answer admit(const scheduler& s, const job_spec& spec)
 {
-    return s.admit(spec, at_ms(0));
+    return s.admit(spec, wall_start_ms, at_ms(0));
 }
 
 } // namespace
