Count a submit's deadline from when it may have arrived

A member that stood still read a submit after its pause and gave it its client's whole time anew, so it forwarded what its client had given up long ago.

Change: arrival_meter notices pauses of the event loop by its 20 ms timer. A submit that is read during the first 500 ms after one counts as arrived when the pause began; one whose time is over is refused with a time to come back.

--- a/src/pool_calls.cc
+++ b/src/pool_calls.cc
@@ -363,8 +363,15 @@
 
 void member::submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done)
 {
-    parts_->submit(std::make_shared<submission>(
-        submission{spec, boot_clock::now() + budget, false, std::move(done)}));
+    const time_point now = boot_clock::now();
+    const time_point arrived = parts_->arrivals.earliest_arrival(now);
+    const std::shared_ptr<submission> job =
+        std::make_shared<submission>(submission{spec, arrived + budget, false, std::move(done)});
+    if (arrived < now && job->until <= now + answer_reserve) {
+        job->give_up("the request may have waited until its deadline", congestion_retry_after);
+        return;
+    }
+    parts_->submit(job);
 }
 
 /// Hands the job to this member's own leader. If the lead is lost first, the successor knows
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -164,6 +164,7 @@
 void member::parts::check_election()
 {
     const time_point now = boot_clock::now();
+    arrivals.on_turn(now);
     for (auto w = removed_workers.begin(); w != removed_workers.end();) {
         w = now - w->second.removed_at > removed_worker_retention ? removed_workers.erase(w)
                                                                   : std::next(w);
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -12,6 +12,7 @@
 
 #include <json/json.h>
 
+#include "pool_arrival.h"
 #include "pool_budget.h"
 #include "pool_leader.h"
 #include "pool_window.h"
@@ -100,6 +101,7 @@
     std::uint64_t heartbeat_fence = 0; ///< of the leader asked by the heartbeat in flight; 0: none
     bool report_next_read = false;     ///< the leader asked whether this member reaches the store
     time_point store_checked_at;       ///< when it was last asked so
+    arrival_meter arrivals{boot_clock::now()};
     std::uint64_t forwarded_jobs = 0;  ///< number of the last job that was forwarded
     send_window submit_window;         ///< of jobs forwarded to the leader
     byte_budget submit_budget;         ///< share of the leader's link
--- a/test/pool_cancel-test.cc
+++ b/test/pool_cancel-test.cc
@@ -1,10 +1,12 @@
 // Tests of cancellations that reach the leader before the submit of their job.
 
 #include <algorithm>
+#include <thread>
 
 #include <criterion/criterion.h>
 
 #include "fake_log.h"
+#include "pool_arrival.h"
 #include "pool_fixture.h"
 #include "pool_keys.h"
 #include "sesamesill/pool_member.h"
@@ -194,3 +196,35 @@
     s.take_records(later);
     cr_assert(s.remember_cancellation("later", later) == cancellation_state::added);
 }
+
+Test(pool_cancel, a_request_that_is_read_after_a_pause_may_have_arrived_during_it)
+{
+    arrival_meter meter(at_ms(0));
+    meter.on_turn(at_ms(20));
+    cr_assert(meter.earliest_arrival(at_ms(30)) == at_ms(30));
+    cr_assert(meter.earliest_arrival(at_ms(3500)) == at_ms(20), "read before the timer runs");
+    meter.on_turn(at_ms(3501));
+    cr_assert(meter.earliest_arrival(at_ms(3600)) == at_ms(20), "read soon after the pause");
+    for (std::int64_t ms = 3520; ms < 4100; ms += 20) {
+        meter.on_turn(at_ms(ms));
+    }
+    cr_assert(meter.earliest_arrival(at_ms(4110)) == at_ms(4110));
+}
+
+Test(pool_cancel, a_submit_that_waited_beyond_its_deadline_is_refused)
+{
+    // Guards against a member that stood still and forwards what its client gave up meanwhile.
+    lone_leader_on<event_loop> f(28815, {});
+    submit_answer fresh;
+    submit_answer stale;
+    f.submit_at(millis(700), fresh);
+    f.loop.after(millis(800), [&] {
+        std::this_thread::sleep_for(budget + millis(200));
+        f.m.submit(job_of("00000000000000bb", {step_of(1, 1)}), budget,
+                   [&stale](const submit_answer& a) { stale = a; });
+    });
+    f.run_until(millis(2500));
+    cr_assert_eq(fresh.verdict, submit_verdict::accepted);
+    cr_assert_eq(stale.verdict, submit_verdict::refused);
+    cr_assert_not(f.has_record(job_key("00000000000000bb")));
+}
