--- a/test/pool_cancel-test.cc
+++ b/test/pool_cancel-test.cc
@@ -5,11 +5,9 @@
 
 #include <criterion/criterion.h>
 
-#include "fake_log.h"
+#include "lone_member.h"
 #include "pool_arrival.h"
-#include "pool_fixture.h"
 #include "pool_keys.h"
-#include "sesamesill/pool_member.h"
 
 using namespace sesamesill;
 using namespace sesamesill::pool;
@@ -20,38 +18,16 @@
 constexpr const char* job = "00000000000000aa";
 constexpr millis budget{1000};
 
-class no_workers : public worker_gateway {
-public:
-    void start(const start_order&, millis, order_done) override {}
-    void stop(const stop_order&, millis, order_done) override {}
-    void poll(const poll_order&, millis, poll_done) override {}
-};
-
-class no_advisor : public advisor {
-public:
-    void advise(const std::string&, const std::vector<std::string>&, millis,
-                std::function<void(advice_answer)>) override
-    {
-    }
-};
-
 /// A member that leads alone on a log, with a worker that could run the job.
 template<typename Loop>
-struct lone_leader_on {
-    Loop loop;
-    fake_log log{loop};
-    no_workers workers;
-    no_advisor advice;
-    member m;
+struct lone_leader_on : lone_member_on<Loop> {
+    using lone_member_on<Loop>::loop;
+    using lone_member_on<Loop>::log;
+    using lone_member_on<Loop>::m;
 
     lone_leader_on(std::uint16_t port, std::vector<keyed_record> records)
-        : m(loop, {"m1", "d1", {"127.0.0.1", port}, {"127.0.0.1", port}, 1, {}}, log, workers,
-            advice)
+        : lone_member_on<Loop>(port, std::move(records))
     {
-        log.records = std::move(records);
-        error why;
-        cr_assert(m.start(why), "%s", why.reason.c_str());
-        m.configure(config_of());
         m.list_worker(worker_of("w1"));
     }
 
