Keep what is known of a worker's process apart from that of the next one

Cause: the worker's entry was the former process's, with the new one's start time written into it by note_process, so its labels seemed to be the new one's.

A start without an answer was repeated to the next process as well.

Change: known_process holds what a process has told and is replaced whole. The entry is changed by entries only; entry_outlived says that a later process than the one it names has answered. Runs start only where the entry names the process that answers, and while no failed poll tells that it may be gone. The directory is read at once after a restart. Failed-on, health, tickets and announcements to leave belong to a process.

--- a/daemon/sesamesill-member.cc
+++ b/daemon/sesamesill-member.cc
@@ -77,7 +77,7 @@
             !metrics_.listen(settings_.metrics_listen, why)) {
             return false;
         }
-        member_.on_lead([this] { directory_follower_.read_now(); });
+        member_.on_directory_wanted([this] { directory_follower_.read_now(); });
         directory_follower_.on_complete(
             [this](time_point started) { member_.on_directory_loaded(started); });
         directory_follower_.on_lost([this] { member_.on_directory_lost(); });
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -90,9 +90,9 @@
     void on_directory_loaded(time_point begun);
     /// Notes that reads of the workers' directory fail.
     void on_directory_lost();
-    /// Sets a callback that runs when this member becomes the leader, which needs the workers'
-    /// directory at once.
-    void on_lead(std::function<void()> leads);
+    /// Sets a callback that runs when this member needs the workers' directory at once: it has
+    /// become the leader, or a worker has a later process than its entry tells of.
+    void on_directory_wanted(std::function<void()> read);
 
     void submit(const job_spec& spec, millis budget, std::function<void(submit_answer)> done);
     void state_of(const std::string& id, millis budget,
--- a/include/sesamesill/pool_order.h
+++ b/include/sesamesill/pool_order.h
@@ -126,9 +126,9 @@
                                    int tasks, time_point now);
 
 /// Returns the index of the best candidate for one task, or -1. Prefers the rack that holds the
-/// data, then a valid ticket, then the worker with the least room left. Workers in `avoid` come
-/// last.
+/// data, then a valid ticket, then the worker with the least room left. Processes in `avoid`
+/// come last.
 int pick_candidate(const std::vector<candidate>& candidates, const resources& need,
-                   const std::set<std::string>& avoid);
+                   const std::set<process_id>& avoid);
 
 } // namespace sesamesill::pool
--- a/include/sesamesill/pool_ports.h
+++ b/include/sesamesill/pool_ports.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "sesamesill/clock.h"
@@ -106,6 +107,17 @@
     std::uint64_t revision = 0; ///< rises with each report of one incarnation; 0 if it isn't known
 };
 
+/// Identifies one process of a worker. A restarted one keeps the worker's id.
+struct process_id {
+    std::string worker;
+    std::int64_t start_time_ms = 0; ///< Unix time of its start, as it reports it
+};
+
+inline bool operator<(const process_id& a, const process_id& b)
+{
+    return std::tie(a.worker, a.start_time_ms) < std::tie(b.worker, b.start_time_ms);
+}
+
 /// Returns whether `entry` was written before `known`, another entry of the same worker.
 bool is_outdated(const worker_entry& entry, const worker_entry& known);
 
--- a/include/sesamesill/pool_progress.h
+++ b/include/sesamesill/pool_progress.h
@@ -35,7 +35,7 @@
     std::string worker;   ///< set unless the task is waiting or done
     /// A set, so that a repeated report counts once; of a long-running task, the newest ones.
     std::set<std::int64_t> failed_runs;
-    std::set<std::string> failed_on; ///< workers on which the task failed; they are tried last
+    std::set<process_id> failed_on; ///< processes at which the task failed; they are tried last
     std::string checkpoint;
     time_point started;
     int percent = 0;
--- a/include/sesamesill/pool_scheduler.h
+++ b/include/sesamesill/pool_scheduler.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sesamesill/clock.h"
@@ -165,6 +166,9 @@
     /// before its claim. Until a read that began after the restore is complete, a worker that an
     /// earlier version of this program used, which named no workers, may run inherited tasks.
     void on_directory_loaded(time_point begun);
+    /// Returns whether the directory should be read now, as a worker has another process than its
+    /// entry names.
+    bool take_directory_request() { return std::exchange(directory_wanted_, false); }
     /// Handles failing reads of the worker directory, until the next complete one. While the
     /// directory is down, no worker can announce that it drains.
     void on_directory_lost(time_point now) { directory_lost_at_ = now; }
@@ -266,6 +270,12 @@
         std::string step;
     };
 
+    /// A worker's entry, and the Unix time at which its latest known process started.
+    struct listed_process {
+        const worker_entry& entry;
+        std::int64_t start_time_ms = 0;
+    };
+
     struct job_entry {
         job_progress progress;
         /// The queue's policy when the job was accepted; missing for jobs of earlier versions.
@@ -285,7 +295,7 @@
     void fail_if_exhausted(job_entry& entry, time_point now);
     worker* find_worker(const std::string& id);
     worker& add_worker(const worker_entry& entry, time_point now);
-    bool update_entry(worker& w, const worker_entry& entry);
+    bool update_entry(worker& w, const worker_entry& entry, time_point now);
     void add_decision(decision_kind kind, const std::string& job, const std::string& worker,
                       std::string detail, std::int64_t age_ms = 0);
     void add_start_decision(decision_kind kind, const run_record& run, const std::string& worker,
@@ -376,12 +386,14 @@
                   const worker_report& report, time_point now);
     void note_unsent_poll(worker& w, const poll_order& order, time_point sent,
                           order_verdict verdict);
+    void replace_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
+                         time_point now);
     void note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
-                      time_point now);
+                      time_point sent, time_point now);
     void note_first_answer(worker& w, time_point now);
     void raise_fence(worker& w);
     void doubt_process(worker& w);
-    bool replaces(const worker_entry& newer, const worker_entry& older) const;
+    bool replaces(const listed_process& newer, const listed_process& older) const;
     void mark_older_incarnations_lost(const worker_entry& entry, time_point now);
     bool has_newer_incarnation(const worker_entry& entry) const;
     void mark_worker_lost(worker& w, const run_evidence& evidence, time_point now);
@@ -426,8 +438,9 @@
     time_point restored_at_;
     time_point directory_read_at_; ///< when the last complete read of the directory began
     std::optional<time_point> directory_lost_at_; ///< set while reads of the directory fail
-    time_point entries_back_at_; ///< until then the directory may lack workers that run tasks
-    bool starts_held_ = false;   ///< the last read of the directory is too old for new starts
+    time_point entries_back_at_;    ///< until then the directory may lack workers that run tasks
+    bool directory_wanted_ = false; ///< an entry is known to be of an earlier process
+    bool starts_held_ = false;      ///< the last read of the directory is too old for new starts
     std::map<std::string, queue_estimate> estimates_; ///< by queue
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
--- a/include/sesamesill/pool_worker.h
+++ b/include/sesamesill/pool_worker.h
@@ -75,6 +75,20 @@
     int runs = 0;        ///< compared runs of the last sample that had any
 };
 
+/// What is known of one process of a worker, by its own answers. Nothing of it is known of the next
+/// one.
+struct known_process {
+    std::int64_t start_time_ms = 0; ///< Unix time, from its reports; 0 before the first answer
+    time_point known_since;         ///< when its first answer arrived
+    std::optional<std::int64_t> clock_ms; ///< its steady clock, as last reported
+    time_point clock_read_at;             ///< when `clock_ms` was received
+    std::uint64_t highest_end_seen = 0;   ///< highest number of a handled end
+    std::uint64_t acknowledged_end = 0;   ///< highest number up to which all ends are recorded
+    std::uint64_t dropped_end = 0; ///< highest number that a poll with an answer acknowledged
+    worker_health health;
+    progress_rate rate;
+};
+
 /// Members remember a worker for this long after its directory entry was removed, so that a new
 /// leader asks it for its runs. Longer than `unlisted_renewal`, two polls and the longest lease.
 constexpr millis removed_worker_retention{10500};
@@ -84,7 +98,10 @@
 
 /// One incarnation of a worker. Invariant: `allocated` is the sum of `allocated` over `runs`.
 struct worker {
-    worker_entry entry;
+    worker_entry entry;       ///< tells of the process that it names, not of a later one
+    time_point entry_read_at; ///< when `entry` was learned
+    /// Whether a later process than the one that `entry` names has answered.
+    bool entry_outlived = false;
     worker_number number = 0;
     bool listed = true;                       ///< whether the platform's directory has its entry
     std::optional<time_point> unlisted_since; ///< first poll since its entry was removed
@@ -105,28 +122,22 @@
     bool named = false;
     std::map<std::pair<std::string, std::int64_t>, run_record> runs; ///< by task and run number
     resources allocated;
-    std::int64_t reported_start_ms = 0; ///< Unix time of the process's start, from its reports
-    std::uint64_t highest_end_seen = 0; ///< highest number of a handled end, of this process
-    std::uint64_t acknowledged_end = 0; ///< highest number up to which all ends are recorded
-    std::uint64_t dropped_end = 0;      ///< highest number that a poll with an answer acknowledged
-    /// Whether its latest answers come from the process that `reported_start_ms` names.
-    /// Invariant: otherwise no poll acknowledges ends, as another process numbers them anew.
+    known_process process; ///< the one that answered last
+    /// Whether nothing since its latest answer tells that `process` may have been replaced.
+    /// Invariant: otherwise no run starts and no poll acknowledges ends, as another process may be
+    /// of another kind and numbers its ends anew.
     bool process_known = false;
-    std::optional<std::int64_t> clock_ms; ///< its steady clock, as last reported
-    time_point clock_read_at;             ///< when `clock_ms` was received
     time_point last_answer;
     worker_leases leases;
     worker_leases leases_before_poll;          ///< `leases` without the last poll
     std::optional<std::int64_t> poll_until_ms; ///< lease that the last poll carried
-    worker_health health;
-    progress_rate rate;
 
     /// Returns a lower estimate of the worker's clock, which may be slow: the report's time in
     /// transit isn't added.
     std::int64_t clock_at(time_point now) const
     {
-        const double age_ms = static_cast<double>(to_millis(now - clock_read_at));
-        return clock_ms.value_or(0) + static_cast<std::int64_t>(age_ms * min_clock_rate);
+        const double age_ms = static_cast<double>(to_millis(now - process.clock_read_at));
+        return process.clock_ms.value_or(0) + static_cast<std::int64_t>(age_ms * min_clock_rate);
     }
     /// Returns whether its lease may be renewed as far as its directory entry is concerned.
     bool is_lease_renewable(time_point now) const
@@ -136,7 +147,8 @@
     /// Returns the number up to which the next poll acknowledges ends; 0 for none.
     std::uint64_t end_to_acknowledge() const
     {
-        return process_known && acknowledged_end > dropped_end ? acknowledged_end : 0;
+        const bool is_news = process.acknowledged_end > process.dropped_end;
+        return process_known && is_news ? process.acknowledged_end : 0;
     }
     /// Returns the bound of all its runs: they have ended by then, unless the lease is renewed. A
     /// run that the known process hasn't reported may be at work at a process that isn't known, and
@@ -153,11 +165,24 @@
     resources room() const { return entry.capacity - allocated; }
     /// Returns whether its last answer is recent enough for a renewal of its lease.
     bool is_responsive(time_point now) const { return now - last_answer < max_silence; }
+    process_id id() const { return {entry.id, process.start_time_ms}; }
+    /// Returns whether the entry tells of the process that answers.
+    bool is_described() const
+    {
+        return process_known && !entry_outlived && entry.start_time_ms == process.start_time_ms;
+    }
+    /// Returns whether the process has announced that it leaves.
+    bool is_draining() const { return entry.draining && !entry_outlived; }
+    /// Returns the Unix time at which the latest known process started.
+    std::int64_t latest_start_ms() const
+    {
+        return entry_outlived ? process.start_time_ms : entry.start_time_ms;
+    }
     /// Returns whether new runs may start on the worker.
     bool is_schedulable(time_point now) const
     {
-        return listed && heard && !fence_outdated && named && !lost && !entry.draining &&
-               is_responsive(now) && now >= health.avoid_until;
+        return listed && heard && !fence_outdated && named && !lost && is_described() &&
+               !entry.draining && is_responsive(now) && now >= process.health.avoid_until;
     }
 
     /// Time without an answer after which the lease isn't renewed. If it were renewed, the runs of
--- a/src/pool_advice.cc
+++ b/src/pool_advice.cc
@@ -191,7 +191,11 @@
         const std::optional<worker_number> number = number_of(a.worker);
         if (number) {
             approved.insert(*number);
-            ws.approved[*number] = {a.ticket, now + answer.valid - ticket_margin};
+            const worker* w = workers_by_number_[*number];
+            // A ticket that was asked for before the process was known may be of an earlier one.
+            const bool of_process = w != nullptr && w->process.known_since <= ws.last_call;
+            ws.approved[*number] = {a.ticket,
+                                    of_process ? now + answer.valid - ticket_margin : now};
         }
     }
     for (const std::string& id : call.workers) {
--- a/src/pool_entries.cc
+++ b/src/pool_entries.cc
@@ -7,17 +7,18 @@
 
 namespace sesamesill::pool {
 
-/// Returns whether the entry `newer` shows that the worker with the entry `older` has ended. An
+/// Returns whether the entry `newer` shows that `older` has ended, a worker with another id. An
 /// entry of a service that isn't declared may be another writer's: it shows nothing, unless the
 /// older worker belongs to the same service.
-bool scheduler::replaces(const worker_entry& newer, const worker_entry& older) const
+bool scheduler::replaces(const listed_process& newer, const listed_process& older) const
 {
+    const std::string& service = newer.entry.service;
     const bool is_declared =
         std::any_of(config_.services.begin(), config_.services.end(),
-                    [&newer](const service_policy& s) { return s.name == newer.service; });
-    return newer.machine == older.machine && newer.id != older.id &&
+                    [&service](const service_policy& s) { return s.name == service; });
+    return newer.entry.machine == older.entry.machine && newer.entry.id != older.entry.id &&
            newer.start_time_ms > older.start_time_ms &&
-           (is_declared || (!newer.service.empty() && newer.service == older.service));
+           (is_declared || (!service.empty() && service == older.entry.service));
 }
 
 /// Gives up the workers that ran on the entry's machine before it.
@@ -26,8 +27,10 @@
     if (entry.machine.empty()) {
         return;
     }
+    const listed_process newer{entry, entry.start_time_ms};
     for (std::pair<const std::string, worker>& other : workers_) {
-        if (replaces(entry, other.second.entry) && !other.second.lost) {
+        const listed_process older{other.second.entry, other.second.latest_start_ms()};
+        if (replaces(newer, older) && !other.second.lost) {
             mark_worker_lost(other.second, {evidence_source::newer_incarnation, now}, now);
         }
     }
@@ -36,11 +39,13 @@
 /// Returns whether a later incarnation runs on the entry's machine, whose entry was read first.
 bool scheduler::has_newer_incarnation(const worker_entry& entry) const
 {
+    const listed_process older{entry, entry.start_time_ms};
     return !entry.machine.empty() &&
-           std::any_of(workers_.begin(), workers_.end(),
-                       [this, &entry](const std::pair<const std::string, worker>& other) {
-                           return replaces(other.second.entry, entry);
-                       });
+           std::any_of(
+               workers_.begin(), workers_.end(),
+               [&](const std::pair<const std::string, worker>& other) {
+                   return replaces({other.second.entry, other.second.latest_start_ms()}, older);
+               });
 }
 
 /// Adds a worker that isn't known yet.
@@ -48,6 +53,7 @@
 {
     worker w;
     w.entry = entry;
+    w.entry_read_at = now;
     w.last_answer = now;
     w.leases.known = predecessor_lease(now, bounds_);
     w.fence = highest_fence_; // it may have been listed before, and seen higher ones than `fence_`
@@ -67,24 +73,42 @@
     return added;
 }
 
+namespace {
+
+/// Returns whether the entry tells nothing newer than what is known of the worker. Once a process
+/// has answered that the known entry doesn't name, only an entry of it or of a later one counts.
+bool is_outdated_at(const worker& w, const worker_entry& entry)
+{
+    if (!w.entry_outlived) {
+        return is_outdated(entry, w.entry);
+    }
+    return entry.start_time_ms != w.process.start_time_ms &&
+           (entry.start_time_ms == w.entry.start_time_ms ||
+            entry.start_time_ms < w.process.start_time_ms);
+}
+
+} // namespace
+
 /// Replaces the entry of a known worker by a newer one; returns false if it isn't newer.
-bool scheduler::update_entry(worker& w, const worker_entry& entry)
+bool scheduler::update_entry(worker& w, const worker_entry& entry, time_point now)
 {
-    if (is_outdated(entry, w.entry)) {
+    if (is_outdated_at(w, entry)) {
         add_decision(decision_kind::entry_ignored, "", entry.id,
                      "revision " + std::to_string(entry.revision) + " after " +
                          std::to_string(w.entry.revision));
         return false;
     }
-    if (entry.draining && !w.entry.draining) {
+    if (entry.draining && !w.is_draining()) {
         add_decision(decision_kind::worker_drains, "", entry.id,
                      "its directory entry says that it drains; it stops in " +
                          std::to_string(entry.remaining.count()) + " ms or later");
     }
     w.entry = entry;
+    w.entry_read_at = now;
+    w.entry_outlived = false;
     w.listed = true;
     w.unlisted_since.reset();
-    if (w.process_known && entry.start_time_ms > w.reported_start_ms) {
+    if (w.process_known && entry.start_time_ms != w.process.start_time_ms) {
         doubt_process(w);
     }
     return true;
@@ -107,7 +131,7 @@
         }
         add_decision(decision_kind::worker_joined, "", entry.id, entry.data_center + labels);
     }
-    else if (!update_entry(known->second, entry)) {
+    else if (!update_entry(known->second, entry, now)) {
         return;
     }
     worker& w = workers_.at(entry.id);
--- a/src/pool_gangs.cc
+++ b/src/pool_gangs.cc
@@ -8,10 +8,10 @@
 namespace sesamesill::pool {
 namespace {
 
-/// Removes the workers in `failed_on`, unless the other workers can't hold the whole step even when
-/// idle.
+/// Removes the workers whose processes are in `failed_on`, unless the other workers can't hold the
+/// whole step even when idle.
 void exclude_failed_workers(std::vector<candidate>& candidates,
-                            const std::set<std::string>& failed_on, const step_spec& step)
+                            const std::set<process_id>& failed_on, const step_spec& step)
 {
     if (failed_on.empty()) {
         return;
@@ -20,7 +20,7 @@
     std::vector<candidate> others;
     int held = 0;
     for (const candidate& c : candidates) {
-        if (failed_on.count(c.target->entry.id) == 0) {
+        if (failed_on.count(c.target->id()) == 0) {
             others.push_back(c);
             held += count_fitting(capacity_used_by(step), c.target->entry.capacity, limit);
         }
@@ -45,7 +45,7 @@
         return;
     }
     std::vector<candidate> candidates = candidates_for(ws, now);
-    std::set<std::string> failed_on;
+    std::set<process_id> failed_on;
     for (const task_record& t : step.tasks) {
         failed_on.insert(t.failed_on.begin(), t.failed_on.end());
     }
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -267,6 +267,7 @@
         scheduler_.withdraw_starts(); // a successor doesn't count the leases of later orders
     }
     send_stops();
+    request_directory(now);
     log_decisions();
     write_worker_records();
     write_records();
@@ -275,6 +276,17 @@
     }
 }
 
+/// Has the directory read if a worker gets no runs until its new entry is known.
+void leader::request_directory(time_point now)
+{
+    constexpr millis min_pause{100}; ///< bounds the reads while many workers are restarted
+    if (read_directory_ && now - directory_requested_ > min_pause &&
+        scheduler_.take_directory_request()) {
+        directory_requested_ = now;
+        read_directory_();
+    }
+}
+
 void leader::tick()
 {
     loop_.after(tick_period, [this, alive = alive_] {
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -50,6 +50,8 @@
     void on_directory(const directory_knowledge& directory);
     void on_peer(const std::string& name, const peer& seen);
     const std::map<std::string, peer>& peers() const { return peers_; }
+    /// Sets a callback that runs when the directory should be read before its next regular read.
+    void on_directory_wanted(std::function<void()> read) { read_directory_ = std::move(read); }
 
     /// `request` names a forwarded request, of which several attempts may arrive, in any order;
     /// empty for a request that this member took itself.
@@ -92,6 +94,7 @@
     void limit_memory(double memory_mb);
     /// Runs update() after a short delay, which gathers several events into one update.
     void schedule_update();
+    void request_directory(time_point now);
     void update();
     void tick();
     std::size_t max_starts(time_point now);
@@ -152,6 +155,8 @@
     double start_bytes_in_flight_ = 0;
     lag_meter loop_lag_;   ///< of this member's event loop
     time_point next_tick_; ///< when the next tick is due
+    std::function<void()> read_directory_;
+    time_point directory_requested_;
     bool writing_ = false;
     bool update_scheduled_ = false;
     time_point place_after_;
--- a/src/pool_member.cc
+++ b/src/pool_member.cc
@@ -249,8 +249,9 @@
         lead->unlist_worker(w.first);
     }
     announce_leader(self);
-    if (on_lead) {
-        on_lead();
+    if (read_directory) {
+        lead->on_directory_wanted(read_directory);
+        read_directory();
     }
 }
 
@@ -338,9 +339,9 @@
     }
 }
 
-void member::on_lead(std::function<void()> leads)
+void member::on_directory_wanted(std::function<void()> read)
 {
-    parts_->on_lead = std::move(leads);
+    parts_->read_directory = std::move(read);
 }
 
 bool member::is_leader() const
--- a/src/pool_member_parts.h
+++ b/src/pool_member_parts.h
@@ -93,18 +93,18 @@
     std::map<std::string, worker_entry> known_workers; ///< in the directory, by id
     std::map<std::string, removed_worker> removed_workers;
     directory_knowledge directory;
-    std::unique_ptr<leader> lead;      ///< null if this member isn't the leader
-    bool has_answering_leader = false; ///< a leader has answered a heartbeat
-    std::function<void()> on_lead;     ///< runs when this member becomes the leader
-    bool claiming = false;             ///< a claim is in progress
-    bool leaving = false;              ///< a planned stop has begun: claims no lead
+    std::unique_ptr<leader> lead;         ///< null if this member isn't the leader
+    bool has_answering_leader = false;    ///< a leader has answered a heartbeat
+    std::function<void()> read_directory; ///< runs when the leader needs it at once
+    bool claiming = false;                ///< a claim is in progress
+    bool leaving = false;                 ///< a planned stop has begun: claims no lead
     std::uint64_t heartbeat_fence = 0; ///< of the leader asked by the heartbeat in flight; 0: none
     bool report_next_read = false;     ///< the leader asked whether this member reaches the store
     time_point store_checked_at;       ///< when it was last asked so
     arrival_meter arrivals{boot_clock::now()};
-    std::uint64_t forwarded_jobs = 0;  ///< number of the last job that was forwarded
-    send_window submit_window;         ///< of jobs forwarded to the leader
-    byte_budget submit_budget;         ///< share of the leader's link
+    std::uint64_t forwarded_jobs = 0;            ///< number of the last job that was forwarded
+    send_window submit_window;                   ///< of jobs forwarded to the leader
+    byte_budget submit_budget;                   ///< share of the leader's link
     std::mt19937 random{std::random_device{}()}; ///< spreads questions over the members
 
     parts(event_loop& l, member_settings s, record_log& records, worker_gateway& w, advisor& a);
--- a/src/pool_order.cc
+++ b/src/pool_order.cc
@@ -189,7 +189,7 @@
 }
 
 int pick_candidate(const std::vector<candidate>& candidates, const resources& need,
-                   const std::set<std::string>& avoid)
+                   const std::set<process_id>& avoid)
 {
     int best = -1;
     double best_score = 0;
@@ -204,9 +204,8 @@
                                 std::max(1.0, static_cast<double>(capacity_of_worker.cpu_millis));
         const double memory_left = static_cast<double>(left.memory_mb) /
                                    std::max(1.0, static_cast<double>(capacity_of_worker.memory_mb));
-        const double score = (avoid.count(c.target->entry.id) > 0 ? -100 : 0) +
-                             (c.preferred ? 10 : 0) + (c.ticket_valid ? 4 : 0) + 2 -
-                             std::max(cpu_left, memory_left);
+        const double score = (avoid.count(c.target->id()) > 0 ? -100 : 0) + (c.preferred ? 10 : 0) +
+                             (c.ticket_valid ? 4 : 0) + 2 - std::max(cpu_left, memory_left);
         if (best < 0 || score > best_score) {
             best = static_cast<int>(i);
             best_score = score;
--- a/src/pool_pace.cc
+++ b/src/pool_pace.cc
@@ -53,28 +53,29 @@
             r.percent_clock_ms = report.clock_ms;
         }
     }
-    add_sample(w.rate, sample);
+    add_sample(w.process.rate, sample);
     // The pool's rate covers all workers over some seconds.
     progress_sample pool_sample = sample;
     pool_sample.elapsed /= pool_decay_factor * static_cast<std::int64_t>(workers_.size());
     add_sample(pool_progress_rate_, pool_sample);
-    if (sample.runs == 0 || !is_slow(w.rate, relative_speed(pool_progress_rate_))) {
+    if (sample.runs == 0 || !is_slow(w.process.rate, relative_speed(pool_progress_rate_))) {
         return;
     }
     const double avoided_workers = static_cast<double>(
-        std::count_if(workers_.begin(), workers_.end(),
-                      [now](const auto& other) { return other.second.health.avoid_until > now; }));
-    const bool available = w.health.avoid_until <= now;
+        std::count_if(workers_.begin(), workers_.end(), [now](const auto& other) {
+            return other.second.process.health.avoid_until > now;
+        }));
+    const bool available = w.process.health.avoid_until <= now;
     if (available && avoided_workers >= max_avoided_share * static_cast<double>(workers_.size())) {
         return;
     }
     if (available) {
-        start_avoidance(w.health, now);
+        start_avoidance(w.process.health, now);
         add_decision(decision_kind::worker_avoided, "", w.entry.id,
-                     "its runs advanced by " + std::to_string(static_cast<int>(w.rate.advanced)) +
-                         " percent, " + std::to_string(static_cast<int>(w.rate.expected)) +
-                         " expected",
-                     to_millis(w.health.avoid_until - now));
+                     "its runs advanced by " +
+                         std::to_string(static_cast<int>(w.process.rate.advanced)) + " percent, " +
+                         std::to_string(static_cast<int>(w.process.rate.expected)) + " expected",
+                     to_millis(w.process.health.avoid_until - now));
     }
     move_slow_runs(w, report, now);
 }
@@ -86,7 +87,7 @@
     constexpr int max_discarded_percent = 20; ///< of a gang member's work, which a move discards
     constexpr millis restart_delay{200}; ///< from the run's end until another worker gets the start
     const double speed =
-        relative_speed(w.rate) / std::min(1.0, relative_speed(pool_progress_rate_));
+        relative_speed(w.process.rate) / std::min(1.0, relative_speed(pool_progress_rate_));
     for (const running_task& row : report.running) {
         const auto run = w.runs.find({row.task, row.run});
         const step_spec* step = run != w.runs.end() && run->second.phase == run_phase::running
--- a/src/pool_placing.cc
+++ b/src/pool_placing.cc
@@ -230,7 +230,7 @@
 {
     const millis validity = order_validity(now);
     const std::int64_t until_ms = w.clock_at(now) + validity.count();
-    const bool restarted = run.sends > 0 && run.process_start_ms != w.reported_start_ms;
+    const bool restarted = run.sends > 0 && run.process_start_ms != w.process.start_time_ms;
     order.until_ms = restarted ? until_ms : std::max(order.until_ms, until_ms);
     if (run.sends == 0) {
         run.until_ms = order.until_ms;
@@ -241,7 +241,7 @@
     else if (run.until_ms) {
         run.until_ms = std::max(*run.until_ms, order.until_ms);
     }
-    run.process_start_ms = w.reported_start_ms;
+    run.process_start_ms = w.process.start_time_ms;
     order.fence = w.fence;
     w.fence_used = true;
     run.fence = w.fence;
--- a/src/pool_records.cc
+++ b/src/pool_records.cc
@@ -53,7 +53,7 @@
     obsolete_keys_.clear();
     for (const std::string& id : workers_with_ends_) {
         const worker& w = workers_.at(id);
-        batch.ends[id] = {w.highest_end_seen, w.reported_start_ms};
+        batch.ends[id] = {w.process.highest_end_seen, w.process.start_time_ms};
     }
     for (const std::string& id : cancellations_.take_expired(wall_ms)) {
         batch.records.push_back({cancellation_key(id), "", 0});
@@ -81,9 +81,9 @@
     }
     for (const std::pair<const std::string, covered_end>& end : batch.ends) {
         worker* w = find_worker(end.first);
-        if (w != nullptr && end.second.start_time_ms == w->reported_start_ms) {
-            w->acknowledged_end = std::max(w->acknowledged_end, end.second.number);
-            if (w->acknowledged_end == w->highest_end_seen) {
+        if (w != nullptr && end.second.start_time_ms == w->process.start_time_ms) {
+            w->process.acknowledged_end = std::max(w->process.acknowledged_end, end.second.number);
+            if (w->process.acknowledged_end == w->process.highest_end_seen) {
                 workers_with_ends_.erase(end.first);
             }
         }
--- a/src/pool_reports.cc
+++ b/src/pool_reports.cc
@@ -89,50 +89,63 @@
         w.leases = w.leases_before_poll;
         w.poll_until_ms.reset();
     }
-    if (verdict == order_verdict::no_listener && w.entry.draining && !w.listed && !w.heard) {
+    if (verdict == order_verdict::no_listener && w.is_draining() && !w.listed && !w.heard) {
         mark_verified(order.worker, {evidence_source::left_as_announced, sent});
     }
 }
 
-/// Notes which process of the worker answered a poll that acknowledged ends up to
-/// `acknowledged_end`. A new process numbers its ends from 1 again.
-void scheduler::note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
-                             time_point now)
+/// Forgets what is known of the worker's process, as the next one has answered.
+void scheduler::replace_process(worker& w, std::int64_t start_time_ms,
+                                std::uint64_t acknowledged_end, time_point now)
 {
-    const bool restarted = w.reported_start_ms != 0 && start_time_ms != w.reported_start_ms;
-    if (restarted) {
-        add_decision(
-            decision_kind::worker_restarted, "", w.entry.id,
-            "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
-                " were acknowledged to the new one before it was known; orders carry fence " +
-                std::to_string(w.fence));
-        decisions_.back().lease = w.last_lease();
-        w.highest_end_seen = 0;
-        w.acknowledged_end = 0;
-        w.dropped_end = 0;
-        workers_with_ends_.erase(w.entry.id);
-        for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
-            r.second.reported = false;
+    add_decision(decision_kind::worker_restarted, "", w.entry.id,
+                 "its process was restarted; ends up to " + std::to_string(acknowledged_end) +
+                     " were acknowledged to the new one before it was known; orders carry fence " +
+                     std::to_string(w.fence));
+    decisions_.back().lease = w.last_lease();
+    w.process = known_process();
+    w.process.start_time_ms = start_time_ms;
+    w.process.known_since = now;
+    workers_with_ends_.erase(w.entry.id);
+    for (std::pair<const std::pair<std::string, std::int64_t>, run_record>& r : w.runs) {
+        r.second.reported = false;
+        r.second.percent = -1;
+    }
+    for (std::pair<const std::string, waiting_step>& ws : waiting_steps_) {
+        const auto ticket = ws.second.approved.find(w.number);
+        if (ticket != ws.second.approved.end()) { // issued for the previous process
+            ticket->second.until = std::min(ticket->second.until, now);
         }
-        for (std::pair<const std::string, waiting_step>& ws : waiting_steps_) {
-            const auto ticket = ws.second.approved.find(w.number);
-            if (ticket != ws.second.approved.end()) { // issued for the previous process
-                ticket->second.until = std::min(ticket->second.until, now);
-            }
-        }
-        // A late start still carries an expiry by the previous process's clock, and the lease that
-        // it grants is limited by the platform only.
-        extend(w.leases.known, bound_of(lease_origin::restart, now, bounds_.max_lease));
     }
-    else {
-        w.dropped_end = std::max(w.dropped_end, acknowledged_end);
+    // A late start still carries an expiry by the previous process's clock, and the lease that it
+    // grants is limited by the platform only.
+    extend(w.leases.known, bound_of(lease_origin::restart, now, bounds_.max_lease));
+    directory_wanted_ = true;
+}
+
+/// Notes which process of the worker answered a poll that was sent at `sent` and acknowledged ends
+/// up to `acknowledged_end`.
+void scheduler::note_process(worker& w, std::int64_t start_time_ms, std::uint64_t acknowledged_end,
+                             time_point sent, time_point now)
+{
+    const std::int64_t previous_ms = w.process.start_time_ms;
+    if (previous_ms == 0) {
+        w.process.start_time_ms = start_time_ms;
+        w.process.known_since = now;
     }
-    w.reported_start_ms = start_time_ms;
-    if (restarted || start_time_ms > w.entry.start_time_ms) {
-        w.entry.start_time_ms = start_time_ms;
-        w.entry.revision = 0; // the entry in the directory is still that of the previous process
+    else if (start_time_ms != previous_ms) {
+        replace_process(w, start_time_ms, acknowledged_end, now);
     }
-    w.process_known = start_time_ms >= w.entry.start_time_ms; // else a newer one is listed
+    else {
+        w.process.dropped_end = std::max(w.process.dropped_end, acknowledged_end);
+    }
+    const bool names_process = w.entry.start_time_ms == start_time_ms;
+    // Start times don't order the processes by themselves, as the time of day may be set back. But
+    // no process answers a poll that was sent after a later one had written an entry.
+    w.entry_outlived =
+        !names_process && (start_time_ms > w.entry.start_time_ms ||
+                           w.entry.start_time_ms == previous_ms || sent > w.entry_read_at);
+    w.process_known = names_process || w.entry_outlived; // else a later one is listed
 }
 
 /// Logs a poll from which the fate of a run may have to be told later: what was acknowledged, and
@@ -142,7 +155,7 @@
 {
     const bool leaves = w.entry.draining || !w.listed;
     const bool only_known_ends =
-        !report.ended.empty() && report.ended.back().number <= w.highest_end_seen;
+        !report.ended.empty() && report.ended.back().number <= w.process.highest_end_seen;
     if (!leaves && !only_known_ends) {
         return;
     }
@@ -154,7 +167,7 @@
         detail += " from " + std::to_string(report.ended.front().number) + " to " +
                   std::to_string(report.ended.back().number);
     }
-    detail += "; known to " + std::to_string(w.highest_end_seen);
+    detail += "; known to " + std::to_string(w.process.highest_end_seen);
     add_decision(decision_kind::worker_polled, "", w.entry.id, std::move(detail),
                  to_millis(now - sent));
 }
@@ -163,8 +176,8 @@
 void scheduler::handle_rows(worker& w, const worker_report& report, time_point now)
 {
     for (const ended_task& end : report.ended) {
-        if (end.number > w.highest_end_seen) {
-            w.highest_end_seen = end.number;
+        if (end.number > w.process.highest_end_seen) {
+            w.process.highest_end_seen = end.number;
             workers_with_ends_.insert(w.entry.id);
             handle_end(w, end, now);
         }
@@ -199,12 +212,10 @@
         return;
     }
     // Start times don't order the processes, as the time of day may be set back in between.
-    if (report.start_time_ms != w->reported_start_ms && sent < w->clock_read_at) {
+    if (report.start_time_ms != w->process.start_time_ms && sent < w->process.clock_read_at) {
         return; // a delayed answer of the worker's previous process
     }
     w->last_answer = now;
-    w->clock_ms = report.clock_ms;
-    w->clock_read_at = now;
     if (w->lost) {
         w->lost = false;
         placing_needed_ = true;
@@ -217,10 +228,12 @@
         w->fence_confirmed = true;
         placing_needed_ = true;
     }
-    else if (report.start_time_ms != w->reported_start_ms) {
+    else if (report.start_time_ms != w->process.start_time_ms) {
         doubt_process(*w);
     }
-    note_process(*w, report.start_time_ms, order.acknowledged_end, now);
+    note_process(*w, report.start_time_ms, order.acknowledged_end, sent, now);
+    w->process.clock_ms = report.clock_ms;
+    w->process.clock_read_at = now;
     handle_rows(*w, report, now);
     run_evidence evidence{evidence_source::report, sent, report.start_time_ms, report.clock_ms};
     evidence.fence = refuses_earlier ? order.fence : 0;
@@ -276,10 +289,10 @@
     if (how != end_reason::done && how != end_reason::failed) {
         return;
     }
-    update_health(w.health, job, how == end_reason::failed, now);
-    if (w.health.avoid_until > now && how == end_reason::failed) {
+    update_health(w.process.health, job, how == end_reason::failed, now);
+    if (w.process.health.avoid_until > now && how == end_reason::failed) {
         add_decision(decision_kind::worker_avoided, "", w.entry.id, "runs fail one after the other",
-                     to_millis(w.health.avoid_until - now));
+                     to_millis(w.process.health.avoid_until - now));
     }
 }
 
@@ -319,7 +332,7 @@
     }
     if (end.how == end_reason::failed) {
         dirty_.insert(id.job);
-        task.failed_on.insert(w.entry.id);
+        task.failed_on.insert(w.id());
         const std::optional<int> limit = max_attempts_of(entry);
         if (job.fail(id, end.run, limit.value_or(std::numeric_limits<int>::max()))) {
             finish_job(entry, now);
@@ -385,7 +398,7 @@
     reported.phase = run_phase::running;
     reported.ordered_at = now;
     reported.confirmed_at = now;
-    reported.process_start_ms = w.reported_start_ms;
+    reported.process_start_ms = w.process.start_time_ms;
     reported.adopted = true;
     reported.reported = true;
     // A run whose step isn't known may use all the capacity that is left on the worker.
@@ -431,9 +444,9 @@
     if (!run->second.confirmed_at) {
         run->second.confirmed_at = now;
     }
-    const bool restarted = run->second.process_start_ms != w.reported_start_ms;
+    const bool restarted = run->second.process_start_ms != w.process.start_time_ms;
     run->second.reported = true;
-    run->second.process_start_ms = w.reported_start_ms;
+    run->second.process_start_ms = w.process.start_time_ms;
     if (restarted && run->second.phase == run_phase::stop_acknowledged) {
         send_stop(w, run->second, now); // a late send began it at the next process
     }
@@ -540,7 +553,7 @@
 {
     lease_bound bound =
         bound_of(origin, now, w.process_known ? length : std::max(length, bounds_.max_lease));
-    bound.process_start_ms = w.process_known ? w.reported_start_ms : 0;
+    bound.process_start_ms = w.process_known ? w.process.start_time_ms : 0;
     bound.until_ms = until_ms;
     return bound;
 }
@@ -565,7 +578,7 @@
     if (!w->listed && !w->unlisted_since) {
         w->unlisted_since = now;
     }
-    if (w->clock_ms && w->is_responsive(now) && w->is_lease_renewable(now)) {
+    if (w->process.clock_ms && w->is_responsive(now) && w->is_lease_renewable(now)) {
         const millis length = granted_lease(bounds_);
         order.until_ms = w->clock_at(now) + length.count();
         w->leases_before_poll = w->leases;
--- a/src/pool_runs.cc
+++ b/src/pool_runs.cc
@@ -38,7 +38,7 @@
 {
     run.phase = run_phase::stopping;
     run.ordered_at = now;
-    run.process_start_ms = w.reported_start_ms;
+    run.process_start_ms = w.process.start_time_ms;
     stops_.push_back(
         {w.entry.id, w.entry.address, to_string(run.task), run.run, w.fence, run.process_start_ms});
 }
@@ -84,7 +84,7 @@
 {
     // Covers the stop order, the pause between two ticks, and the poll that reports the end.
     constexpr millis report_time{250};
-    if (!w.entry.draining || !w.heard || w.lost ||
+    if (!w.is_draining() || !w.heard || w.lost ||
         now < w.leaves_after - bounds_.stop_timeout - report_time) {
         return;
     }
@@ -239,7 +239,7 @@
         w->last_answer = now;
         // The answer doesn't name its process, so it may be of the previous one: only reports set
         // the clock.
-        if (clock_ms > 0 && clock_ms < w->clock_ms.value_or(0)) {
+        if (clock_ms > 0 && clock_ms < w->process.clock_ms.value_or(0)) {
             doubt_process(*w);
         }
         if (!run.confirmed_at && run.phase == run_phase::starting) {
@@ -276,7 +276,9 @@
     switch (verdict) {
     case order_verdict::unknown:
         if (order.attempts < start_attempts) {
-            if (!w.is_schedulable(now) || !may_send_starts(now)) {
+            // The choice of the worker rests on what was known of the process at that time.
+            const bool same_process = run.process_start_ms == w.process.start_time_ms;
+            if (!same_process || !w.is_schedulable(now) || !may_send_starts(now)) {
                 return; // the next poll tells whether the worker has begun the run
             }
             start_order resend = order;
@@ -291,7 +293,8 @@
         return;
     case order_verdict::not_sent:
     case order_verdict::no_listener:
-        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
+        w.process.health.avoid_until =
+            std::max(w.process.health.avoid_until, now + unreachable_pause);
         break;
     case order_verdict::superseded:
         // The run has begun by an earlier send and has ended since. The next poll reports that.
@@ -302,10 +305,12 @@
         fenced_ = fenced_ || order.fence == w.fence; // else a later order of this leader was first
         break;
     case order_verdict::unhealthy:
-        w.health.avoid_until = std::max(w.health.avoid_until, now + unhealthy_pause);
+        w.process.health.avoid_until =
+            std::max(w.process.health.avoid_until, now + unhealthy_pause);
         break;
     case order_verdict::no_room:
-        w.health.avoid_until = std::max(w.health.avoid_until, now + unreachable_pause);
+        w.process.health.avoid_until =
+            std::max(w.process.health.avoid_until, now + unreachable_pause);
         break;
     default: {
         const auto ws = waiting_steps_.find(step_name(run.task));
--- a/src/pool_scheduler.cc
+++ b/src/pool_scheduler.cc
@@ -585,7 +585,7 @@
 {
     const auto known = workers_.find(id);
     return known != workers_.end() &&
-           known->second.acknowledged_end < known->second.highest_end_seen;
+           known->second.process.acknowledged_end < known->second.process.highest_end_seen;
 }
 
 std::vector<start_order> scheduler::take_starts()
