--- a/test/pool_process-test.cc
+++ b/test/pool_process-test.cc
@@ -80,9 +80,9 @@
     cr_assert_eq(orders.size(), 1);
     cell.restart(5030);
     cell.poll(5040);
-    list_as(cell, "b", 5050);
-    cell.poll(5060);
     cell.s.on_start(orders[0], order_verdict::unknown, 0, at_ms(5150));
+    cr_assert_eq(cell.s.take_starts().size(), 0);
+    list_as(cell, "b", 5160);
     for (std::int64_t ms = 5200; ms < 9000; ms += 100) {
         cell.poll(ms);
         cr_assert_eq(place(cell.s, ms + 10).size(), 0);
