--- a/include/sesamesill/pool_cancellations.h
+++ b/include/sesamesill/pool_cancellations.h
@@ -36,7 +36,7 @@
     /// Remembers a cancellation from now on, before its record is stored. At most `max_bytes` are
     /// spent on all of them.
     cancellation_state add(const std::string& job, std::int64_t wall_ms, std::size_t max_bytes);
-    /// Restores a cancellation from its record, which `wall_ms` is the time of if it's unreadable.
+    /// Restores a cancellation from its record. One that is unreadable counts as of `wall_ms`.
     void restore(const std::string& job, const std::string& value, std::int64_t wall_ms);
     /// Handles the outcome of a record. A cancellation that isn't stored is forgotten.
     void on_written(const std::string& job, bool stored);
--- a/include/sesamesill/pool_member.h
+++ b/include/sesamesill/pool_member.h
@@ -56,7 +56,7 @@
     found,
     not_known,
     unavailable, ///< no leader answered in time
-    refused      ///< the leader can't cancel a job that it doesn't know, but may later
+    refused      ///< the leader has no room to remember the cancel of an unknown job
 };
 
 struct state_answer {
--- a/src/pool_entries.cc
+++ b/src/pool_entries.cc
@@ -6,6 +6,21 @@
 #include "sesamesill/pool_scheduler.h"
 
 namespace sesamesill::pool {
+namespace {
+
+/// Returns whether the entry tells nothing newer than what is known of the worker. Once a process
+/// has answered that the known entry doesn't name, only an entry of it or of a later one counts.
+bool is_outdated_at(const worker& w, const worker_entry& entry)
+{
+    if (!w.entry_outlived) {
+        return is_outdated(entry, w.entry);
+    }
+    return entry.start_time_ms != w.process.start_time_ms &&
+           (entry.start_time_ms == w.entry.start_time_ms ||
+            entry.start_time_ms < w.process.start_time_ms);
+}
+
+} // namespace
 
 /// Returns whether the entry `newer` shows that `older` has ended, a worker with another id. An
 /// entry of a service that isn't declared may be another writer's: it shows nothing, unless the
@@ -73,22 +88,6 @@
     return added;
 }
 
-namespace {
-
-/// Returns whether the entry tells nothing newer than what is known of the worker. Once a process
-/// has answered that the known entry doesn't name, only an entry of it or of a later one counts.
-bool is_outdated_at(const worker& w, const worker_entry& entry)
-{
-    if (!w.entry_outlived) {
-        return is_outdated(entry, w.entry);
-    }
-    return entry.start_time_ms != w.process.start_time_ms &&
-           (entry.start_time_ms == w.entry.start_time_ms ||
-            entry.start_time_ms < w.process.start_time_ms);
-}
-
-} // namespace
-
 /// Replaces the entry of a known worker by a newer one; returns false if it isn't newer.
 bool scheduler::update_entry(worker& w, const worker_entry& entry, time_point now)
 {
--- a/src/pool_leader.cc
+++ b/src/pool_leader.cc
@@ -94,10 +94,9 @@
                   millis(0)});
         }
     }
-    for (const auto* waiting : {&cancels_, &unknown_cancels_}) {
-        for (const std::pair<const std::string, std::vector<std::function<void(state_answer)>>>& c :
-             *waiting) {
-            for (const std::function<void(state_answer)>& done : c.second) {
+    for (const waiting_cancels* waiting : {&cancels_, &unknown_cancels_}) {
+        for (const waiting_cancels::value_type& cancelled : *waiting) {
+            for (const std::function<void(state_answer)>& done : cancelled.second) {
                 done({lookup::unavailable});
             }
         }
--- a/src/pool_leader.h
+++ b/src/pool_leader.h
@@ -86,6 +86,8 @@
         std::vector<std::function<void(submit_answer)>> waiting;
         memory_charge reserved; ///< until the scheduler has the job
     };
+    /// Callers that wait for the answer to a cancel, by job.
+    using waiting_cancels = std::map<std::string, std::vector<std::function<void(state_answer)>>>;
     struct caller {
         bool busy = false;
     };
@@ -142,9 +144,9 @@
     std::set<std::pair<time_point, std::string>> poll_queue_; ///< workers by time of the next poll
     std::size_t first_polls_in_flight_ = 0;
     std::map<std::string, pending_submit> submits_; ///< by job, while its record is being stored
-    std::map<std::string, std::vector<std::function<void(state_answer)>>> cancels_; ///< by job
-    /// Cancellations of unknown jobs, by job, while their records are being stored.
-    std::map<std::string, std::vector<std::function<void(state_answer)>>> unknown_cancels_;
+    waiting_cancels cancels_;                       ///< while the final states are being stored
+    /// Of unknown jobs, while the records of their cancellations are being stored.
+    waiting_cancels unknown_cancels_;
     std::set<std::string> refused_requests_;                  ///< of the last `refusal_memory`
     std::deque<std::pair<time_point, std::string>> refusals_; ///< the same, in order of time
     /// Members that call the advisor for this leader, by name.
