Measure allocated blocks in the tests of memory under the address sanitizer

The tests now sum the blocks there, by the sanitizer's hooks; without it they compare resident memory as before. They also check that the measurement shows something.

--- a/test/pool_memory-test.cc
+++ b/test/pool_memory-test.cc
@@ -1,6 +1,7 @@
 // Tests of the memory that accepted work takes: at acceptance, after a restore, when occurrences
 // come due, and after jobs have ended.
 
+#include <atomic>
 #include <fstream>
 
 #include <criterion/criterion.h>
@@ -12,24 +13,56 @@
 using namespace sesamesill::pool;
 using namespace sesamesill::pool::testing;
 
+#if defined(__SANITIZE_ADDRESS__)
+
+namespace {
+
+std::atomic<std::size_t> allocated_bytes{0};
+
+} // namespace
+
+// The sanitizer calls these for each block.
+extern "C" {
+
+std::size_t __sanitizer_get_allocated_size(const volatile void* block);
+
+void __sanitizer_malloc_hook(const volatile void* /*block*/, std::size_t size)
+{
+    allocated_bytes += size;
+}
+
+void __sanitizer_free_hook(const volatile void* block)
+{
+    allocated_bytes -= __sanitizer_get_allocated_size(block);
+}
+
+} // extern "C"
+
+#endif
+
 namespace {
 
 constexpr std::int64_t minute_ms = 60'000;
 constexpr std::size_t vm_limit = 104'000'000; ///< share of a VM of 260 MB for accepted work
 
-/// Returns the resident memory of this process in bytes.
-std::size_t resident_bytes()
+/// Returns the memory that this process uses, in bytes. With the address sanitizer that is the size
+/// of its blocks, as resident memory includes their margins and blocks that were freed.
+std::size_t used_bytes()
 {
+#if defined(__SANITIZE_ADDRESS__)
+    return allocated_bytes;
+#else
     std::ifstream statm("/proc/self/statm");
     std::size_t pages = 0;
     std::size_t resident = 0;
     statm >> pages >> resident;
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+#endif
 }
 
 std::size_t growth_since(std::size_t bytes)
 {
-    const std::size_t now = resident_bytes();
+    const std::size_t now = used_bytes();
     return now > bytes ? now - bytes : 0;
 }
 
@@ -70,13 +103,14 @@
     constexpr int jobs = 1000;
     std::map<std::string, std::string> store;
     scheduler s = scheduler_with({"w1"});
-    const std::size_t before = resident_bytes();
+    const std::size_t before = used_bytes();
     for (int n = 0; n < jobs; ++n) {
         spec.id = id_of(n);
         add_job(s, store, spec, 0);
         s.take_decisions();
     }
     const std::size_t growth = growth_since(before);
+    cr_assert_geq(growth, jobs * sizeof(job_spec), "the measurement shows %zu bytes only", growth);
     cr_assert_leq(growth, s.memory().used(), "%zu bytes, %zu estimated", growth, s.memory().used());
 }
 
@@ -87,7 +121,7 @@
     // Guards against a leader that exceeds its memory by jobs of which hardly a task is due.
     std::map<std::string, std::string> store;
     scheduler s = scheduler_with({"w1"});
-    const std::size_t before = resident_bytes();
+    const std::size_t before = used_bytes();
     for (int n = 0; n < 600; ++n) {
         add_job(s, store, daily_job(n), n);
     }
@@ -103,7 +137,7 @@
         const job_record job{daily_job(n), wall_start_ms, {}};
         store[scheduler::record_of(job).key] = encode(job);
     }
-    const std::size_t before = resident_bytes();
+    const std::size_t before = used_bytes();
     scheduler s = successor_of(store, 2, {"w1"}, 5000, config_of());
     const std::size_t growth = growth_since(before);
     cr_assert_lt(growth, vm_limit, "600 jobs take %zu bytes", growth);
@@ -116,7 +150,7 @@
     // knows.
     std::map<std::string, std::string> store;
     scheduler s = scheduler_with({"w1"});
-    const std::size_t before = resident_bytes();
+    const std::size_t before = used_bytes();
     for (int n = 0; n < 300; ++n) {
         add_job(s, store, large_job(n, 4096), n);
         cr_assert(s.cancel(id_of(n), at_ms(n)) == cancel_answer::cancelled);
@@ -133,7 +167,7 @@
     std::map<std::string, std::string> store;
     scheduler s = scheduler_with({"w1"});
     s.limit_memory(vm_limit);
-    const std::size_t before = resident_bytes();
+    const std::size_t before = used_bytes();
     int accepted = 0;
     while (accepted < 1000 && !refusal_of(s, large_job(accepted, 1000), 0)) {
         add_job(s, store, large_job(accepted, 1000), 0);
@@ -157,7 +191,7 @@
     constexpr int jobs = 20'000;
     std::map<std::string, std::string> store;
     scheduler s = scheduler_with({"w1"});
-    const std::size_t before = resident_bytes();
+    const std::size_t before = used_bytes();
     for (int n = 0; n < jobs; ++n) {
         add_job(s, store, large_job(n, 2), n);
         s.cancel(id_of(n), at_ms(n));
