--- a/bench/pool.cc
+++ b/bench/pool.cc
@@ -8,6 +8,7 @@
 
 #include <benchmark/benchmark.h>
 
+#include "one_queue.h"
 #include "sesamesill/pool_scheduler.h"
 
 namespace {
@@ -17,20 +18,6 @@
 
 constexpr std::int64_t wall_ms = 1'700'000'000'000;
 
-configuration one_queue()
-{
-    configuration config;
-    config.version = 1;
-    queue_policy queue;
-    queue.name = "q";
-    queue.service = "s";
-    queue.max_attempts = 3;
-    queue.stretch = 4;
-    queue.latency_target = millis(1000);
-    config.queues = {queue};
-    return config;
-}
-
 job_spec job_number(int number, bool gang)
 {
     step_spec step;
@@ -71,7 +58,7 @@
     const int waiting = static_cast<int>(state.range(1));
     time_point now(micros(0));
     scheduler s(1, {}, now);
-    s.configure(one_queue(), now);
+    s.configure(bench::one_queue(millis(1000)), now);
     for (int i = 0; i < workers; ++i) {
         const worker_entry entry = entry_of(i);
         s.list_worker(entry, now);
@@ -104,7 +91,7 @@
 
     explicit answering_pool(int workers)
     {
-        s.configure(one_queue(), now);
+        s.configure(bench::one_queue(millis(1000)), now);
         for (int i = 0; i < workers; ++i) {
             const worker_entry entry = entry_of(i);
             s.list_worker(entry, now);
@@ -186,7 +173,7 @@
 void advice_call_of_many(benchmark::State& state)
 {
     answering_pool pool(static_cast<int>(state.range(0)));
-    configuration config = one_queue();
+    configuration config = bench::one_queue(millis(1000));
     config.queues[0].advice = advice_terms{5, 1, millis(1000)};
     pool.s.configure(config, pool.now);
     for (int i = 0; i < state.range(1); ++i) {
--- a/bench/pool_memory.cc
+++ b/bench/pool_memory.cc
@@ -11,6 +11,7 @@
 
 #include <gflags/gflags.h>
 
+#include "one_queue.h"
 #include "sesamesill/pool_scheduler.h"
 
 DEFINE_string(shape, "small", "small, wide, daily, steps or cancelled");
@@ -25,19 +26,6 @@
 constexpr std::int64_t minute_ms = 60'000;
 constexpr int max_jobs = 1'000'000;
 
-configuration one_queue()
-{
-    configuration config;
-    config.version = 1;
-    queue_policy queue;
-    queue.name = "q";
-    queue.service = "s";
-    queue.max_attempts = 3;
-    queue.stretch = 4;
-    config.queues = {queue};
-    return config;
-}
-
 worker_entry idle_worker()
 {
     worker_entry entry;
@@ -102,7 +90,7 @@
     std::unique_ptr<scheduler> s =
         std::make_unique<scheduler>(fence, platform_bounds(), time_point());
     s->limit_memory(accepted_work_limit(memory_mb));
-    s->configure(one_queue(), time_point());
+    s->configure(bench::one_queue(millis(0)), time_point());
     s->list_worker(idle_worker(), time_point());
     return s;
 }
