--- a/test/pool_cancel-test.cc
+++ b/test/pool_cancel-test.cc
@@ -120,6 +120,7 @@
 
 Test(pool_cancel, a_cancelled_id_may_be_handed_in_again_after_a_time)
 {
+    // Guards against an id that is refused for ever.
     std::map<std::string, std::string> store;
     const platform_bounds bounds;
     scheduler s = scheduler_with({"w1"});
@@ -142,6 +143,7 @@
 
 Test(pool_cancel, a_record_that_outlived_its_time_is_removed_after_a_failed_write)
 {
+    // Guards against records that fill the store.
     std::map<std::string, std::string> store;
     scheduler s = scheduler_with({"w1"});
     s.restore_cancellation(job, "not json", wall_start_ms);
@@ -175,6 +177,7 @@
 
 Test(pool_cancel, a_request_that_is_read_after_a_pause_may_have_arrived_during_it)
 {
+    // Guards against a deadline that is counted from the end of a pause.
     arrival_meter meter(at_ms(0));
     meter.on_turn(at_ms(20));
     cr_assert(meter.earliest_arrival(at_ms(30)) == at_ms(30));
--- a/test/pool_process-test.cc
+++ b/test/pool_process-test.cc
@@ -48,6 +48,7 @@
 
 Test(pool_process, a_gang_is_not_placed_by_the_labels_of_the_process_before)
 {
+    // Guards against the same for gangs, whose workers are chosen together.
     restarting_cell cell;
     cell.poll(5000);
     cell.restart(5010);
@@ -73,6 +74,7 @@
 
 Test(pool_process, a_start_is_not_repeated_to_a_process_of_another_kind)
 {
+    // Guards against a start whose worker was chosen by what was known of another process.
     restarting_cell cell;
     cell.poll(5000);
     add_job(cell.s, cell.store, job_that_needs(first_job, "a"), 5010);
@@ -121,6 +123,7 @@
 
 Test(pool_process, a_worker_without_a_new_entry_keeps_its_runs_and_gets_no_new_ones)
 {
+    // Guards against runs that are given up because the entry of their process never comes.
     restarting_cell cell;
     cell.poll(5000);
     cell.restart(5010);
@@ -137,6 +140,7 @@
 
 Test(pool_process, a_drain_of_the_process_before_does_not_stop_the_runs_of_the_next_one)
 {
+    // Guards against runs that are stopped because the process before had announced that it leaves.
     restarting_cell cell;
     worker_entry draining = worker_of("w1");
     draining.draining = true;
@@ -156,6 +160,7 @@
 
 Test(pool_process, failures_of_the_process_before_do_not_count_against_the_next_one)
 {
+    // Guards against a worker that is avoided for what ended with its former process.
     restarting_cell cell;
     cell.s.configure(config_of(std::nullopt, 1), at_ms(0));
     std::int64_t ms = 10;
